--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/caller/ActionEndpoint.java
@@ -0,0 +1,91 @@
+package org.rattanport.connectors.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import org.rattanport.connectors.json.Json;
+import org.rattanport.connectors.metrics.InstanceMetrics;
+import org.rattanport.decisions.action.ActionService;
+import org.rattanport.decisions.lifecycle.InFlight;
+import org.rattanport.kernel.environment.Operation;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.model.RequestId;
+import org.rattanport.kernel.plugin.PluginContext;
+import org.rattanport.kernel.request.ActionRequest;
+import org.rattanport.kernel.request.ActionResult;
+import org.rattanport.kernel.time.Deadline;
+
+/** Calls of plain services: {@code POST /v1/services/{service}/{operation}}. */
+public final class ActionEndpoint implements Endpoint {
+    private static final int LARGEST_BODY_BYTES = 1024 * 1024;
+    private static final int LONGEST_KEY_CHARACTERS = 256;
+    private static final Duration STANDARD_TIME_LIMIT = Duration.ofSeconds(30);
+
+    @Override
+    public void register(Routes routes, PluginContext context) {
+        routes.post("/v1/services/{service}/{operation}", exchange -> call(exchange, context));
+    }
+
+    private static void call(Exchange exchange, PluginContext context) {
+        Caller caller = Authentication.caller(exchange, context);
+        InstanceMetrics metrics = context.require(InstanceMetrics.class);
+        try (var ignored = context.require(InFlight.class).enter()) {
+            ActionRequest request = request(exchange, caller, context);
+            exchange.answerHeader("Rattanport-Request-Id", request.id().value());
+            ActionResult result =
+                    context.require(ActionService.class).run(request, caller.environment());
+            metrics.actionEnded(request.service(), "ok", "ran");
+            exchange.answerHeader(ErrorAnswers.VERDICT_HEADER, "ran");
+            exchange.answerHeader("Rattanport-Replay", Boolean.toString(result.isReplay()));
+            exchange.answer(
+                    result.status(),
+                    "application/json",
+                    result.body().getBytes(StandardCharsets.UTF_8));
+        } catch (RattanportException e) {
+            metrics.actionEnded(
+                    exchange.pathParameter("service"), e.code().text(), e.verdict().text());
+            throw e;
+        } catch (Exception e) {
+            throw ErrorAnswers.unforeseen(new IllegalStateException(e));
+        }
+    }
+
+    private static ActionRequest request(Exchange exchange, Caller caller, PluginContext context) {
+        String service = exchange.pathParameter("service");
+        String operation = exchange.pathParameter("operation");
+        byte[] body = exchange.body(LARGEST_BODY_BYTES);
+        if (body.length > 0) {
+            Json.parseObject(body);
+        }
+        var document = caller.environment().document();
+        Duration standard =
+                document.service(service)
+                        .flatMap(each -> each.operation(operation))
+                        .map(Operation::timeLimit)
+                        .orElse(STANDARD_TIME_LIMIT);
+        Duration limit = TimeLimits.read(exchange, document, standard);
+        return new ActionRequest(
+                RequestId.random(),
+                caller.account().id(),
+                service,
+                operation,
+                body.length == 0 ? "{}" : new String(body, StandardCharsets.UTF_8),
+                idempotencyKey(exchange),
+                Deadline.after(context.time(), limit));
+    }
+
+    private static Optional<String> idempotencyKey(Exchange exchange) {
+        Optional<String> key = exchange.header("Idempotency-Key");
+        if (key.filter(each -> each.length() > LONGEST_KEY_CHARACTERS).isPresent()) {
+            throw RattanportException.builder(
+                            ErrorCode.INVALID_REQUEST,
+                            "Idempotency-Key has more than "
+                                    + LONGEST_KEY_CHARACTERS
+                                    + " characters")
+                    .field("Idempotency-Key")
+                    .build();
+        }
+        return key;
+    }
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/caller/CallerPlugin.java
@@ -0,0 +1,49 @@
+package org.rattanport.connectors.caller;
+
+import java.util.Optional;
+import java.util.Set;
+import org.rattanport.connectors.metrics.InstanceMetrics;
+import org.rattanport.connectors.peer.NettyPeerNetwork;
+import org.rattanport.kernel.plugin.Plugin;
+import org.rattanport.kernel.plugin.PluginContext;
+import org.rattanport.kernel.settings.InstanceSettings;
+import org.rattanport.kernel.settings.LocalEndpoints;
+import org.rattanport.kernel.time.Deadline;
+
+/** Opens the caller port and provides the addresses that this instance has bound. */
+public final class CallerPlugin implements Plugin {
+    private Optional<CallerServer> mServer = Optional.empty();
+
+    @Override
+    public String name() {
+        return "callers";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(InstanceSettings.class, NettyPeerNetwork.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of(LocalEndpoints.class, InstanceMetrics.class);
+    }
+
+    @Override
+    public void start(PluginContext context) {
+        context.provide(InstanceMetrics.class, new InstanceMetrics());
+        CallerServer server =
+                new CallerServer(context.require(InstanceSettings.class).callerAddress(), context);
+        mServer = Optional.of(server);
+        context.provide(
+                LocalEndpoints.class,
+                new LocalEndpoints(
+                        server.boundAddress(),
+                        context.require(NettyPeerNetwork.class).boundAddress()));
+    }
+
+    @Override
+    public void stop(Deadline deadline) {
+        mServer.ifPresent(CallerServer::close);
+    }
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/caller/EventSink.java
@@ -0,0 +1,109 @@
+package org.rattanport.connectors.caller;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.rattanport.connectors.json.Json;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.model.TargetId;
+import org.rattanport.kernel.request.AnswerChunk;
+import org.rattanport.kernel.request.AnswerSink;
+import org.rattanport.kernel.request.PromptRequest;
+
+/**
+ * Sends an answer as server-sent events. Nothing is sent before the first chunk or the first
+ * keep-alive, so that a refusal before them has a status of its own. Writing blocks while the
+ * caller does not read, so no part of the answer gathers here.
+ */
+final class EventSink implements AnswerSink {
+    private static final String DONE = "data: [DONE]\n\n";
+    private static final String KEEP_ALIVE = ": waiting\n\n";
+
+    private final Exchange mExchange;
+    private final PromptRequest mRequest;
+    private final ResumeTickets mTickets;
+    private Optional<OutputStream> mOutput = Optional.empty();
+    private Optional<String> mTicket = Optional.empty();
+    private boolean mHasChunk;
+
+    EventSink(Exchange exchange, PromptRequest request, ResumeTickets tickets) {
+        mExchange = exchange;
+        mRequest = request;
+        mTickets = tickets;
+    }
+
+    @Override
+    public synchronized void attemptStarted(TargetId target, int attempt) {
+        ResumeTickets.Ticket ticket =
+                new ResumeTickets.Ticket(
+                        mRequest.id().value(),
+                        mRequest.fingerprint().value(),
+                        target.name(),
+                        target.incarnation(),
+                        attempt);
+        mTicket = Optional.of(mTickets.seal(ticket));
+    }
+
+    @Override
+    public synchronized void accept(AnswerChunk chunk) {
+        ObjectNode event = ChatAnswers.chunk(mRequest, chunk);
+        mTicket.ifPresent(
+                ticket -> ((ObjectNode) event.get(ChatAnswers.EXTENSIONS)).put("ticket", ticket));
+        mTicket = Optional.empty();
+        mHasChunk = true;
+        write("data: " + Json.write(event) + "\n\n" + (chunk.isLast() ? DONE : ""));
+    }
+
+    /** Tells a waiting caller that work goes on, and notices one that has gone. */
+    synchronized void keepAlive() {
+        if (!mHasChunk) {
+            write(KEEP_ALIVE);
+        }
+    }
+
+    /** Whether any byte went out, so that an error can only be sent as an event. */
+    synchronized boolean isOpen() {
+        return mOutput.isPresent();
+    }
+
+    /** Ends the stream with an error event and without the closing mark. */
+    synchronized void fail(RattanportException error) {
+        write("data: " + Json.write(ErrorAnswers.body(error)) + "\n\n");
+        close();
+    }
+
+    synchronized void close() {
+        try {
+            if (mOutput.isPresent()) {
+                mOutput.get().close();
+            }
+        } catch (IOException | UncheckedIOException | IllegalStateException e) {
+            throw gone(e);
+        }
+    }
+
+    private void write(String text) {
+        try {
+            if (mOutput.isEmpty()) {
+                mOutput = Optional.of(mExchange.openEvents());
+            }
+            OutputStream output = mOutput.get();
+            output.write(text.getBytes(StandardCharsets.UTF_8));
+            output.flush();
+        } catch (IOException | UncheckedIOException | IllegalStateException e) {
+            throw gone(e);
+        }
+    }
+
+    private static RattanportException gone(Exception cause) {
+        return RattanportException.builder(ErrorCode.CANCELLED, "the caller has gone")
+                .verdict(Verdict.MAY_HAVE_RUN)
+                .cause(cause)
+                .build();
+    }
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/caller/TimeLimits.java
@@ -0,0 +1,41 @@
+package org.rattanport.connectors.caller;
+
+import java.time.Duration;
+import org.rattanport.kernel.environment.EnvironmentDocument;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+
+/** Reads the time that a caller allows. */
+final class TimeLimits {
+    private static final String HEADER = "Rattanport-Timeout-Seconds";
+    private static final double MILLIS_PER_SECOND = 1000;
+
+    private TimeLimits() {}
+
+    static Duration read(Exchange exchange, EnvironmentDocument document, Duration standard) {
+        Duration maximum = document.limits().maximumTimeLimit();
+        Duration limit = exchange.header(HEADER).map(TimeLimits::parse).orElse(standard);
+        if (limit.isNegative() || limit.isZero() || limit.compareTo(maximum) > 0) {
+            throw invalid("must be more than 0 and at most " + maximum.toSeconds());
+        }
+        return limit;
+    }
+
+    private static Duration parse(String text) {
+        try {
+            double seconds = Double.parseDouble(text);
+            if (!Double.isFinite(seconds)) {
+                throw invalid("must be a number of seconds");
+            }
+            return Duration.ofMillis((long) (seconds * MILLIS_PER_SECOND));
+        } catch (NumberFormatException e) {
+            throw invalid("must be a number of seconds");
+        }
+    }
+
+    private static RattanportException invalid(String what) {
+        return RattanportException.builder(ErrorCode.INVALID_REQUEST, HEADER + " " + what)
+                .field(HEADER)
+                .build();
+    }
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/json/JsonPlugin.java
@@ -0,0 +1,26 @@
+package org.rattanport.connectors.json;
+
+import java.util.Set;
+import org.rattanport.kernel.environment.DocumentCodec;
+import org.rattanport.kernel.platform.RowCodec;
+import org.rattanport.kernel.plugin.Plugin;
+import org.rattanport.kernel.plugin.PluginContext;
+
+/** Provides the encodings of rows and documents. */
+public final class JsonPlugin implements Plugin {
+    @Override
+    public String name() {
+        return "json";
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of(RowCodec.class, DocumentCodec.class);
+    }
+
+    @Override
+    public void start(PluginContext context) {
+        context.provide(RowCodec.class, new JsonRowCodec());
+        context.provide(DocumentCodec.class, new JsonDocumentCodec());
+    }
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/json/JsonRowCodec.java
@@ -0,0 +1,30 @@
+package org.rattanport.connectors.json;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.platform.RowCodec;
+
+/** Keeps records in rows as JSON. */
+public final class JsonRowCodec implements RowCodec {
+    @Override
+    public String encode(Record value) {
+        return Json.write(value);
+    }
+
+    @Override
+    public <T extends Record> T decode(String text, Class<T> type) {
+        try {
+            return Json.MAPPER.readValue(text, type);
+        } catch (JsonProcessingException e) {
+            throw RattanportException.builder(
+                            ErrorCode.INTERNAL,
+                            "a row does not hold a "
+                                    + type.getSimpleName()
+                                    + ": "
+                                    + Json.describe(e))
+                    .cause(e)
+                    .build();
+        }
+    }
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/json/package-info.java
@@ -0,0 +1,5 @@
+/** JSON: messages, rows, settings and documents. */
+@NullMarked
+package org.rattanport.connectors.json;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/InstanceMetrics.java
@@ -0,0 +1,107 @@
+package org.rattanport.connectors.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.rattanport.decisions.lifecycle.InFlight;
+import org.rattanport.decisions.memory.MemoryReclaimer;
+import org.rattanport.decisions.ordering.Dispatcher;
+import org.rattanport.kernel.environment.EnvironmentInForce;
+import org.rattanport.kernel.environment.Stage;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.peer.Membership;
+import org.rattanport.kernel.plugin.PluginContext;
+
+/** The metrics of one instance, in a registry of its own. */
+public final class InstanceMetrics {
+    private static final double[] FIRST_TOKEN_BUCKETS_SECONDS = {
+        0.05, 0.1, 0.2, 0.3, 0.48, 0.75, 1, 2, 5, 10, 30, 60, 120, 300
+    };
+
+    private final PrometheusRegistry mRegistry = new PrometheusRegistry();
+    private final Counter mPrompts =
+            Counter.builder()
+                    .name("rattanport_prompts")
+                    .help("Prompts that ended, by length class, code and verdict")
+                    .labelNames("length_class", "code", "verdict")
+                    .register(mRegistry);
+    private final Counter mActions =
+            Counter.builder()
+                    .name("rattanport_actions")
+                    .help("Service calls that ended, by service, code and verdict")
+                    .labelNames("service", "code", "verdict")
+                    .register(mRegistry);
+    private final Counter mOutputTokens =
+            Counter.builder()
+                    .name("rattanport_output_tokens")
+                    .help("Output tokens passed to callers")
+                    .register(mRegistry);
+    private final Histogram mFirstToken =
+            Histogram.builder()
+                    .name("rattanport_first_token_seconds")
+                    .help("Time from the request to the first token, by length class")
+                    .labelNames("length_class")
+                    .classicUpperBounds(FIRST_TOKEN_BUCKETS_SECONDS)
+                    .register(mRegistry);
+    private final Gauge mState =
+            Gauge.builder()
+                    .name("rattanport_state")
+                    .help("Present values of this instance, by name")
+                    .labelNames("name")
+                    .register(mRegistry);
+
+    public void promptEnded(String lengthClass, String code, String verdict) {
+        mPrompts.labelValues(lengthClass, code, verdict).inc();
+    }
+
+    public void actionEnded(String service, String code, String verdict) {
+        mActions.labelValues(service, code, verdict).inc();
+    }
+
+    public void firstToken(String lengthClass, double seconds) {
+        mFirstToken.labelValues(lengthClass).observe(seconds);
+    }
+
+    public void outputTokens(int tokens) {
+        mOutputTokens.inc(tokens);
+    }
+
+    /** Returns all metrics in the text format. */
+    public String expose(PluginContext context) {
+        refresh(context);
+        try (ByteArrayOutputStream output = new ByteArrayOutputStream()) {
+            PrometheusTextFormatWriter.create().write(output, mRegistry.scrape());
+            return output.toString(StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw RattanportException.builder(ErrorCode.INTERNAL, "cannot write metrics")
+                    .cause(e)
+                    .build();
+        }
+    }
+
+    private void refresh(PluginContext context) {
+        context.find(InFlight.class).ifPresent(each -> set("requests_in_flight", each.count()));
+        context.find(Dispatcher.class)
+                .ifPresent(each -> set("queued_prompt_tokens", each.queuedTokens()));
+        context.find(Membership.class)
+                .ifPresent(each -> set("alive_members", each.aliveMembers().size()));
+        context.find(MemoryReclaimer.class)
+                .ifPresent(each -> set("reclaimed_memory_pieces", each.released()));
+        context.find(EnvironmentInForce.class)
+                .ifPresent(
+                        each -> {
+                            set("trial_version", each.version(Stage.TRIAL));
+                            set("production_version", each.version(Stage.PRODUCTION));
+                        });
+    }
+
+    private void set(String name, double value) {
+        mState.labelValues(name).set(value);
+    }
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/NettyPeerNetwork.java
@@ -0,0 +1,214 @@
+package org.rattanport.connectors.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.jboss.logging.Logger;
+import org.rattanport.connectors.peer.protocol.Frame;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.peer.PeerHandler;
+import org.rattanport.kernel.peer.PeerMessage;
+import org.rattanport.kernel.peer.PeerNetwork;
+import org.rattanport.kernel.task.Tasks;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.TimeSource;
+
+/** Connections between instances over TCP. Each is served by one task at either end. */
+public final class NettyPeerNetwork implements PeerNetwork, AutoCloseable {
+    private static final Logger LOGGER = Logger.getLogger(NettyPeerNetwork.class);
+    private static final Duration HANDSHAKE_TIMEOUT = Duration.ofSeconds(3);
+    private static final Duration IDLE_LIMIT = Duration.ofSeconds(90);
+    private static final int LARGEST_BACKLOG = 512;
+
+    private final PeerSecret mSecret;
+    private final PeerCodec mCodec = new PeerCodec();
+    private final TimeSource mTime;
+    private final EventLoopGroup mEventLoop =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final Map<Class<?>, PeerHandler<?>> mHandlers = new ConcurrentHashMap<>();
+    private final Map<String, PeerLink> mLinks = new ConcurrentHashMap<>();
+    private final Set<PeerChannel> mAccepted = ConcurrentHashMap.newKeySet();
+    private final Channel mServer;
+
+    public NettyPeerNetwork(String bindAddress, String secret, TimeSource time) {
+        mSecret = new PeerSecret(secret);
+        mTime = time;
+        mServer = bind(bindAddress);
+    }
+
+    private Channel bind(String address) {
+        ServerBootstrap server =
+                new ServerBootstrap()
+                        .group(mEventLoop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, LARGEST_BACKLOG)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<NioSocketChannel>() {
+                                    @Override
+                                    protected void initChannel(NioSocketChannel channel) {
+                                        PeerChannel accepted = new PeerChannel(channel);
+                                        Tasks.start("peer-connection", () -> serve(accepted));
+                                    }
+                                });
+        var bound = server.bind(socketAddress(address)).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            mEventLoop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+            throw RattanportException.builder(
+                            ErrorCode.INVALID_SETTINGS,
+                            "cannot listen at " + address + ": " + bound.cause().getMessage())
+                    .field("peer_address")
+                    .build();
+        }
+        return bound.channel();
+    }
+
+    /** Address that is bound, with the port that was taken. */
+    public String boundAddress() {
+        InetSocketAddress address = (InetSocketAddress) mServer.localAddress();
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    @Override
+    public <T extends PeerMessage> void handle(Class<T> type, PeerHandler<T> handler) {
+        mHandlers.put(type, handler);
+    }
+
+    @Override
+    public PeerMessage ask(String peerAddress, PeerMessage question, Deadline deadline) {
+        return link(peerAddress, deadline).ask(question, deadline);
+    }
+
+    private PeerLink link(String address, Deadline deadline) {
+        PeerLink open = mLinks.get(address);
+        if (open != null && open.isOpen()) {
+            return open;
+        }
+        PeerLink connected = connect(address, deadline);
+        PeerLink before = mLinks.put(address, connected);
+        if (before != null) {
+            before.close();
+        }
+        return connected;
+    }
+
+    private PeerLink connect(String address, Deadline deadline) {
+        PeerChannel[] channel = new PeerChannel[1];
+        Bootstrap client =
+                new Bootstrap()
+                        .group(mEventLoop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(
+                                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                                (int) Math.max(1, deadline.remaining(mTime).toMillis()))
+                        .handler(
+                                new ChannelInitializer<NioSocketChannel>() {
+                                    @Override
+                                    protected void initChannel(NioSocketChannel created) {
+                                        channel[0] = new PeerChannel(created);
+                                    }
+                                });
+        var connecting = client.connect(socketAddress(address));
+        boolean isDone =
+                connecting.awaitUninterruptibly(
+                        deadline.remaining(mTime).toNanos(), TimeUnit.NANOSECONDS);
+        if (!isDone || !connecting.isSuccess()) {
+            connecting.channel().close();
+            throw new RattanportException(
+                    ErrorCode.PEER_UNREACHABLE, "cannot connect to " + address);
+        }
+        return PeerLink.open(channel[0], mSecret, mCodec, mTime, deadline);
+    }
+
+    private void serve(PeerChannel channel) {
+        mAccepted.add(channel);
+        try {
+            if (!accept(channel)) {
+                return;
+            }
+            while (true) {
+                var frame = channel.take(IDLE_LIMIT.toNanos());
+                if (frame.isEmpty()) {
+                    return;
+                }
+                // A slow question must not hold up a probe behind it.
+                Tasks.start("peer-question", () -> answer(channel, frame.get()));
+            }
+        } catch (RattanportException e) {
+            LOGGER.debugf("peer connection ended: %s", e.getMessage());
+        } finally {
+            mAccepted.remove(channel);
+            channel.close();
+        }
+    }
+
+    private boolean accept(PeerChannel channel) {
+        Deadline deadline = Deadline.after(mTime, HANDSHAKE_TIMEOUT);
+        byte[] serverNonce = mSecret.nonce();
+        channel.write(PeerLink.handshake(serverNonce, new byte[0]));
+        var handshake = PeerLink.handshake(channel, mTime, deadline);
+        byte[] clientNonce = handshake.getNonce().toByteArray();
+        byte[] expected = mSecret.proof("client", serverNonce, clientNonce);
+        if (!PeerSecret.matches(expected, handshake.getProof().toByteArray())) {
+            LOGGER.warn("a connection to the peer port did not prove the shared key");
+            return false;
+        }
+        byte[] proof = mSecret.proof("server", serverNonce, clientNonce);
+        channel.write(PeerLink.handshake(new byte[0], proof));
+        return true;
+    }
+
+    private void answer(PeerChannel channel, Frame frame) {
+        try {
+            PeerMessage answer =
+                    mCodec.decode(frame).map(this::dispatch).orElse(new PeerMessage.Unhandled());
+            channel.write(
+                    mCodec.encode(answer)
+                            .setCorrelation(frame.getCorrelation())
+                            .setIsAnswer(true)
+                            .build());
+        } catch (RattanportException e) {
+            LOGGER.debugf("a peer's question was not answered: %s", e.getMessage());
+        }
+    }
+
+    private PeerMessage dispatch(PeerMessage question) {
+        PeerHandler<?> handler = mHandlers.get(question.getClass());
+        return handler == null ? new PeerMessage.Unhandled() : call(handler, question);
+    }
+
+    @SuppressWarnings("unchecked") // handle() registers each handler under the class it takes
+    private static <T extends PeerMessage> PeerMessage call(
+            PeerHandler<T> handler, PeerMessage question) {
+        return handler.answer((T) question);
+    }
+
+    private static InetSocketAddress socketAddress(String address) {
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(
+                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+
+    @Override
+    public void close() {
+        mServer.close().awaitUninterruptibly();
+        mLinks.values().forEach(PeerLink::close);
+        mAccepted.forEach(PeerChannel::close);
+        mEventLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PeerLink.java
@@ -0,0 +1,135 @@
+package org.rattanport.connectors.peer;
+
+import com.google.protobuf.ByteString;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import org.rattanport.connectors.peer.protocol.Frame;
+import org.rattanport.connectors.peer.protocol.Handshake;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.peer.PeerMessage;
+import org.rattanport.kernel.task.Tasks;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.TimeSource;
+
+/** An outgoing connection: one task reads the answers and hands each to the one who asked. */
+final class PeerLink implements AutoCloseable {
+    private static final Duration IDLE_LIMIT = Duration.ofSeconds(60);
+
+    private final PeerChannel mChannel;
+    private final PeerCodec mCodec;
+    private final TimeSource mTime;
+    private final AtomicLong mCorrelations = new AtomicLong();
+    private final Map<Long, CompletableFuture<PeerMessage>> mQuestions = new ConcurrentHashMap<>();
+
+    private PeerLink(PeerChannel channel, PeerCodec codec, TimeSource time) {
+        mChannel = channel;
+        mCodec = codec;
+        mTime = time;
+    }
+
+    /** Proves both sides to each other, then starts the reading task. */
+    static PeerLink open(
+            PeerChannel channel,
+            PeerSecret secret,
+            PeerCodec codec,
+            TimeSource time,
+            Deadline deadline) {
+        try {
+            byte[] serverNonce = handshake(channel, time, deadline).getNonce().toByteArray();
+            byte[] clientNonce = secret.nonce();
+            byte[] proof = secret.proof("client", serverNonce, clientNonce);
+            channel.write(handshake(clientNonce, proof));
+            byte[] received = handshake(channel, time, deadline).getProof().toByteArray();
+            byte[] expected = secret.proof("server", serverNonce, clientNonce);
+            if (!PeerSecret.matches(expected, received)) {
+                throw new RattanportException(
+                        ErrorCode.PEER_UNREACHABLE, "the peer did not prove the shared key");
+            }
+        } catch (RattanportException e) {
+            channel.close();
+            throw e;
+        }
+        PeerLink link = new PeerLink(channel, codec, time);
+        Tasks.start("peer-link", link::run);
+        return link;
+    }
+
+    static Frame handshake(byte[] nonce, byte[] proof) {
+        return Frame.newBuilder()
+                .setHandshake(
+                        Handshake.newBuilder()
+                                .setNonce(ByteString.copyFrom(nonce))
+                                .setProof(ByteString.copyFrom(proof)))
+                .build();
+    }
+
+    static Handshake handshake(PeerChannel channel, TimeSource time, Deadline deadline) {
+        return channel.take(deadline.remaining(time).toNanos())
+                .filter(Frame::hasHandshake)
+                .map(Frame::getHandshake)
+                .orElseThrow(
+                        () ->
+                                new RattanportException(
+                                        ErrorCode.PEER_UNREACHABLE, "no handshake in time"));
+    }
+
+    private void run() {
+        try {
+            while (true) {
+                Optional<Frame> frame = mChannel.take(IDLE_LIMIT.toNanos());
+                if (frame.isEmpty() && mQuestions.isEmpty()) {
+                    return;
+                }
+                frame.ifPresent(this::answered);
+            }
+        } catch (RattanportException e) {
+            mQuestions.values().forEach(each -> each.completeExceptionally(e));
+        } finally {
+            mChannel.close();
+        }
+    }
+
+    private void answered(Frame frame) {
+        CompletableFuture<PeerMessage> question = mQuestions.remove(frame.getCorrelation());
+        if (question != null) {
+            question.complete(mCodec.decode(frame).orElse(new PeerMessage.Unhandled()));
+        }
+    }
+
+    boolean isOpen() {
+        return mChannel.isOpen();
+    }
+
+    /** Sends a question and waits for its answer. */
+    PeerMessage ask(PeerMessage question, Deadline deadline) {
+        long correlation = mCorrelations.incrementAndGet();
+        CompletableFuture<PeerMessage> answer = new CompletableFuture<>();
+        mQuestions.put(correlation, answer);
+        try {
+            mChannel.write(mCodec.encode(question).setCorrelation(correlation).build());
+            return answer.get(deadline.remaining(mTime).toNanos(), TimeUnit.NANOSECONDS);
+        } catch (TimeoutException e) {
+            throw new RattanportException(ErrorCode.PEER_UNREACHABLE, "no answer in time");
+        } catch (ExecutionException e) {
+            throw new RattanportException(
+                    ErrorCode.PEER_UNREACHABLE, "the connection broke before the answer");
+        } catch (InterruptedException e) {
+            throw RattanportException.interrupted();
+        } finally {
+            mQuestions.remove(correlation);
+        }
+    }
+
+    @Override
+    public void close() {
+        mChannel.close();
+    }
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/platform/HttpInstanceList.java
@@ -0,0 +1,91 @@
+package org.rattanport.connectors.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import okhttp3.HttpUrl;
+import okhttp3.Request;
+import org.rattanport.connectors.http.HttpAnswer;
+import org.rattanport.connectors.http.HttpCaller;
+import org.rattanport.connectors.http.HttpFailure;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.model.Target;
+import org.rattanport.kernel.model.TargetId;
+import org.rattanport.kernel.model.TargetKind;
+import org.rattanport.kernel.platform.InstanceList;
+import org.rattanport.kernel.time.Deadline;
+
+/** The instance list over HTTP; an unchanged list is not sent again. */
+public final class HttpInstanceList implements InstanceList {
+    private static final int NOT_MODIFIED = 304;
+
+    /** The last list and the entity tag that it came with. */
+    private record Cached(String entityTag, Listing listing) {}
+
+    private final HttpCaller mHttp;
+    private final HttpUrl mUrl;
+    private volatile Optional<Cached> mCached = Optional.empty();
+
+    public HttpInstanceList(HttpCaller http, String baseAddress) {
+        mHttp = http;
+        mUrl = HttpUrl.get(baseAddress).newBuilder().addPathSegment("instances").build();
+    }
+
+    @Override
+    public Listing read(Deadline deadline) {
+        Optional<Cached> cached = mCached;
+        Request.Builder request = new Request.Builder().url(mUrl);
+        cached.ifPresent(each -> request.header("If-None-Match", each.entityTag()));
+        HttpAnswer answer = exchange(request, deadline);
+        if (answer.status() == NOT_MODIFIED && cached.isPresent()) {
+            return cached.get().listing();
+        }
+        if (!answer.isSuccess()) {
+            throw unavailable("answered with status " + answer.status());
+        }
+        Listing listing = listing(answer.json());
+        mCached = answer.entityTag().map(tag -> new Cached(tag, listing));
+        return listing;
+    }
+
+    private HttpAnswer exchange(Request.Builder request, Deadline deadline) {
+        try {
+            return mHttp.exchange(request, deadline);
+        } catch (HttpFailure e) {
+            throw unavailable("gave no answer: " + e.getMessage());
+        }
+    }
+
+    private static Listing listing(JsonNode node) {
+        List<Target> targets = new ArrayList<>();
+        node.path("targets").forEach(each -> targets.add(target(each)));
+        List<ListedInstance> instances = new ArrayList<>();
+        node.path("instances").forEach(each -> instances.add(instance(each)));
+        return new Listing(targets, instances);
+    }
+
+    private static Target target(JsonNode node) {
+        return new Target(
+                new TargetId(node.path("name").asText(), node.path("incarnation").asLong()),
+                TargetKind.valueOf(node.path("kind").asText()),
+                node.path("pool").asText(),
+                node.path("address").asText(),
+                node.path("data_centre").asText(),
+                node.path("leaving").asBoolean());
+    }
+
+    private static ListedInstance instance(JsonNode node) {
+        return new ListedInstance(
+                node.path("name").asText(),
+                node.path("caller_address").asText(),
+                node.path("peer_address").asText(),
+                node.path("data_centre").asText(),
+                node.path("leaving").asBoolean());
+    }
+
+    private static RattanportException unavailable(String what) {
+        return new RattanportException(ErrorCode.STORE_UNAVAILABLE, "the instance list " + what);
+    }
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/platform/HttpTableService.java
@@ -0,0 +1,118 @@
+package org.rattanport.connectors.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import okhttp3.HttpUrl;
+import okhttp3.Request;
+import org.rattanport.connectors.http.HttpAnswer;
+import org.rattanport.connectors.http.HttpCaller;
+import org.rattanport.connectors.http.HttpFailure;
+import org.rattanport.connectors.json.Json;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.platform.Row;
+import org.rattanport.kernel.platform.RowWrite;
+import org.rattanport.kernel.platform.TableService;
+import org.rattanport.kernel.platform.TransactionResult;
+import org.rattanport.kernel.time.Deadline;
+
+/** The table service over HTTP. */
+public final class HttpTableService implements TableService {
+    private static final int CONFLICT = 409;
+    private static final int NOT_FOUND = 404;
+
+    private final HttpCaller mHttp;
+    private final HttpUrl mBase;
+
+    public HttpTableService(HttpCaller http, String baseAddress) {
+        mHttp = http;
+        mBase = HttpUrl.get(baseAddress);
+    }
+
+    @Override
+    public Optional<Row> get(String key, Deadline deadline) {
+        HttpUrl url =
+                mBase.newBuilder().addPathSegment("row").addQueryParameter("key", key).build();
+        HttpAnswer answer = exchange(new Request.Builder().url(url), deadline);
+        return answer.status() == NOT_FOUND
+                ? Optional.empty()
+                : Optional.of(row(requireSuccess(answer)));
+    }
+
+    @Override
+    public TransactionResult commit(List<RowWrite> writes, Deadline deadline) {
+        ObjectNode body = Json.object();
+        ArrayNode list = body.putArray("writes");
+        writes.forEach(each -> add(list, each));
+        HttpUrl url = mBase.newBuilder().addPathSegment("transactions").build();
+        Request.Builder request = new Request.Builder().url(url).post(HttpCaller.json(body));
+        HttpAnswer answer = exchange(request, deadline);
+        if (answer.status() == CONFLICT) {
+            List<String> keys = new ArrayList<>();
+            answer.json().path("conflicts").forEach(each -> keys.add(each.asText()));
+            return new TransactionResult.Conflict(keys);
+        }
+        List<Long> revisions = new ArrayList<>();
+        requireSuccess(answer).path("revisions").forEach(each -> revisions.add(each.asLong()));
+        return new TransactionResult.Committed(revisions);
+    }
+
+    private static void add(ArrayNode list, RowWrite write) {
+        ObjectNode node = list.addObject();
+        node.put("key", write.key()).put("expected_revision", write.expectedRevision());
+        write.value().ifPresent(value -> node.put("value", value));
+    }
+
+    @Override
+    public List<Row> scan(String prefix, String afterKey, int limit, Deadline deadline) {
+        HttpUrl url =
+                mBase.newBuilder()
+                        .addPathSegment("rows")
+                        .addQueryParameter("prefix", prefix)
+                        .addQueryParameter("after", afterKey)
+                        .addQueryParameter("limit", Integer.toString(limit))
+                        .build();
+        List<Row> rows = new ArrayList<>();
+        requireSuccess(exchange(new Request.Builder().url(url), deadline))
+                .path("rows")
+                .forEach(each -> rows.add(row(each)));
+        return rows;
+    }
+
+    private HttpAnswer exchange(Request.Builder request, Deadline deadline) {
+        try {
+            return mHttp.exchange(request, deadline);
+        } catch (HttpFailure e) {
+            throw RattanportException.builder(
+                            ErrorCode.STORE_UNAVAILABLE,
+                            "the table service gave no answer: " + e.getMessage())
+                    .verdict(e.verdict())
+                    .cause(e)
+                    .build();
+        }
+    }
+
+    /** An error status of the service does not tell whether the write took effect. */
+    private static JsonNode requireSuccess(HttpAnswer answer) {
+        if (!answer.isSuccess()) {
+            throw RattanportException.builder(
+                            ErrorCode.STORE_UNAVAILABLE,
+                            "the table service answered with status " + answer.status())
+                    .verdict(Verdict.MAY_HAVE_RUN)
+                    .build();
+        }
+        return answer.json();
+    }
+
+    private static Row row(JsonNode node) {
+        return new Row(
+                node.path("key").asText(),
+                node.path("revision").asLong(),
+                node.path("value").asText());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/rattanport/daemon/Instance.java
@@ -0,0 +1,99 @@
+package org.rattanport.daemon;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import org.rattanport.decisions.lifecycle.Drain;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.plugin.Kernel;
+import org.rattanport.kernel.plugin.PluginContext;
+import org.rattanport.kernel.settings.InstanceSettings;
+import org.rattanport.kernel.settings.LocalEndpoints;
+import org.rattanport.kernel.settings.PolicyChoice;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.SystemTimeSource;
+import org.rattanport.kernel.time.TimeSource;
+
+/** One entry instance inside this process: every registered plug-in, started and stopped. */
+public final class Instance {
+    private static final Logger LOGGER = Logger.getLogger(Instance.class);
+    private static final Duration STOP_LIMIT = Duration.ofSeconds(5);
+
+    private final Kernel mKernel;
+    private final InstanceSettings mSettings;
+    private final TimeSource mTime;
+
+    private Instance(Kernel kernel, InstanceSettings settings, TimeSource time) {
+        mKernel = kernel;
+        mSettings = settings;
+        mTime = time;
+    }
+
+    public static Builder builder(InstanceSettings settings) {
+        return new Builder(settings);
+    }
+
+    public PluginContext context() {
+        return mKernel.context();
+    }
+
+    public InstanceId id() {
+        return context().require(InstanceId.class);
+    }
+
+    /** Addresses that the instance has bound. */
+    public LocalEndpoints endpoints() {
+        return context().require(LocalEndpoints.class);
+    }
+
+    /** Stops gracefully; returns whether nothing was cut. */
+    public boolean stop() {
+        Deadline deadline = Deadline.after(mTime, mSettings.timings().drainLimit());
+        boolean isClean = context().require(Drain.class).drain(deadline);
+        kill();
+        return isClean;
+    }
+
+    /** Stops at once, as a crash would, but gives back ports and threads. */
+    public void kill() {
+        mKernel.stop(Deadline.after(mTime, STOP_LIMIT));
+        LOGGER.infof("instance %s stopped", mSettings.instanceName());
+    }
+
+    /** Starts an instance. */
+    public static final class Builder {
+        private final InstanceSettings mSettings;
+        private final TimeSource mTime = new SystemTimeSource();
+        private Optional<PolicyChoice> mPolicy = Optional.empty();
+
+        private Builder(InstanceSettings settings) {
+            mSettings = settings;
+        }
+
+        /** Chooses other policies than the standard ones. */
+        public Builder policy(PolicyChoice policy) {
+            mPolicy = Optional.of(policy);
+            return this;
+        }
+
+        /** Starts every registered plug-in; what had started is stopped again when one fails. */
+        public Instance start() {
+            PluginContext context = new PluginContext(new EventStreams(), mTime);
+            context.provide(InstanceSettings.class, mSettings);
+            context.provide(
+                    InstanceId.class, new InstanceId(mSettings.instanceName(), mTime.wallMillis()));
+            mPolicy.ifPresent(policy -> context.provide(PolicyChoice.class, policy));
+            Kernel kernel = new Kernel(context);
+            try {
+                kernel.start(Kernel.registeredPlugins());
+            } catch (RuntimeException e) {
+                kernel.stop(Deadline.after(mTime, STOP_LIMIT));
+                throw e;
+            }
+            Instance instance = new Instance(kernel, mSettings, mTime);
+            LOGGER.infof("instance %s serves at %s", instance.id(), instance.endpoints());
+            return instance;
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/rattanport/daemon/Main.java
@@ -0,0 +1,19 @@
+package org.rattanport.daemon;
+
+import java.util.List;
+import org.rattanport.daemon.command.CommandLine;
+import org.rattanport.daemon.command.CommandOutput;
+
+/** Entry point of every process. */
+public final class Main {
+    private Main() {}
+
+    public static void main(String[] arguments) {
+        Logging.configure(false, "WARN");
+        int code =
+                CommandLine.registered()
+                        .run(List.of(arguments), new CommandOutput(System.out, System.err));
+        // Without exit, server threads of a command that ended would keep the process alive.
+        System.exit(code);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/rattanport/daemon/command/CallCommand.java
@@ -0,0 +1,53 @@
+package org.rattanport.daemon.command;
+
+import com.beust.jcommander.Parameter;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.rattanport.connectors.http.HttpCaller;
+
+/** Calls an operation of a plain service. */
+public final class CallCommand implements Command {
+    private static final class Options extends ClientOptions {
+        @Parameter(names = "--service", required = true, description = "service name")
+        private String mService = "";
+
+        @Parameter(names = "--operation", required = true, description = "operation name")
+        private String mOperation = "";
+
+        @Parameter(names = "--body", description = "JSON body")
+        private String mBody = "{}";
+
+        @Parameter(
+                names = "--idempotency-key",
+                description = "key that makes a resend safe; needed for calls that may not repeat")
+        private String mIdempotencyKey = "";
+    }
+
+    private final Options mOptions = new Options();
+
+    @Override
+    public String name() {
+        return "call";
+    }
+
+    @Override
+    public String summary() {
+        return "call an operation of a plain service";
+    }
+
+    @Override
+    public Object options() {
+        return mOptions;
+    }
+
+    @Override
+    public int run(CommandOutput output) {
+        var url = mOptions.url("/v1/services/" + mOptions.mService + "/" + mOptions.mOperation);
+        Request.Builder request =
+                mOptions.request(url).post(RequestBody.create(mOptions.mBody, HttpCaller.JSON));
+        if (!mOptions.mIdempotencyKey.isEmpty()) {
+            request.header("Idempotency-Key", mOptions.mIdempotencyKey);
+        }
+        return mOptions.print(request, output);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/rattanport/daemon/command/CheckSettingsCommand.java
@@ -0,0 +1,38 @@
+package org.rattanport.daemon.command;
+
+import com.beust.jcommander.Parameter;
+import java.nio.file.Path;
+import org.rattanport.connectors.json.SettingsReader;
+import org.rattanport.kernel.error.ErrorCode;
+
+/** Checks a settings file. */
+public final class CheckSettingsCommand implements Command {
+    private static final class Options {
+        @Parameter(description = "FILE", required = true)
+        private String mFile = "";
+    }
+
+    private final Options mOptions = new Options();
+
+    @Override
+    public String name() {
+        return "check-settings";
+    }
+
+    @Override
+    public String summary() {
+        return "check a settings file and report all its faults";
+    }
+
+    @Override
+    public Object options() {
+        return mOptions;
+    }
+
+    @Override
+    public int run(CommandOutput output) {
+        Files.parse(Path.of(mOptions.mFile), ErrorCode.INVALID_SETTINGS, SettingsReader::parse);
+        output.results().println(mOptions.mFile + ": valid");
+        return ExitCode.SUCCESS;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/rattanport/daemon/command/CommandLine.java
@@ -0,0 +1,111 @@
+package org.rattanport.daemon.command;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.ParameterException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.ServiceLoader;
+import org.rattanport.connectors.http.HttpFailure;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+
+/** Finds the command that the arguments name, reads its options and runs it. */
+public final class CommandLine {
+    private final List<Command> mCommands;
+
+    public CommandLine(List<Command> commands) {
+        mCommands =
+                commands.stream()
+                        .sorted(
+                                Comparator.comparing((Command each) -> -each.words().size())
+                                        .thenComparing(Command::name))
+                        .toList();
+    }
+
+    /** Every command that registered itself on the class path. */
+    public static CommandLine registered() {
+        return new CommandLine(
+                ServiceLoader.load(Command.class).stream()
+                        .map(ServiceLoader.Provider::get)
+                        .toList());
+    }
+
+    /** Runs the arguments and returns the exit code. */
+    public int run(List<String> arguments, CommandOutput output) {
+        if (arguments.isEmpty() || arguments.getFirst().equals("--help")) {
+            printCommands(output);
+            return arguments.isEmpty() ? ExitCode.USAGE : ExitCode.SUCCESS;
+        }
+        Optional<Command> command = find(arguments);
+        if (command.isEmpty()) {
+            output.errors().println("\"" + arguments.getFirst() + "\" is no command");
+            printCommands(output);
+            return ExitCode.USAGE;
+        }
+        int words = command.get().words().size();
+        return run(command.get(), arguments.subList(words, arguments.size()), output);
+    }
+
+    private int run(Command command, List<String> arguments, CommandOutput output) {
+        JCommander parser = JCommander.newBuilder().addObject(command.options()).build();
+        parser.setProgramName("rattanport " + command.name());
+        if (arguments.contains("--help")) {
+            StringBuilder usage = new StringBuilder(command.summary()).append('\n');
+            parser.getUsageFormatter().usage(usage);
+            output.results().print(usage);
+            return ExitCode.SUCCESS;
+        }
+        try {
+            parser.parse(arguments.toArray(String[]::new));
+        } catch (ParameterException e) {
+            output.errors().println(command.name() + ": " + e.getMessage());
+            return ExitCode.USAGE;
+        }
+        try {
+            return command.run(output);
+        } catch (RattanportException e) {
+            output.errors()
+                    .println(command.name() + ": " + e.code().text() + ": " + e.getMessage());
+            return exitCode(e.code());
+        } catch (HttpFailure e) {
+            output.errors()
+                    .println(
+                            command.name()
+                                    + ": no answer ("
+                                    + e.verdict().text()
+                                    + "): "
+                                    + e.getMessage());
+            return ExitCode.UNREACHABLE;
+        }
+    }
+
+    private static int exitCode(ErrorCode code) {
+        return switch (code) {
+            case INVALID_SETTINGS, INVALID_DOCUMENT -> ExitCode.INVALID_INPUT;
+            default -> ExitCode.FAILED;
+        };
+    }
+
+    private Optional<Command> find(List<String> arguments) {
+        return mCommands.stream()
+                .filter(each -> arguments.size() >= each.words().size())
+                .filter(each -> arguments.subList(0, each.words().size()).equals(each.words()))
+                .findFirst();
+    }
+
+    private void printCommands(CommandOutput output) {
+        output.results().println("usage: rattanport COMMAND [OPTIONS]   (--help after a command)");
+        List<Command> byName = new ArrayList<>(mCommands);
+        byName.sort(Comparator.comparing(Command::name));
+        byName.forEach(
+                each ->
+                        output.results()
+                                .println(String.format("  %-22s %s", each.name(), each.summary())));
+        output.results()
+                .println(
+                        "exit codes: 0 success, 1 failed or refused, 2 wrong command line, 3"
+                                + " invalid file, 4 unreachable");
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/rattanport/daemon/command/EnvironmentPromoteCommand.java
@@ -0,0 +1,50 @@
+package org.rattanport.daemon.command;
+
+import com.beust.jcommander.Parameter;
+import okhttp3.RequestBody;
+import org.rattanport.connectors.http.HttpCaller;
+
+/** Promotes a trial version to production. */
+public final class EnvironmentPromoteCommand implements Command {
+    private static final class Options extends ClientOptions {
+        @Parameter(
+                names = "--trial-version",
+                required = true,
+                description = "trial version that is promoted")
+        private long mTrialVersion;
+
+        @Parameter(
+                names = "--expected-version",
+                required = true,
+                description = "production version that it replaces; 0 for none")
+        private long mExpectedVersion;
+    }
+
+    private final Options mOptions = new Options();
+
+    @Override
+    public String name() {
+        return "environment promote";
+    }
+
+    @Override
+    public String summary() {
+        return "promote a trial version to production";
+    }
+
+    @Override
+    public Object options() {
+        return mOptions;
+    }
+
+    @Override
+    public int run(CommandOutput output) {
+        var url =
+                mOptions.url("/operator/promotions")
+                        .addQueryParameter("trial_version", Long.toString(mOptions.mTrialVersion))
+                        .addQueryParameter(
+                                "expected_version", Long.toString(mOptions.mExpectedVersion));
+        return mOptions.print(
+                mOptions.request(url).post(RequestBody.create("{}", HttpCaller.JSON)), output);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/rattanport/daemon/command/Files.java
@@ -0,0 +1,30 @@
+package org.rattanport.daemon.command;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+
+/** Reads the files that commands name. */
+final class Files {
+    private Files() {}
+
+    static String read(Path file, ErrorCode code) {
+        try {
+            return java.nio.file.Files.readString(file);
+        } catch (IOException e) {
+            throw RattanportException.builder(code, file + ": cannot be read").cause(e).build();
+        }
+    }
+
+    /** Runs a check whose error lines get the name of the file in front. */
+    static <T> T parse(Path file, ErrorCode code, java.util.function.Function<String, T> parser) {
+        String text = read(file, code);
+        try {
+            return parser.apply(text);
+        } catch (RattanportException e) {
+            String lines = String.valueOf(e.getMessage()).replace("\n", "\n" + file + ": ");
+            throw RattanportException.builder(code, file + ": " + lines).cause(e).build();
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/rattanport/daemon/command/package-info.java
@@ -0,0 +1,5 @@
+/** Commands of the command line. */
+@NullMarked
+package org.rattanport.daemon.command;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/resources/META-INF/services/org.rattanport.daemon.command.Command
@@ -0,0 +1,16 @@
+org.rattanport.daemon.command.CallCommand
+org.rattanport.daemon.command.CheckDocumentCommand
+org.rattanport.daemon.command.CheckSettingsCommand
+org.rattanport.daemon.command.EnvironmentPromoteCommand
+org.rattanport.daemon.command.EnvironmentPutCommand
+org.rattanport.daemon.command.EnvironmentReadCommand$History
+org.rattanport.daemon.command.EnvironmentReadCommand$Show
+org.rattanport.daemon.command.EnvironmentReadCommand$Status
+org.rattanport.daemon.command.HashKeyCommand
+org.rattanport.daemon.command.OperatorReadCommand$Addresses
+org.rattanport.daemon.command.OperatorReadCommand$Audit
+org.rattanport.daemon.command.OperatorReadCommand$Explain
+org.rattanport.daemon.command.OperatorReadCommand$Members
+org.rattanport.daemon.command.OperatorReadCommand$Targets
+org.rattanport.daemon.command.PromptCommand
+org.rattanport.daemon.command.ServeCommand
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/admission/AdmissionRequest.java
@@ -0,0 +1,13 @@
+package org.rattanport.decisions.admission;
+
+import org.rattanport.kernel.environment.ActiveEnvironment;
+import org.rattanport.kernel.environment.ClientAccount;
+import org.rattanport.kernel.request.PromptRequest;
+
+/** A prompt at admission, with the environment that it would run under. */
+public record AdmissionRequest(
+        PromptRequest request, ActiveEnvironment environment, ClientAccount account) {
+    public int lengthClass() {
+        return environment.document().lengthClassIndex(request.promptTokens());
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/admission/DeadlineCheck.java
@@ -0,0 +1,98 @@
+package org.rattanport.decisions.admission;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.function.IntSupplier;
+import org.rattanport.decisions.cost.CostModel;
+import org.rattanport.decisions.ordering.Dispatcher;
+import org.rattanport.decisions.target.EngineBoard;
+import org.rattanport.decisions.target.EngineBoard.Candidate;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.request.PromptRequest;
+import org.rattanport.kernel.time.TimeSource;
+
+/**
+ * Refuses a prompt that is not expected to end in its time. The queue of this instance is taken as
+ * typical for all instances, which share the engines of the pool.
+ */
+public final class DeadlineCheck implements AdmissionCheck {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MILLIS_PER_SECOND = 1e3;
+
+    private final Dispatcher.EngineSource mEngines;
+    private final EngineBoard mBoard;
+    private final CostModel mCost;
+    private final Dispatcher mDispatcher;
+    private final IntSupplier mInstances;
+    private final TimeSource mTime;
+
+    public DeadlineCheck(
+            Dispatcher.EngineSource engines,
+            EngineBoard board,
+            CostModel cost,
+            Dispatcher dispatcher,
+            IntSupplier instances,
+            TimeSource time) {
+        mEngines = engines;
+        mBoard = board;
+        mCost = cost;
+        mDispatcher = dispatcher;
+        mInstances = instances;
+        mTime = time;
+    }
+
+    @Override
+    public void check(AdmissionRequest admission) {
+        PromptRequest request = admission.request();
+        List<Candidate> candidates = mBoard.candidates(mEngines.engines(request.model()));
+        if (candidates.isEmpty()) {
+            return;
+        }
+        double expected = expectedSeconds(admission, candidates);
+        double remaining = request.deadline().remaining(mTime).toNanos() / NANOS_PER_SECOND;
+        if (expected > remaining) {
+            throw RattanportException.builder(
+                            ErrorCode.DEADLINE_NOT_FEASIBLE,
+                            String.format(
+                                    "the answer is expected in %.1f s; %.1f s are left",
+                                    expected, remaining))
+                    .retryAfter(
+                            Duration.ofMillis(
+                                    (long) ((expected - remaining) * MILLIS_PER_SECOND) + 100))
+                    .build();
+        }
+    }
+
+    private double expectedSeconds(AdmissionRequest admission, List<Candidate> candidates) {
+        PromptRequest request = admission.request();
+        double best =
+                candidates.stream()
+                        .mapToDouble(
+                                each ->
+                                        mCost.secondsToFirstToken(
+                                                        each.view(), request.promptTokens())
+                                                + mCost.secondsOfGeneration(each.view(), request))
+                        .min()
+                        .orElse(0);
+        return best + queueSeconds(admission, candidates);
+    }
+
+    private double queueSeconds(AdmissionRequest admission, List<Candidate> candidates) {
+        int lengthClass = admission.lengthClass();
+        double queued =
+                (double) mDispatcher.queuedTokens(admission.request().model(), lengthClass)
+                        * mInstances.getAsInt();
+        var classes = admission.environment().document().lengthClasses();
+        int totalShare = classes.stream().mapToInt(each -> each.engineSharePercent()).sum();
+        double share =
+                totalShare == 0
+                        ? 1
+                        : (double) classes.get(lengthClass).engineSharePercent() / totalShare;
+        double rate =
+                candidates.stream()
+                        .mapToDouble(each -> CostModel.prefillRate(each.view().report()))
+                        .sum();
+        return queued / Math.max(1, rate * Math.max(share, 1.0 / candidates.size()));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/admission/package-info.java
@@ -0,0 +1,5 @@
+/** Reasons to refuse a prompt before anything is sent. */
+@NullMarked
+package org.rattanport.decisions.admission;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/environment/DocumentKeys.java
@@ -0,0 +1,20 @@
+package org.rattanport.decisions.environment;
+
+import org.rattanport.kernel.environment.Stage;
+
+/** Keys of the rows that keep environment documents. */
+final class DocumentKeys {
+    private DocumentKeys() {}
+
+    static String current(String environment, Stage stage) {
+        return "environment/" + environment + "/" + stage.text();
+    }
+
+    static String history(String environment, Stage stage, long version) {
+        return historyPrefix(environment, stage) + String.format("%012d", version);
+    }
+
+    static String historyPrefix(String environment, Stage stage) {
+        return "environment-history/" + environment + "/" + stage.text() + "/";
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/environment/EnvironmentHolder.java
@@ -0,0 +1,72 @@
+package org.rattanport.decisions.environment;
+
+import io.reactivex.rxjava3.core.Flowable;
+import java.util.EnumMap;
+import java.util.Map;
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import org.rattanport.kernel.environment.ActiveEnvironment;
+import org.rattanport.kernel.environment.DocumentCodec;
+import org.rattanport.kernel.environment.DocumentVersion;
+import org.rattanport.kernel.environment.EnvironmentInForce;
+import org.rattanport.kernel.environment.Stage;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.event.EventStreams;
+
+/** Holds the newest document of each stage; a lower version never replaces a higher one. */
+public final class EnvironmentHolder implements EnvironmentInForce {
+    private static final Logger LOGGER = Logger.getLogger(EnvironmentHolder.class);
+
+    private final String mEnvironment;
+    private final DocumentCodec mCodec;
+    private final EventStreams mEvents;
+    private final Map<Stage, ActiveEnvironment> mActive = new EnumMap<>(Stage.class);
+
+    public EnvironmentHolder(String environment, DocumentCodec codec, EventStreams events) {
+        mEnvironment = environment;
+        mCodec = codec;
+        mEvents = events;
+    }
+
+    @Override
+    public synchronized Optional<ActiveEnvironment> current(Stage stage) {
+        return Optional.ofNullable(mActive.get(stage));
+    }
+
+    @Override
+    public boolean offer(DocumentVersion version) {
+        if (!version.environment().equals(mEnvironment)
+                || version.version() <= version(version.stage())) {
+            return false;
+        }
+        ActiveEnvironment active;
+        try {
+            active = new ActiveEnvironment(version, mCodec.parse(version.text()));
+        } catch (RattanportException e) {
+            // Accepted documents were checked, so this one was written by a newer release.
+            LOGGER.errorf(
+                    "version %d of %s cannot be read: %s",
+                    version.version(), version.stage().text(), e.getMessage());
+            return false;
+        }
+        return replace(active);
+    }
+
+    private boolean replace(ActiveEnvironment active) {
+        Stage stage = active.version().stage();
+        synchronized (this) {
+            if (active.version().version() <= version(stage)) {
+                return false;
+            }
+            mActive.put(stage, active);
+        }
+        LOGGER.infof("version %d of %s is in force", active.version().version(), stage.text());
+        mEvents.publish(active);
+        return true;
+    }
+
+    @Override
+    public Flowable<ActiveEnvironment> changes() {
+        return mEvents.watch(ActiveEnvironment.class);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/environment/EnvironmentPlugin.java
@@ -0,0 +1,51 @@
+package org.rattanport.decisions.environment;
+
+import java.util.Set;
+import org.rattanport.kernel.audit.AuditTrail;
+import org.rattanport.kernel.environment.DocumentCodec;
+import org.rattanport.kernel.environment.EnvironmentInForce;
+import org.rattanport.kernel.platform.RowCodec;
+import org.rattanport.kernel.platform.TableService;
+import org.rattanport.kernel.plugin.Plugin;
+import org.rattanport.kernel.plugin.PluginContext;
+import org.rattanport.kernel.settings.InstanceSettings;
+
+/** Provides the documents in force and the store that keeps their versions. */
+public final class EnvironmentPlugin implements Plugin {
+    @Override
+    public String name() {
+        return "environment";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(
+                InstanceSettings.class,
+                TableService.class,
+                RowCodec.class,
+                DocumentCodec.class,
+                AuditTrail.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of(EnvironmentInForce.class, DocumentStore.class);
+    }
+
+    @Override
+    public void start(PluginContext context) {
+        DocumentCodec codec = context.require(DocumentCodec.class);
+        String environment = context.require(InstanceSettings.class).environment();
+        context.provide(
+                EnvironmentInForce.class,
+                new EnvironmentHolder(environment, codec, context.events()));
+        context.provide(
+                DocumentStore.class,
+                new DocumentStore(
+                        context.require(TableService.class),
+                        context.require(RowCodec.class),
+                        codec,
+                        context.require(AuditTrail.class),
+                        context.time()));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/package-info.java
@@ -0,0 +1,5 @@
+/** Address answers and graceful stop. */
+@NullMarked
+package org.rattanport.decisions.lifecycle;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/membership/MembershipPlugin.java
@@ -0,0 +1,186 @@
+package org.rattanport.decisions.membership;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.jboss.logging.Logger;
+import org.rattanport.decisions.environment.DocumentStore;
+import org.rattanport.decisions.environment.EnvironmentFollower;
+import org.rattanport.kernel.environment.EnvironmentInForce;
+import org.rattanport.kernel.environment.Stage;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.peer.MemberState;
+import org.rattanport.kernel.peer.Membership;
+import org.rattanport.kernel.peer.PeerNetwork;
+import org.rattanport.kernel.platform.InstanceList;
+import org.rattanport.kernel.platform.InstanceList.ListedInstance;
+import org.rattanport.kernel.plugin.Plugin;
+import org.rattanport.kernel.plugin.PluginContext;
+import org.rattanport.kernel.plugin.TaskGroup;
+import org.rattanport.kernel.settings.InstanceSettings;
+import org.rattanport.kernel.settings.InstanceSettings.Timings;
+import org.rattanport.kernel.settings.LocalEndpoints;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.TimeSource;
+
+/** Provides the membership and keeps the documents in force up to date. */
+public final class MembershipPlugin implements Plugin {
+    private static final Logger LOGGER = Logger.getLogger(MembershipPlugin.class);
+    private static final int INDIRECT_PROBES = 3;
+    private static final int REJOIN_ROUNDS = 5;
+    private static final int JOIN_PEERS = 3;
+    private static final Duration JOIN_TIMEOUT = Duration.ofSeconds(1);
+
+    private Optional<TaskGroup> mTasks = Optional.empty();
+
+    @Override
+    public String name() {
+        return "membership";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(
+                InstanceSettings.class,
+                InstanceId.class,
+                LocalEndpoints.class,
+                PeerNetwork.class,
+                InstanceList.class,
+                EnvironmentInForce.class,
+                DocumentStore.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of(Membership.class, MemberTable.class, RumorHub.class);
+    }
+
+    @Override
+    public void start(PluginContext context) {
+        InstanceSettings settings = context.require(InstanceSettings.class);
+        Timings timings = settings.timings();
+        TimeSource time = context.time();
+        PeerNetwork peers = context.require(PeerNetwork.class);
+        EnvironmentInForce inForce = context.require(EnvironmentInForce.class);
+        Random random = new Random();
+        RumorQueue rumors = new RumorQueue();
+        MemberTable table = new MemberTable(self(context, settings), rumors, context.events());
+        RumorHub hub = new RumorHub(rumors);
+        EnvironmentFollower follower =
+                new EnvironmentFollower(
+                        settings.environment(),
+                        inForce,
+                        context.require(DocumentStore.class),
+                        peers,
+                        table,
+                        time,
+                        random);
+        Gossip gossip = new Gossip(table, rumors, peers, inForce, follower::peerHas, hub::heard);
+        gossip.register(timings.probeTimeout(), time);
+        context.provide(Membership.class, table);
+        context.provide(MemberTable.class, table);
+        context.provide(RumorHub.class, hub);
+        join(context.require(InstanceList.class), table, gossip, time, random);
+        follower.askPeers();
+        startTasks(timings, time, follower, prober(timings, table, gossip, peers, time, random));
+        mTasks.orElseThrow()
+                .every(
+                        "discover-members",
+                        timings.listPeriod().multipliedBy(REJOIN_ROUNDS),
+                        () ->
+                                join(
+                                        context.require(InstanceList.class),
+                                        table,
+                                        gossip,
+                                        time,
+                                        random));
+        awaitDocument(inForce, follower);
+    }
+
+    private static Prober prober(
+            Timings timings,
+            MemberTable table,
+            Gossip gossip,
+            PeerNetwork peers,
+            TimeSource time,
+            Random random) {
+        int suspicionRounds = (int) timings.suspicionTimeout().dividedBy(timings.probePeriod());
+        return new Prober(
+                table,
+                gossip,
+                peers,
+                new ProbeSettings(
+                        timings.probeTimeout(), INDIRECT_PROBES, suspicionRounds, REJOIN_ROUNDS),
+                time,
+                random);
+    }
+
+    private void startTasks(
+            Timings timings, TimeSource time, EnvironmentFollower follower, Prober prober) {
+        TaskGroup tasks = new TaskGroup(time);
+        tasks.every("probe-members", timings.probePeriod(), prober::round);
+        tasks.every("follow-environment", timings.documentPeriod(), follower::readStore);
+        mTasks = Optional.of(tasks);
+    }
+
+    private static void awaitDocument(EnvironmentInForce inForce, EnvironmentFollower follower) {
+        if (inForce.version(Stage.PRODUCTION) > 0) {
+            return;
+        }
+        try {
+            follower.readStore();
+        } catch (RattanportException e) {
+            LOGGER.warnf("no environment document yet: %s", e.getMessage());
+        }
+    }
+
+    private static Member self(PluginContext context, InstanceSettings settings) {
+        LocalEndpoints endpoints = context.require(LocalEndpoints.class);
+        return new Member(
+                context.require(InstanceId.class),
+                endpoints.callerAddress(),
+                endpoints.peerAddress(),
+                settings.dataCentre(),
+                MemberState.ALIVE,
+                0);
+    }
+
+    /** Asks a few listed instances that are not known as members yet, in random order. */
+    private static void join(
+            InstanceList list, MemberTable table, Gossip gossip, TimeSource time, Random random) {
+        List<String> known = table.members().stream().map(Member::peerAddress).toList();
+        List<ListedInstance> listed;
+        try {
+            listed = list.read(Deadline.after(time, JOIN_TIMEOUT)).instances();
+        } catch (RattanportException e) {
+            LOGGER.warnf("the instance list cannot be read: %s", e.getMessage());
+            return;
+        }
+        List<ListedInstance> strangers =
+                new java.util.ArrayList<>(
+                        listed.stream()
+                                .filter(each -> !known.contains(each.peerAddress()))
+                                .toList());
+        java.util.Collections.shuffle(strangers, random);
+        strangers.stream()
+                .limit(JOIN_PEERS)
+                .forEach(each -> tryJoin(each, gossip, Deadline.after(time, JOIN_TIMEOUT)));
+    }
+
+    private static void tryJoin(ListedInstance listed, Gossip gossip, Deadline deadline) {
+        try {
+            gossip.join(listed.peerAddress(), deadline);
+        } catch (RattanportException e) {
+            LOGGER.debugf("cannot join through %s: %s", listed.name(), e.getMessage());
+        }
+    }
+
+    @Override
+    public void stop(Deadline deadline) {
+        mTasks.ifPresent(TaskGroup::close);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/membership/RumorQueue.java
@@ -0,0 +1,53 @@
+package org.rattanport.decisions.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.rattanport.kernel.peer.Rumor;
+
+/**
+ * Rumors that this instance still passes on. Each is sent a number of times that grows with the
+ * logarithm of the fleet, the least sent first.
+ */
+public final class RumorQueue {
+    private static final int SENDS_PER_DOUBLING = 3;
+    private static final int RUMORS_PER_MESSAGE = 12;
+
+    private final Map<String, Pending> mPending = new LinkedHashMap<>();
+
+    /** Adds a rumor; it replaces an older one about the same matter. */
+    public synchronized void add(Rumor rumor) {
+        mPending.put(rumor.key(), new Pending(rumor));
+    }
+
+    /** Takes the rumors for one message to one of the given number of members. */
+    public synchronized List<Rumor> take(int members) {
+        int doublings = Integer.SIZE - Integer.numberOfLeadingZeros(Math.max(1, members));
+        int sends = SENDS_PER_DOUBLING * doublings;
+        List<Pending> chosen =
+                mPending.values().stream()
+                        .sorted(Comparator.comparingInt(each -> each.mSends))
+                        .limit(RUMORS_PER_MESSAGE)
+                        .toList();
+        List<Rumor> rumors = new ArrayList<>();
+        for (Pending pending : chosen) {
+            rumors.add(pending.mRumor);
+            pending.mSends++;
+            if (pending.mSends >= sends) {
+                mPending.remove(pending.mRumor.key(), pending);
+            }
+        }
+        return rumors;
+    }
+
+    private static final class Pending {
+        private final Rumor mRumor;
+        private int mSends;
+
+        private Pending(Rumor rumor) {
+            mRumor = rumor;
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/memory/package-info.java
@@ -0,0 +1,5 @@
+/** Reclaiming of engine memory that nobody needs. */
+@NullMarked
+package org.rattanport.decisions.memory;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/prompt/Delivery.java
@@ -0,0 +1,62 @@
+package org.rattanport.decisions.prompt;
+
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.model.TargetId;
+import org.rattanport.kernel.request.AnswerChunk;
+import org.rattanport.kernel.request.AnswerSink;
+import org.rattanport.kernel.target.Continuation;
+
+/** Passes an answer to its caller over several attempts: each output token once and in order. */
+final class Delivery {
+    private final AnswerSink mSink;
+    private final StringBuilder mText = new StringBuilder();
+    private final int mStart;
+    private int mPosition;
+    private boolean mIsComplete;
+
+    Delivery(AnswerSink sink, int receivedTokens) {
+        mSink = sink;
+        mStart = receivedTokens;
+        mPosition = receivedTokens;
+    }
+
+    /** What the next attempt goes on from; the text is known only if it all went through here. */
+    Continuation continuation() {
+        return new Continuation(mPosition, mStart == 0 ? mText.toString() : "", false);
+    }
+
+    int position() {
+        return mPosition;
+    }
+
+    boolean isComplete() {
+        return mIsComplete;
+    }
+
+    void attemptStarted(TargetId target, int attempt) {
+        mSink.attemptStarted(target, attempt);
+    }
+
+    /** Takes a chunk of the running attempt; what the caller already has is left out. */
+    void accept(AnswerChunk chunk) {
+        if (chunk.endPosition() <= mPosition && !chunk.isLast()) {
+            return;
+        }
+        if (chunk.position() != mPosition) {
+            throw RattanportException.builder(
+                            ErrorCode.ANSWER_CUT,
+                            "the engine went on at token "
+                                    + chunk.position()
+                                    + " instead of "
+                                    + mPosition)
+                    .verdict(Verdict.MAY_HAVE_RUN)
+                    .build();
+        }
+        mSink.accept(chunk);
+        mPosition = chunk.endPosition();
+        mText.append(chunk.text());
+        mIsComplete = chunk.isLast();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/prompt/PromptParts.java
@@ -0,0 +1,30 @@
+package org.rattanport.decisions.prompt;
+
+import org.rattanport.decisions.admission.Admission;
+import org.rattanport.decisions.cost.CostModel;
+import org.rattanport.decisions.ordering.Dispatcher;
+import org.rattanport.decisions.poison.SuspicionTable;
+import org.rattanport.decisions.retry.RetryBudget;
+import org.rattanport.decisions.retry.RetryPolicy;
+import org.rattanport.decisions.target.EngineBoard;
+import org.rattanport.decisions.target.TargetDirectory;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.request.RequestJournal;
+import org.rattanport.kernel.target.EngineClient;
+import org.rattanport.kernel.time.TimeSource;
+
+/** What {@link PromptService} is made of. */
+public record PromptParts(
+        Admission admission,
+        Dispatcher dispatcher,
+        SpanningPrompts spanning,
+        EngineClient engines,
+        EngineBoard board,
+        TargetDirectory directory,
+        CostModel cost,
+        SuspicionTable suspicions,
+        RetryPolicy retry,
+        RetryBudget budget,
+        RequestJournal journal,
+        InstanceId self,
+        TimeSource time) {}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/prompt/PromptPlugin.java
@@ -0,0 +1,207 @@
+package org.rattanport.decisions.prompt;
+
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.ServiceLoader;
+import java.util.Set;
+import java.util.function.IntSupplier;
+import org.rattanport.decisions.admission.Admission;
+import org.rattanport.decisions.admission.AdmissionCheck;
+import org.rattanport.decisions.admission.DeadlineCheck;
+import org.rattanport.decisions.admission.LengthCheck;
+import org.rattanport.decisions.admission.PoisonCheck;
+import org.rattanport.decisions.admission.QueueCheck;
+import org.rattanport.decisions.admission.QuotaCheck;
+import org.rattanport.decisions.cost.CostModel;
+import org.rattanport.decisions.membership.RumorHub;
+import org.rattanport.decisions.memory.MemoryReclaimer;
+import org.rattanport.decisions.ordering.Dispatcher;
+import org.rattanport.decisions.placement.PlacementPolicyProvider;
+import org.rattanport.decisions.poison.SuspicionTable;
+import org.rattanport.decisions.quota.AccountQuota;
+import org.rattanport.decisions.retry.BudgetedRetry;
+import org.rattanport.decisions.retry.RetryBudget;
+import org.rattanport.decisions.target.EngineBoard;
+import org.rattanport.decisions.target.TargetDirectory;
+import org.rattanport.decisions.target.TargetSubset;
+import org.rattanport.kernel.environment.EnvironmentInForce;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.model.TargetKind;
+import org.rattanport.kernel.model.TargetLoad;
+import org.rattanport.kernel.peer.Membership;
+import org.rattanport.kernel.peer.PeerNetwork;
+import org.rattanport.kernel.peer.Rumor.RequestSuspected;
+import org.rattanport.kernel.plugin.Plugin;
+import org.rattanport.kernel.plugin.PluginContext;
+import org.rattanport.kernel.plugin.TaskGroup;
+import org.rattanport.kernel.request.RequestJournal;
+import org.rattanport.kernel.settings.PolicyChoice;
+import org.rattanport.kernel.target.EngineClient;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.TimeSource;
+
+/** Provides the serving of prompts: admission, ordering, placement, attempts and memory. */
+public final class PromptPlugin implements Plugin {
+    private static final Duration RECLAIM_PERIOD = Duration.ofSeconds(5);
+
+    private final CompositeDisposable mWatches = new CompositeDisposable();
+    private Optional<TaskGroup> mTasks = Optional.empty();
+
+    @Override
+    public String name() {
+        return "prompts";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(
+                InstanceId.class,
+                EngineClient.class,
+                TargetDirectory.class,
+                EngineBoard.class,
+                TargetSubset.class,
+                Membership.class,
+                RumorHub.class,
+                PeerNetwork.class,
+                EnvironmentInForce.class,
+                RequestJournal.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of(
+                PromptService.class, Dispatcher.class, MemoryReclaimer.class, SuspicionTable.class);
+    }
+
+    @Override
+    public void start(PluginContext context) {
+        TimeSource time = context.time();
+        PolicyChoice choice = context.find(PolicyChoice.class).orElse(PolicyChoice.DEFAULT);
+        PlacementPolicyProvider provider = provider(choice.placement());
+        Membership membership = context.require(Membership.class);
+        EngineBoard board = context.require(EngineBoard.class);
+        EngineClient engines = context.require(EngineClient.class);
+        InstanceId self = context.require(InstanceId.class);
+        IntSupplier instances = () -> Math.max(1, membership.aliveMembers().size());
+        Dispatcher.EngineSource source = engineSource(context);
+        CostModel cost = new CostModel();
+        Dispatcher dispatcher =
+                new Dispatcher(
+                        source,
+                        board,
+                        provider.create(cost, new Random()),
+                        provider.ordering(),
+                        instances,
+                        time);
+        SuspicionTable suspicions = suspicions(context);
+        DeadlineCheck deadlines =
+                new DeadlineCheck(source, board, cost, dispatcher, instances, time);
+        RetryBudget budget = new RetryBudget();
+        PromptService service =
+                new PromptService(
+                        new PromptParts(
+                                admission(context, choice, suspicions, dispatcher, deadlines),
+                                dispatcher,
+                                new SpanningPrompts(
+                                        source, board, engines, self, time, new Random()),
+                                engines,
+                                board,
+                                context.require(TargetDirectory.class),
+                                cost,
+                                suspicions,
+                                new BudgetedRetry(budget),
+                                budget,
+                                context.require(RequestJournal.class),
+                                self,
+                                time));
+        context.provide(PromptService.class, service);
+        context.provide(Dispatcher.class, dispatcher);
+        context.provide(SuspicionTable.class, suspicions);
+        mWatches.add(context.events().watch(TargetLoad.class).subscribe(load -> dispatcher.pump()));
+        startReclaimer(context, engines, membership, service);
+    }
+
+    private void startReclaimer(
+            PluginContext context,
+            EngineClient engines,
+            Membership membership,
+            PromptService service) {
+        MemoryReclaimer reclaimer =
+                new MemoryReclaimer(
+                        context.require(TargetDirectory.class),
+                        engines,
+                        membership,
+                        service::liveKeys,
+                        context.time());
+        context.provide(MemoryReclaimer.class, reclaimer);
+        TaskGroup tasks = new TaskGroup(context.time());
+        tasks.every("reclaim-memory", RECLAIM_PERIOD, reclaimer::sweep);
+        mTasks = Optional.of(tasks);
+    }
+
+    private static SuspicionTable suspicions(PluginContext context) {
+        RumorHub hub = context.require(RumorHub.class);
+        SuspicionTable suspicions = new SuspicionTable(context.time(), hub::spread);
+        hub.listen(
+                rumor -> {
+                    if (rumor instanceof RequestSuspected suspected) {
+                        suspicions.died(suspected.fingerprint(), suspected.target());
+                    }
+                });
+        return suspicions;
+    }
+
+    private static Admission admission(
+            PluginContext context,
+            PolicyChoice choice,
+            SuspicionTable suspicions,
+            Dispatcher dispatcher,
+            DeadlineCheck deadlines) {
+        AccountQuota quota =
+                new AccountQuota(
+                        context.require(Membership.class),
+                        context.require(PeerNetwork.class),
+                        context.require(EnvironmentInForce.class),
+                        context.time());
+        quota.register();
+        List<AdmissionCheck> checks = new ArrayList<>();
+        checks.add(new LengthCheck());
+        checks.add(new PoisonCheck(suspicions));
+        checks.add(new QueueCheck(dispatcher));
+        if (choice.isAdmissionByDeadline()) {
+            checks.add(deadlines);
+        }
+        checks.add(new QuotaCheck(quota));
+        return new Admission(checks);
+    }
+
+    private static Dispatcher.EngineSource engineSource(PluginContext context) {
+        TargetDirectory directory = context.require(TargetDirectory.class);
+        TargetSubset subset = context.require(TargetSubset.class);
+        return model -> subset.select(directory.serving(TargetKind.ENGINE, model));
+    }
+
+    private static PlacementPolicyProvider provider(String name) {
+        return ServiceLoader.load(PlacementPolicyProvider.class).stream()
+                .map(ServiceLoader.Provider::get)
+                .filter(each -> each.name().equals(name))
+                .findFirst()
+                .orElseThrow(
+                        () ->
+                                new RattanportException(
+                                        ErrorCode.PLUGIN_MISSING,
+                                        "no placement policy is named " + name));
+    }
+
+    @Override
+    public void stop(Deadline deadline) {
+        mWatches.dispose();
+        mTasks.ifPresent(TaskGroup::close);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/prompt/PromptService.java
@@ -0,0 +1,413 @@
+package org.rattanport.decisions.prompt;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jboss.logging.Logger;
+import org.rattanport.decisions.admission.Admission;
+import org.rattanport.decisions.admission.AdmissionRequest;
+import org.rattanport.decisions.cost.CostModel;
+import org.rattanport.decisions.ordering.Dispatcher;
+import org.rattanport.decisions.placement.Placement;
+import org.rattanport.decisions.poison.SuspicionTable;
+import org.rattanport.decisions.retry.RetryBudget;
+import org.rattanport.decisions.retry.RetryPolicy;
+import org.rattanport.decisions.target.EngineBoard;
+import org.rattanport.decisions.target.TargetDirectory;
+import org.rattanport.kernel.environment.ActiveEnvironment;
+import org.rattanport.kernel.environment.ClientAccount;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.event.Streams;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.model.Target;
+import org.rattanport.kernel.model.TargetId;
+import org.rattanport.kernel.model.TargetLoad;
+import org.rattanport.kernel.request.AnswerChunk;
+import org.rattanport.kernel.request.AnswerSink;
+import org.rattanport.kernel.request.PromptRequest;
+import org.rattanport.kernel.request.RequestJournal;
+import org.rattanport.kernel.request.ResumePoint;
+import org.rattanport.kernel.target.Continuation;
+import org.rattanport.kernel.target.EngineCall;
+import org.rattanport.kernel.target.EngineClient;
+import org.rattanport.kernel.task.Cancellation;
+import org.rattanport.kernel.task.Tasks;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.TimeSource;
+
+/**
+ * Serves one prompt from admission to the last chunk of its answer, on the task of the caller's
+ * connection: admit, wait for an engine, read its answer, and go on elsewhere when the engine
+ * fails.
+ */
+public final class PromptService {
+    private static final Logger LOGGER = Logger.getLogger(PromptService.class);
+    private static final Duration RELEASE_TIMEOUT = Duration.ofSeconds(2);
+    private static final Duration DEATH_CHECK_TIMEOUT = Duration.ofMillis(500);
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final Admission mAdmission;
+    private final Dispatcher mDispatcher;
+    private final SpanningPrompts mSpanning;
+    private final EngineClient mEngines;
+    private final EngineBoard mBoard;
+    private final TargetDirectory mDirectory;
+    private final CostModel mCost;
+    private final SuspicionTable mSuspicions;
+    private final RetryPolicy mRetry;
+    private final RetryBudget mBudget;
+    private final RequestJournal mJournal;
+    private final InstanceId mSelf;
+    private final TimeSource mTime;
+    private final Set<String> mLiveKeys = ConcurrentHashMap.newKeySet();
+
+    public PromptService(PromptParts parts) {
+        mAdmission = parts.admission();
+        mDispatcher = parts.dispatcher();
+        mSpanning = parts.spanning();
+        mEngines = parts.engines();
+        mBoard = parts.board();
+        mDirectory = parts.directory();
+        mCost = parts.cost();
+        mSuspicions = parts.suspicions();
+        mRetry = parts.retry();
+        mBudget = parts.budget();
+        mJournal = parts.journal();
+        mSelf = parts.self();
+        mTime = parts.time();
+    }
+
+    /** Keys of engine memory that running requests of this instance need. */
+    public Set<String> liveKeys() {
+        return mLiveKeys;
+    }
+
+    /**
+     * Serves a prompt; returns when the sink has taken the whole answer.
+     *
+     * @throws RattanportException with the verdict over all attempts
+     */
+    public void serve(
+            PromptRequest request,
+            ActiveEnvironment environment,
+            ClientAccount account,
+            AnswerSink sink,
+            Cancellation cancellation) {
+        try {
+            mAdmission.admit(new AdmissionRequest(request, environment, account));
+        } catch (RattanportException e) {
+            mJournal.note(request.id(), "refused: " + e.code().text() + ", " + e.getMessage());
+            throw e;
+        }
+        mJournal.note(
+                request.id(),
+                "admitted under version "
+                        + environment.version().version()
+                        + ", class "
+                        + environment.document().lengthClass(request.promptTokens()).name());
+        mBudget.firstTry(request.model());
+        boolean isSuspect = mSuspicions.deaths(request.fingerprint()) > 0;
+        if (isSuspect && !mSuspicions.beginTrial(request.fingerprint())) {
+            throw RattanportException.builder(
+                            ErrorCode.POISON_REQUEST,
+                            "another copy of this prompt, which an engine died with, is running")
+                    .retryAfter(Duration.ofSeconds(5))
+                    .build();
+        }
+        try {
+            attemptUntilDone(request, environment, sink, cancellation);
+            mSuspicions.acquitted(request.fingerprint());
+        } finally {
+            if (isSuspect) {
+                mSuspicions.endTrial(request.fingerprint());
+            }
+        }
+    }
+
+    private void attemptUntilDone(
+            PromptRequest request,
+            ActiveEnvironment environment,
+            AnswerSink sink,
+            Cancellation cancellation) {
+        Delivery delivery =
+                new Delivery(sink, request.resume().map(ResumePoint::receivedTokens).orElse(0));
+        if (request.resume().isPresent() && reattach(request, delivery, cancellation)) {
+            return;
+        }
+        Set<TargetId> excluded = new HashSet<>();
+        Verdict verdict = request.resume().isPresent() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+        int firstNumber = request.resume().map(point -> point.attempt() + 1).orElse(1);
+        for (int attempts = 1; ; attempts++) {
+            try {
+                attempt(
+                        request,
+                        environment,
+                        delivery,
+                        firstNumber + attempts - 1,
+                        excluded,
+                        cancellation);
+                mJournal.note(request.id(), "answered, " + delivery.position() + " tokens");
+                return;
+            } catch (RattanportException e) {
+                verdict = verdict.and(e.verdict());
+                mJournal.note(
+                        request.id(),
+                        "attempt failed: "
+                                + e.code().text()
+                                + ", "
+                                + e.verdict().text()
+                                + ", "
+                                + e.getMessage());
+                requireRetry(request, environment, e, verdict, attempts, cancellation);
+            }
+        }
+    }
+
+    private void requireRetry(
+            PromptRequest request,
+            ActiveEnvironment environment,
+            RattanportException error,
+            Verdict verdict,
+            int attempts,
+            Cancellation cancellation) {
+        int deaths = mSuspicions.deaths(request.fingerprint());
+        if (deaths >= environment.document().limits().targetDeathsPerRequest()) {
+            throw RattanportException.builder(
+                            ErrorCode.POISON_REQUEST,
+                            "this prompt was running on " + deaths + " engines when they died")
+                    .verdict(verdict)
+                    .cause(error)
+                    .build();
+        }
+        if (cancellation.isCancelled()
+                || !mRetry.shouldRetry(error, true, attempts, request.model())) {
+            throw error.withVerdict(verdict);
+        }
+        if (request.deadline().hasPassed(mTime)) {
+            throw RattanportException.builder(
+                            ErrorCode.DEADLINE_EXCEEDED, "the time ran out between attempts")
+                    .verdict(verdict)
+                    .cause(error)
+                    .build();
+        }
+    }
+
+    /** Reads on at the engine that still holds the stream; false when it must run again. */
+    private boolean reattach(PromptRequest request, Delivery delivery, Cancellation cancellation) {
+        ResumePoint point = request.resume().orElseThrow();
+        Target target = mDirectory.find(point.target()).orElse(null);
+        if (target == null) {
+            return false;
+        }
+        String key = request.id() + "/" + point.attempt();
+        Continuation continuation = new Continuation(delivery.position(), "", true);
+        Placement placement = new Placement(target, 0, false, 0);
+        try {
+            read(
+                    request,
+                    new Attempt(
+                            point.attempt(),
+                            key,
+                            placement,
+                            continuation,
+                            request.prompt(),
+                            List.of()),
+                    delivery,
+                    cancellation);
+            mJournal.note(request.id(), "resumed at " + target.id());
+            return true;
+        } catch (RattanportException e) {
+            mJournal.note(request.id(), "cannot resume at " + target.id() + ": " + e.getMessage());
+            return false;
+        }
+    }
+
+    private void attempt(
+            PromptRequest request,
+            ActiveEnvironment environment,
+            Delivery delivery,
+            int number,
+            Set<TargetId> excluded,
+            Cancellation cancellation) {
+        if (mSpanning.isNeeded(request)) {
+            attemptSpanning(request, environment, delivery, number, cancellation);
+            return;
+        }
+        String key = request.id() + "/" + number;
+        boolean isSuspect = mSuspicions.deaths(request.fingerprint()) > 0;
+        Set<TargetId> avoided = new HashSet<>(excluded);
+        if (isSuspect) {
+            avoided.addAll(mSuspicions.targetsWithSuspects());
+        }
+        Placement placement = mDispatcher.acquire(request, key, environment, avoided, cancellation);
+        TargetId target = placement.target().id();
+        mJournal.note(
+                request.id(),
+                "attempt "
+                        + number
+                        + " at "
+                        + target
+                        + (placement.isBorrowed() ? ", borrowed" : ""));
+        if (isSuspect) {
+            mSuspicions.suspectStarted(target);
+        }
+        try {
+            read(
+                    request,
+                    new Attempt(
+                            number,
+                            key,
+                            placement,
+                            delivery.continuation(),
+                            request.prompt(),
+                            List.of()),
+                    delivery,
+                    cancellation);
+        } catch (RattanportException e) {
+            excluded.add(target);
+            throw e;
+        } finally {
+            if (isSuspect) {
+                mSuspicions.suspectEnded(target);
+            }
+            mDispatcher.finished(placement, key);
+        }
+    }
+
+    private void attemptSpanning(
+            PromptRequest request,
+            ActiveEnvironment environment,
+            Delivery delivery,
+            int number,
+            Cancellation cancellation) {
+        String key = request.id() + "/" + number;
+        try (SpanningPrompts.Span span =
+                mSpanning.prepare(request, environment, key, mLiveKeys, cancellation)) {
+            mJournal.note(request.id(), "attempt " + number + " over " + span.description());
+            Placement placement = new Placement(span.leader(), 0, false, 0);
+            read(
+                    request,
+                    new Attempt(
+                            number,
+                            key,
+                            placement,
+                            delivery.continuation(),
+                            span.lastSegment(),
+                            span.pieces()),
+                    delivery,
+                    cancellation);
+        }
+    }
+
+    private void read(
+            PromptRequest request, Attempt attempt, Delivery delivery, Cancellation cancellation) {
+        Target target = attempt.placement().target();
+        EngineCall call =
+                new EngineCall(
+                        request,
+                        attempt.prompt(),
+                        attempt.number(),
+                        mSelf,
+                        attempt.placement().enginePriority(),
+                        attempt.continuation(),
+                        attempt.pieces(),
+                        request.deadline(),
+                        cancellation);
+        mLiveKeys.add(attempt.key());
+        AttemptReader reader = new AttemptReader(request, attempt, delivery);
+        try {
+            delivery.attemptStarted(target.id(), attempt.number());
+            Streams.readAll(mEngines.generate(target, call), reader::accept);
+            requireComplete(delivery);
+            mDirectory.health().succeeded(target.id());
+            mCost.observeOutput(request.maximumOutputTokens(), delivery.position());
+        } catch (RattanportException e) {
+            afterFailure(request, target, attempt.key(), e);
+            throw e;
+        } finally {
+            mLiveKeys.remove(attempt.key());
+        }
+    }
+
+    private static void requireComplete(Delivery delivery) {
+        if (!delivery.isComplete()) {
+            throw RattanportException.builder(
+                            ErrorCode.ANSWER_CUT, "the answer ended before its last chunk")
+                    .verdict(Verdict.MAY_HAVE_RUN)
+                    .build();
+        }
+    }
+
+    private void afterFailure(
+            PromptRequest request, Target target, String key, RattanportException error) {
+        if (error.code() == ErrorCode.TARGET_LEAVING) {
+            mDirectory.markLeaving(target.id());
+            return;
+        }
+        if (error.verdict() != Verdict.NOT_RUN) {
+            Tasks.start("release-" + key, () -> release(target, key));
+        }
+        if (error.code() == ErrorCode.TARGET_FAILED || error.code() == ErrorCode.ANSWER_CUT) {
+            mDirectory.health().failed(target.id());
+            if (error.verdict() != Verdict.NOT_RUN && hasDied(target)) {
+                mJournal.note(request.id(), "engine " + target.id() + " died meanwhile");
+                mSuspicions.died(request.fingerprint(), target.id());
+            }
+        }
+    }
+
+    /** A cut connection alone proves nothing; an engine that is gone or restarted has died. */
+    private boolean hasDied(Target target) {
+        try {
+            TargetLoad load = mEngines.load(target, Deadline.after(mTime, DEATH_CHECK_TIMEOUT));
+            return !load.target().equals(target.id());
+        } catch (RattanportException e) {
+            return true;
+        }
+    }
+
+    /** Frees the attempt at the engine; the reclaimer finds what this does not reach. */
+    private void release(Target target, String key) {
+        try {
+            mEngines.release(target, key, Deadline.after(mTime, RELEASE_TIMEOUT));
+        } catch (RattanportException e) {
+            LOGGER.debugf("cannot release %s at %s: %s", key, target.id(), e.getMessage());
+        }
+    }
+
+    /** Passes chunks on, and notes the first one for the load accounts and the cost model. */
+    private final class AttemptReader {
+        private final PromptRequest mRequest;
+        private final Attempt mAttempt;
+        private final Delivery mDelivery;
+        private final long mSentNanos = mTime.nanoTime();
+        private boolean mHasFirst;
+
+        private AttemptReader(PromptRequest request, Attempt attempt, Delivery delivery) {
+            mRequest = request;
+            mAttempt = attempt;
+            mDelivery = delivery;
+        }
+
+        private void accept(AnswerChunk chunk) {
+            if (!mHasFirst) {
+                mHasFirst = true;
+                noteFirst();
+            }
+            mDelivery.accept(chunk);
+        }
+
+        private void noteFirst() {
+            Placement placement = mAttempt.placement();
+            double seconds = (mTime.nanoTime() - mSentNanos) / NANOS_PER_SECOND;
+            mBoard.view(placement.target().id()).ifPresent(view -> view.firstToken(mAttempt.key()));
+            mCost.observeFirstToken(
+                    placement.target().id(), placement.predictedFirstTokenSeconds(), seconds);
+            mJournal.note(mRequest.id(), String.format("first token after %.3f s", seconds));
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/prompt/SpanningPrompts.java
@@ -0,0 +1,280 @@
+package org.rattanport.decisions.prompt;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.jboss.logging.Logger;
+import org.rattanport.decisions.ordering.Dispatcher;
+import org.rattanport.decisions.target.EngineBoard;
+import org.rattanport.decisions.target.EngineBoard.Candidate;
+import org.rattanport.kernel.environment.ActiveEnvironment;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.model.RendezvousHash;
+import org.rattanport.kernel.model.Target;
+import org.rattanport.kernel.request.PromptRequest;
+import org.rattanport.kernel.target.EngineClient;
+import org.rattanport.kernel.target.SegmentCall;
+import org.rattanport.kernel.target.SegmentPiece;
+import org.rattanport.kernel.task.Cancellation;
+import org.rattanport.kernel.task.Tasks;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.TimeSource;
+
+/**
+ * Prepares prompts that are longer than one engine's memory.
+ *
+ * <p>The prompt is cut into segments, each held by another engine; the last segment's engine
+ * generates the answer and reads the earlier pieces from their holders. Memory is reserved on all
+ * engines before anything is computed, in the order of engine names. When one reservation is
+ * refused all are given back, so no prompt waits while it holds memory that another waits for. Only
+ * part of a pool takes such prompts, which bounds how many run at once.
+ */
+public final class SpanningPrompts {
+    private static final Logger LOGGER = Logger.getLogger(SpanningPrompts.class);
+    private static final double LARGEST_SINGLE_SHARE = 0.95;
+    private static final double SEGMENT_MEMORY_SHARE = 0.6;
+    private static final double SPANNING_ENGINES_SHARE = 0.5;
+    private static final Duration SHORTEST_PAUSE = Duration.ofMillis(200);
+    private static final Duration LONGEST_PAUSE = Duration.ofMillis(1000);
+    private static final Duration RELEASE_TIMEOUT = Duration.ofSeconds(2);
+
+    private final Dispatcher.EngineSource mEngineSource;
+    private final EngineBoard mBoard;
+    private final EngineClient mEngines;
+    private final InstanceId mSelf;
+    private final TimeSource mTime;
+    private final RandomGenerator mRandom;
+
+    public SpanningPrompts(
+            Dispatcher.EngineSource engineSource,
+            EngineBoard board,
+            EngineClient engines,
+            InstanceId self,
+            TimeSource time,
+            RandomGenerator random) {
+        mEngineSource = engineSource;
+        mBoard = board;
+        mEngines = engines;
+        mSelf = self;
+        mTime = time;
+        mRandom = random;
+    }
+
+    /** Whether the prompt is too long for every engine of its model. */
+    public boolean isNeeded(PromptRequest request) {
+        long largest =
+                candidates(request.model()).stream()
+                        .mapToLong(each -> each.view().report().totalMemoryTokens())
+                        .max()
+                        .orElse(Long.MAX_VALUE);
+        return request.totalTokens() > largest * LARGEST_SINGLE_SHARE;
+    }
+
+    /**
+     * Reserves memory and computes all segments but the last.
+     *
+     * @throws RattanportException {@code PROMPT_TOO_LONG} when the pool cannot hold the prompt, or
+     *     {@code DEADLINE_EXCEEDED}
+     */
+    public Span prepare(
+            PromptRequest request,
+            ActiveEnvironment environment,
+            String key,
+            Set<String> liveKeys,
+            Cancellation cancellation) {
+        while (true) {
+            List<Candidate> engines = spanningEngines(request.model());
+            List<Segment> segments = split(request, engines);
+            Span span = new Span(liveKeys);
+            try {
+                if (reserveAll(span, request, key, segments, engines)) {
+                    computeAll(span, request);
+                    return span;
+                }
+                span.close();
+            } catch (RattanportException e) {
+                span.close();
+                throw e;
+            }
+            pause(request, cancellation);
+        }
+    }
+
+    private void pause(PromptRequest request, Cancellation cancellation) {
+        if (cancellation.isCancelled()) {
+            throw new RattanportException(ErrorCode.CANCELLED, "the caller has gone");
+        }
+        Duration pause = SHORTEST_PAUSE.plusMillis(mRandom.nextLong(LONGEST_PAUSE.toMillis()));
+        if (request.deadline().remaining(mTime).compareTo(pause) <= 0) {
+            throw new RattanportException(
+                    ErrorCode.DEADLINE_EXCEEDED, "no engines had room for the prompt in time");
+        }
+        mTime.sleep(pause);
+    }
+
+    private List<Candidate> candidates(String model) {
+        return mBoard.candidates(mEngineSource.engines(model));
+    }
+
+    /** The part of the pool that takes spanning prompts, the same at every instance. */
+    private List<Candidate> spanningEngines(String model) {
+        List<Candidate> all = candidates(model);
+        int count = (int) Math.ceil(all.size() * SPANNING_ENGINES_SHARE);
+        return RendezvousHash.order("spanning/" + model, all, each -> each.target().id().name())
+                .subList(0, count);
+    }
+
+    private static List<Segment> split(PromptRequest request, List<Candidate> engines) {
+        long memory =
+                engines.stream()
+                        .mapToLong(each -> each.view().report().totalMemoryTokens())
+                        .min()
+                        .orElse(0);
+        long perEngine = (long) (memory * SEGMENT_MEMORY_SHARE);
+        int count =
+                perEngine <= 0
+                        ? Integer.MAX_VALUE
+                        : (int) Math.ceilDiv(request.totalTokens(), perEngine);
+        if (count > engines.size()) {
+            throw RattanportException.builder(
+                            ErrorCode.PROMPT_TOO_LONG,
+                            "the prompt needs the memory of "
+                                    + count
+                                    + " engines; "
+                                    + engines.size()
+                                    + " can be joined for it")
+                    .field("messages")
+                    .build();
+        }
+        List<Segment> segments = new ArrayList<>();
+        int length = request.prompt().length();
+        for (int i = 0; i < count; i++) {
+            int from = (int) ((long) length * i / count);
+            int to = (int) ((long) length * (i + 1) / count);
+            int tokens = request.promptTokens() / count;
+            int outputTokens = i == count - 1 ? request.maximumOutputTokens() : 0;
+            segments.add(new Segment(request.prompt().substring(from, to), tokens + outputTokens));
+        }
+        return segments;
+    }
+
+    private boolean reserveAll(
+            Span span,
+            PromptRequest request,
+            String key,
+            List<Segment> segments,
+            List<Candidate> engines) {
+        List<Target> holders =
+                engines.stream()
+                        .sorted(Comparator.comparingLong(each -> -each.view().freeMemoryTokens()))
+                        .limit(segments.size())
+                        .map(Candidate::target)
+                        .sorted(Comparator.comparing(each -> each.id().name()))
+                        .toList();
+        for (int i = 0; i < segments.size(); i++) {
+            Segment segment = segments.get(i);
+            boolean isLast = i == segments.size() - 1;
+            SegmentCall call =
+                    new SegmentCall(
+                            isLast ? key : key + "/" + i,
+                            segment.text(),
+                            segment.tokens(),
+                            mSelf,
+                            List.of(),
+                            request.deadline());
+            span.add(holders.get(i), call);
+            if (!mEngines.reserve(holders.get(i), call)) {
+                LOGGER.debugf("no room for %s at %s", call.key(), holders.get(i).id());
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void computeAll(Span span, PromptRequest request) {
+        List<Span.Part> parts = span.mParts;
+        for (Span.Part part : parts.subList(0, parts.size() - 1)) {
+            if (request.deadline().hasPassed(mTime)) {
+                throw new RattanportException(
+                        ErrorCode.DEADLINE_EXCEEDED, "the time ran out in prefill");
+            }
+            SegmentCall call = part.call();
+            SegmentCall withEarlier =
+                    new SegmentCall(
+                            call.key(),
+                            call.text(),
+                            call.tokens(),
+                            call.owner(),
+                            List.copyOf(span.mPieces),
+                            call.deadline());
+            span.mPieces.add(mEngines.computeSegment(part.holder(), withEarlier));
+        }
+    }
+
+    private record Segment(String text, int tokens) {}
+
+    /** Memory of several engines that one prompt holds; closing gives all of it back. */
+    public final class Span implements AutoCloseable {
+        private final Set<String> mLiveKeys;
+        private final List<Part> mParts = new ArrayList<>();
+        private final List<SegmentPiece> mPieces = new ArrayList<>();
+
+        private record Part(Target holder, SegmentCall call) {}
+
+        private Span(Set<String> liveKeys) {
+            mLiveKeys = liveKeys;
+        }
+
+        private void add(Target holder, SegmentCall call) {
+            mLiveKeys.add(call.key());
+            mParts.add(new Part(holder, call));
+        }
+
+        /** Engine that holds the last segment and generates the answer. */
+        public Target leader() {
+            return mParts.getLast().holder();
+        }
+
+        /** Text of the last segment. */
+        public String lastSegment() {
+            return mParts.getLast().call().text();
+        }
+
+        /** Pieces of the segments before the last. */
+        public List<SegmentPiece> pieces() {
+            return List.copyOf(mPieces);
+        }
+
+        /** Names of the engines, for the journal. */
+        public String description() {
+            return mParts.stream()
+                    .map(part -> part.holder().id().name())
+                    .collect(Collectors.joining(", "));
+        }
+
+        @Override
+        public void close() {
+            mParts.forEach(
+                    part -> {
+                        mLiveKeys.remove(part.call().key());
+                        Tasks.start("release-" + part.call().key(), () -> release(part));
+                    });
+        }
+
+        private void release(Part part) {
+            try {
+                mEngines.release(
+                        part.holder(), part.call().key(), Deadline.after(mTime, RELEASE_TIMEOUT));
+            } catch (RattanportException e) {
+                // The reclaimer finds the piece, since its key is no longer live.
+                LOGGER.debugf("cannot release %s: %s", part.call().key(), e.getMessage());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/retry/package-info.java
@@ -0,0 +1,5 @@
+/** Retries and their budget. */
+@NullMarked
+package org.rattanport.decisions.retry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kernel/src/main/java/org/rattanport/kernel/environment/Stage.java
@@ -0,0 +1,19 @@
+package org.rattanport.kernel.environment;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
+
+/** A stage of an environment; documents are promoted from trial to production. */
+public enum Stage {
+    TRIAL,
+    PRODUCTION;
+
+    public String text() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    public static Optional<Stage> parse(String text) {
+        return Arrays.stream(values()).filter(stage -> stage.text().equals(text)).findFirst();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/rattanport/kernel/model/RendezvousHash.java
@@ -0,0 +1,51 @@
+package org.rattanport.kernel.model;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Function;
+
+/**
+ * Rendezvous (highest random weight) hashing: all who see the same candidates agree on their order
+ * for a key, and a candidate that leaves moves only the keys that it held.
+ */
+public final class RendezvousHash {
+    private static final long FNV_OFFSET = 0xcbf29ce484222325L;
+    private static final long FNV_PRIME = 0x100000001b3L;
+
+    private RendezvousHash() {}
+
+    /** Returns the candidates by falling weight for the key. */
+    public static <T> List<T> order(
+            String key, Collection<T> candidates, Function<T, String> name) {
+        record Weighted<T>(T candidate, long weight, String name) {}
+        return candidates.stream()
+                .map(each -> new Weighted<>(each, weight(key, name.apply(each)), name.apply(each)))
+                .sorted(
+                        Comparator.comparingLong((Weighted<T> each) -> each.weight())
+                                .reversed()
+                                .thenComparing(Weighted::name))
+                .map(Weighted::candidate)
+                .toList();
+    }
+
+    /** Weight of one candidate for one key. */
+    public static long weight(String key, String candidate) {
+        long hash = FNV_OFFSET;
+        for (int i = 0; i < key.length(); i++) {
+            hash = (hash ^ key.charAt(i)) * FNV_PRIME;
+        }
+        hash = (hash ^ '/') * FNV_PRIME;
+        for (int i = 0; i < candidate.length(); i++) {
+            hash = (hash ^ candidate.charAt(i)) * FNV_PRIME;
+        }
+        return mix(hash);
+    }
+
+    // FNV alone leaves the high bits of short keys alike; this is the 64-bit finaliser of SplitMix.
+    private static long mix(long value) {
+        long mixed = (value ^ (value >>> 30)) * 0xbf58476d1ce4e5b9L;
+        mixed = (mixed ^ (mixed >>> 27)) * 0x94d049bb133111ebL;
+        return mixed ^ (mixed >>> 31);
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/rattanport/kernel/model/TargetKind.java
@@ -0,0 +1,7 @@
+package org.rattanport.kernel.model;
+
+/** What a target is: a model engine or a plain service. */
+public enum TargetKind {
+    ENGINE,
+    SERVICE
+}
--- /dev/null
+++ b/kernel/src/main/java/org/rattanport/kernel/platform/package-info.java
@@ -0,0 +1,5 @@
+/** Interfaces of the platform's services. */
+@NullMarked
+package org.rattanport.kernel.platform;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/kernel/src/main/java/org/rattanport/kernel/settings/LocalEndpoints.java
@@ -0,0 +1,9 @@
+package org.rattanport.kernel.settings;
+
+/**
+ * Addresses that this instance has bound.
+ *
+ * @param callerAddress IP and port for callers and operators
+ * @param peerAddress IP and port for other instances
+ */
+public record LocalEndpoints(String callerAddress, String peerAddress) {}
--- /dev/null
+++ b/standins/src/main/java/org/rattanport/standins/InstanceListStandIn.java
@@ -0,0 +1,146 @@
+package org.rattanport.standins;
+
+import io.helidon.http.HeaderNames;
+import io.helidon.http.Method;
+import io.helidon.webserver.http.HttpRouting;
+import io.helidon.webserver.http.ServerRequest;
+import io.helidon.webserver.http.ServerResponse;
+import java.time.Duration;
+import java.util.Map;
+import java.util.TreeMap;
+import org.rattanport.connectors.json.Json;
+import org.rattanport.kernel.model.Target;
+import org.rattanport.kernel.platform.InstanceList.ListedInstance;
+import org.rattanport.kernel.task.Tasks;
+import org.rattanport.kernel.time.SystemTimeSource;
+import org.rattanport.kernel.time.TimeSource;
+
+/** Stands in for the list of live and leaving instances; every change shows after a lag. */
+public final class InstanceListStandIn implements AutoCloseable {
+    private static final int OK = 200;
+    private static final int NOT_MODIFIED = 304;
+
+    private final TimeSource mTime = new SystemTimeSource();
+    private final Duration mLag;
+    private final Map<String, Target> mTargets = new TreeMap<>();
+    private final Map<String, ListedInstance> mInstances = new TreeMap<>();
+    private final StandInHttp mServer;
+    private long mVersion;
+
+    public InstanceListStandIn(int port, Duration lag) {
+        mLag = lag;
+        mServer = new StandInHttp(port, this::addRoutes);
+    }
+
+    public String url() {
+        return "http://" + mServer.address();
+    }
+
+    /** Lists a target, at once, as a fleet that has long been running. */
+    public synchronized void put(Target target) {
+        mTargets.put(target.id().name(), target);
+        mVersion++;
+    }
+
+    /** Lists an entry instance at once. */
+    public synchronized void put(ListedInstance instance) {
+        mInstances.put(instance.name(), instance);
+        mVersion++;
+    }
+
+    /** Lists a changed target after the lag. */
+    public void putLate(Target target) {
+        late(() -> put(target));
+    }
+
+    /** Takes a target off the list after the lag. */
+    public void removeLate(String name) {
+        late(
+                () -> {
+                    synchronized (this) {
+                        mTargets.remove(name);
+                        mVersion++;
+                    }
+                });
+    }
+
+    /** Takes an entry instance off the list after the lag. */
+    public void removeInstanceLate(String name) {
+        late(
+                () -> {
+                    synchronized (this) {
+                        mInstances.remove(name);
+                        mVersion++;
+                    }
+                });
+    }
+
+    private void late(Runnable change) {
+        Tasks.start(
+                "list-lag",
+                () -> {
+                    mTime.sleep(mLag);
+                    change.run();
+                });
+    }
+
+    private void addRoutes(HttpRouting.Builder routing) {
+        StandInHttp.route(routing, Method.GET, "/instances", this::list);
+        StandInHttp.route(
+                routing,
+                Method.PUT,
+                "/instances",
+                (request, response) -> {
+                    var body = StandInHttp.json(request);
+                    put(
+                            new ListedInstance(
+                                    body.path("name").asText(),
+                                    body.path("caller_address").asText(),
+                                    body.path("peer_address").asText(),
+                                    body.path("data_centre").asText(),
+                                    false));
+                    StandInHttp.answer(response, OK, Json.object());
+                });
+    }
+
+    private synchronized void list(ServerRequest request, ServerResponse response) {
+        String entityTag = "\"" + mVersion + "\"";
+        response.header(HeaderNames.create("ETag"), entityTag);
+        if (request.headers().first(HeaderNames.IF_NONE_MATCH).orElse("").equals(entityTag)) {
+            response.status(NOT_MODIFIED);
+            response.send();
+            return;
+        }
+        var body = Json.object();
+        var targets = body.putArray("targets");
+        mTargets.values()
+                .forEach(
+                        each ->
+                                targets.addObject()
+                                        .put("name", each.id().name())
+                                        .put("incarnation", each.id().incarnation())
+                                        .put("kind", each.kind().name())
+                                        .put("pool", each.pool())
+                                        .put("address", each.address())
+                                        .put("data_centre", each.dataCentre())
+                                        .put("leaving", each.isLeaving()));
+        var instances = body.putArray("instances");
+        mInstances
+                .values()
+                .forEach(
+                        each ->
+                                instances
+                                        .addObject()
+                                        .put("name", each.name())
+                                        .put("caller_address", each.callerAddress())
+                                        .put("peer_address", each.peerAddress())
+                                        .put("data_centre", each.dataCentre())
+                                        .put("leaving", each.isLeaving()));
+        StandInHttp.answer(response, OK, body);
+    }
+
+    @Override
+    public void close() {
+        mServer.close();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/rattanport/standins/ServiceStandIn.java
@@ -0,0 +1,109 @@
+package org.rattanport.standins;
+
+import io.helidon.http.HeaderNames;
+import io.helidon.http.Method;
+import io.helidon.webserver.http.HttpRouting;
+import io.helidon.webserver.http.ServerRequest;
+import io.helidon.webserver.http.ServerResponse;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import org.rattanport.connectors.json.Json;
+import org.rattanport.kernel.time.SystemTimeSource;
+import org.rattanport.kernel.time.TimeSource;
+
+/**
+ * Stands in for one target of a plain service. It counts the runs by key in a ledger that all
+ * targets of the service share, and does not protect itself against a second run.
+ */
+public final class ServiceStandIn implements AutoCloseable {
+    /** Runs by idempotency key, over all targets of a service. */
+    public static final class Ledger {
+        private final Map<String, Integer> mRuns = new ConcurrentHashMap<>();
+
+        void ran(String key) {
+            mRuns.merge(key, 1, Integer::sum);
+        }
+
+        public int runs(String key) {
+            return mRuns.getOrDefault(key, 0);
+        }
+
+        /** Keys that ran more than once. */
+        public long doubleRuns() {
+            return mRuns.values().stream().filter(count -> count > 1).count();
+        }
+    }
+
+    private static final Duration SLOW = Duration.ofSeconds(3);
+    private static final int OK = 200;
+    private static final int SERVER_ERROR = 500;
+    private static final int UNAVAILABLE = 503;
+
+    private final TimeSource mTime = new SystemTimeSource();
+    private final Ledger mLedger;
+    private final Random mRandom;
+    private final StandInHttp mServer;
+    private volatile ServiceFault mFault = ServiceFault.NONE;
+    private volatile double mFaultShare = 1.0;
+
+    public ServiceStandIn(int port, Ledger ledger, long seed) {
+        mLedger = ledger;
+        mRandom = new Random(seed);
+        mServer = new StandInHttp(port, this::addRoutes);
+    }
+
+    public String address() {
+        return mServer.address();
+    }
+
+    public void fault(ServiceFault fault, double share) {
+        mFaultShare = share;
+        mFault = fault;
+    }
+
+    private void addRoutes(HttpRouting.Builder routing) {
+        StandInHttp.route(routing, Method.POST, "/{operation}", this::call);
+    }
+
+    private void call(ServerRequest request, ServerResponse response) {
+        String operation = request.path().pathParameters().get("operation");
+        String key = request.headers().first(HeaderNames.create("Idempotency-Key")).orElse("");
+        StandInHttp.body(request);
+        ServiceFault fault = nextFault();
+        if (fault == ServiceFault.REFUSE) {
+            StandInHttp.error(response, UNAVAILABLE, "refused");
+            return;
+        }
+        if (fault == ServiceFault.SLOW) {
+            mTime.sleep(SLOW);
+        }
+        if (!key.isEmpty()) {
+            mLedger.ran(key);
+        }
+        switch (fault) {
+            case RUN_THEN_CUT -> throw new IllegalStateException("scripted crash");
+            case RUN_THEN_ERROR -> StandInHttp.error(response, SERVER_ERROR, "crashed");
+            default ->
+                    StandInHttp.answer(
+                            response,
+                            OK,
+                            Json.object()
+                                    .put("operation", operation)
+                                    .put("reference", "ref-" + key)
+                                    .put("status", "accepted"));
+        }
+    }
+
+    private synchronized ServiceFault nextFault() {
+        return mFault != ServiceFault.NONE && mRandom.nextDouble() < mFaultShare
+                ? mFault
+                : ServiceFault.NONE;
+    }
+
+    @Override
+    public void close() {
+        mServer.close();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/rattanport/standins/TableStandIn.java
@@ -0,0 +1,220 @@
+package org.rattanport.standins;
+
+import io.helidon.http.Method;
+import io.helidon.webserver.http.HttpRouting;
+import io.helidon.webserver.http.ServerRequest;
+import io.helidon.webserver.http.ServerResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.rattanport.connectors.json.Json;
+import org.rattanport.kernel.platform.Row;
+import org.rattanport.kernel.platform.RowWrite;
+import org.rattanport.kernel.task.Tasks;
+import org.rattanport.kernel.time.SystemTimeSource;
+import org.rattanport.kernel.time.TimeSource;
+
+/** Stands in for the transactional table service, with faults that can be switched on. */
+public final class TableStandIn implements AutoCloseable {
+    private static final Duration LATE = Duration.ofMillis(300);
+    private static final Duration SLOW = Duration.ofMillis(800);
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final int UNAVAILABLE = 503;
+
+    private final TimeSource mTime = new SystemTimeSource();
+    private final NavigableMap<String, Row> mRows = new TreeMap<>();
+    private final NavigableMap<String, Row> mStaleRows = new TreeMap<>();
+    private final AtomicLong mReads = new AtomicLong();
+    private final AtomicLong mWrites = new AtomicLong();
+    private final Random mRandom;
+    private final StandInHttp mServer;
+    private long mRevision;
+    private volatile TableFault mFault = TableFault.NONE;
+    private volatile double mFaultShare = 1.0;
+
+    public TableStandIn(int port, long seed) {
+        mRandom = new Random(seed);
+        mServer = new StandInHttp(port, this::addRoutes);
+    }
+
+    public String url() {
+        return "http://" + mServer.address();
+    }
+
+    /** Switches a fault on for a share of the calls. */
+    public synchronized void fault(TableFault fault, double share) {
+        mFault = fault;
+        mFaultShare = share;
+        mStaleRows.clear();
+        mStaleRows.putAll(mRows);
+    }
+
+    public long reads() {
+        return mReads.get();
+    }
+
+    /** Transactions received. */
+    public long writes() {
+        return mWrites.get();
+    }
+
+    private void addRoutes(HttpRouting.Builder routing) {
+        StandInHttp.route(routing, Method.GET, "/row", this::get);
+        StandInHttp.route(routing, Method.GET, "/rows", this::scan);
+        StandInHttp.route(routing, Method.POST, "/transactions", this::commit);
+        StandInHttp.route(routing, Method.POST, "/faults", this::setFault);
+    }
+
+    private void setFault(ServerRequest request, ServerResponse response) {
+        var body = StandInHttp.json(request);
+        fault(
+                TableFault.valueOf(body.path("fault").asText("NONE")),
+                body.path("share").asDouble(1.0));
+        StandInHttp.answer(response, OK, Json.object());
+    }
+
+    private void get(ServerRequest request, ServerResponse response) {
+        mReads.incrementAndGet();
+        TableFault fault = nextFault();
+        if (isReadFailing(fault, response)) {
+            return;
+        }
+        Optional<Row> row = read(request.query().get("key"), fault);
+        if (row.isEmpty()) {
+            StandInHttp.error(response, NOT_FOUND, "absent");
+        } else {
+            StandInHttp.answer(response, OK, row.get());
+        }
+    }
+
+    private synchronized Optional<Row> read(String key, TableFault fault) {
+        return Optional.ofNullable((fault == TableFault.STALE_READ ? mStaleRows : mRows).get(key));
+    }
+
+    private void scan(ServerRequest request, ServerResponse response) {
+        mReads.incrementAndGet();
+        TableFault fault = nextFault();
+        if (isReadFailing(fault, response)) {
+            return;
+        }
+        String prefix = request.query().get("prefix");
+        String after = request.query().first("after").orElse("");
+        int limit = Integer.parseInt(request.query().first("limit").orElse("100"));
+        var body = Json.object();
+        var list = body.putArray("rows");
+        synchronized (this) {
+            mRows.tailMap(after.isEmpty() ? prefix : after, after.isEmpty()).values().stream()
+                    .takeWhile(row -> row.key().startsWith(prefix))
+                    .limit(limit)
+                    .forEach(list::addPOJO);
+        }
+        StandInHttp.answer(response, OK, body);
+    }
+
+    private boolean isReadFailing(TableFault fault, ServerResponse response) {
+        if (fault == TableFault.SLOW) {
+            mTime.sleep(SLOW);
+        }
+        if (fault == TableFault.DOWN) {
+            StandInHttp.error(response, UNAVAILABLE, "down");
+            return true;
+        }
+        return false;
+    }
+
+    private void commit(ServerRequest request, ServerResponse response) {
+        mWrites.incrementAndGet();
+        List<RowWrite> writes = new ArrayList<>();
+        StandInHttp.json(request)
+                .path("writes")
+                .forEach(
+                        each ->
+                                writes.add(
+                                        new RowWrite(
+                                                each.path("key").asText(),
+                                                each.path("expected_revision").asLong(),
+                                                Optional.ofNullable(each.get("value"))
+                                                        .map(value -> value.asText()))));
+        switch (nextFault()) {
+            case DOWN -> StandInHttp.error(response, UNAVAILABLE, "down");
+            case LOST_ANSWER -> {
+                apply(writes);
+                StandInHttp.error(response, UNAVAILABLE, "lost");
+            }
+            case LATE_WRITE -> {
+                Tasks.start("late-write", () -> applyLate(writes));
+                StandInHttp.error(response, UNAVAILABLE, "late");
+            }
+            case SLOW -> {
+                mTime.sleep(SLOW);
+                answer(response, writes);
+            }
+            case NONE, STALE_READ -> answer(response, writes);
+        }
+    }
+
+    private void applyLate(List<RowWrite> writes) {
+        mTime.sleep(LATE);
+        apply(writes);
+    }
+
+    private void answer(ServerResponse response, List<RowWrite> writes) {
+        List<String> conflicts = apply(writes);
+        var body = Json.object();
+        if (!conflicts.isEmpty()) {
+            conflicts.forEach(body.putArray("conflicts")::add);
+            StandInHttp.answer(response, CONFLICT, body);
+            return;
+        }
+        var revisions = body.putArray("revisions");
+        synchronized (this) {
+            writes.forEach(each -> revisions.add(revision(each.key())));
+        }
+        StandInHttp.answer(response, OK, body);
+    }
+
+    /** Applies all writes or none; returns the keys that did not have the expected revision. */
+    private synchronized List<String> apply(List<RowWrite> writes) {
+        List<String> conflicts =
+                writes.stream()
+                        .filter(each -> revision(each.key()) != each.expectedRevision())
+                        .map(RowWrite::key)
+                        .toList();
+        if (conflicts.isEmpty()) {
+            writes.forEach(this::applyOne);
+        }
+        return conflicts;
+    }
+
+    private void applyOne(RowWrite write) {
+        if (write.value().isEmpty()) {
+            mRows.remove(write.key());
+            return;
+        }
+        mRevision++;
+        mRows.put(write.key(), new Row(write.key(), mRevision, write.value().get()));
+    }
+
+    private long revision(String key) {
+        Row row = mRows.get(key);
+        return row == null ? RowWrite.ABSENT : row.revision();
+    }
+
+    private synchronized TableFault nextFault() {
+        return mFault != TableFault.NONE && mRandom.nextDouble() < mFaultShare
+                ? mFault
+                : TableFault.NONE;
+    }
+
+    @Override
+    public void close() {
+        mServer.close();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/rattanport/standins/fleet/Fleet.java
@@ -0,0 +1,341 @@
+package org.rattanport.standins.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.rattanport.connectors.caller.KeyHash;
+import org.rattanport.connectors.http.HttpCaller;
+import org.rattanport.daemon.Instance;
+import org.rattanport.daemon.Logging;
+import org.rattanport.kernel.environment.EnvironmentInForce;
+import org.rattanport.kernel.environment.Stage;
+import org.rattanport.kernel.model.Target;
+import org.rattanport.kernel.model.TargetId;
+import org.rattanport.kernel.model.TargetKind;
+import org.rattanport.kernel.platform.InstanceList.ListedInstance;
+import org.rattanport.kernel.settings.InstanceSettings;
+import org.rattanport.kernel.settings.InstanceSettings.PlatformAddresses;
+import org.rattanport.kernel.settings.InstanceSettings.Timings;
+import org.rattanport.kernel.settings.PolicyChoice;
+import org.rattanport.standins.InstanceListStandIn;
+import org.rattanport.standins.ObjectStandIn;
+import org.rattanport.standins.ServiceStandIn;
+import org.rattanport.standins.TableStandIn;
+import org.rattanport.standins.engine.EngineProfile;
+import org.rattanport.standins.engine.EngineStandIn;
+
+/** Entry instances and all stand-ins in one process, over loopback and free ports. */
+public final class Fleet implements AutoCloseable {
+    public static final String OPERATOR_KEY = "operator-key";
+
+    private static final String SECRET = "a-secret-of-the-trial-fleet";
+    private static final Duration CALL_TIMEOUT = Duration.ofMinutes(5);
+
+    private final Builder mBuilder;
+    private final TableStandIn mTable;
+    private final ObjectStandIn mObjects;
+    private final InstanceListStandIn mList;
+    private final ServiceStandIn.Ledger mLedger = new ServiceStandIn.Ledger();
+    private final List<EngineStandIn> mEngines = new ArrayList<>();
+    private final List<ServiceStandIn> mServices = new ArrayList<>();
+    private final List<Instance> mInstances = new ArrayList<>();
+    private final CallerClient mClient = new CallerClient(CALL_TIMEOUT);
+    private int mStartedInstances;
+
+    private Fleet(Builder builder) {
+        mBuilder = builder;
+        mTable = new TableStandIn(0, builder.mSeed);
+        mObjects = new ObjectStandIn(0);
+        mList = new InstanceListStandIn(0, builder.mListLag);
+        for (int i = 0; i < builder.mEngines; i++) {
+            addEngine("engine-" + i);
+        }
+        for (int i = 0; i < builder.mServices; i++) {
+            addService("service-" + i, i);
+        }
+    }
+
+    public static Builder builder() {
+        return new Builder();
+    }
+
+    private void addEngine(String name) {
+        EngineStandIn engine =
+                new EngineStandIn(name, FleetDocument.MODEL, mBuilder.mProfile, false);
+        mEngines.add(engine);
+        mList.put(target(engine, false));
+    }
+
+    private static Target target(EngineStandIn engine, boolean isLeaving) {
+        return new Target(
+                new TargetId(engine.name(), engine.incarnation()),
+                TargetKind.ENGINE,
+                FleetDocument.MODEL,
+                engine.address(),
+                "dc-1",
+                isLeaving);
+    }
+
+    private void addService(String name, int index) {
+        ServiceStandIn service = new ServiceStandIn(0, mLedger, mBuilder.mSeed + index);
+        mServices.add(service);
+        mList.put(
+                new Target(
+                        new TargetId(name, 1),
+                        TargetKind.SERVICE,
+                        FleetDocument.SERVICE,
+                        service.address(),
+                        "dc-1",
+                        false));
+    }
+
+    /** Starts one more entry instance and lists it. */
+    public Instance startInstance() {
+        String name = "instance-" + mStartedInstances++;
+        InstanceSettings settings =
+                new InstanceSettings(
+                        name,
+                        "dc-" + (1 + mStartedInstances % 3),
+                        "region-1",
+                        FleetDocument.ENVIRONMENT,
+                        "127.0.0.1:0",
+                        "127.0.0.1:0",
+                        SECRET,
+                        List.of(KeyHash.of(OPERATOR_KEY)),
+                        new PlatformAddresses(mTable.url(), mObjects.url(), mList.url()),
+                        mBuilder.mTimings);
+        Instance.Builder starting = Instance.builder(settings);
+        mBuilder.mPolicy.ifPresent(starting::policy);
+        Instance instance = starting.start();
+        mInstances.add(instance);
+        mList.put(
+                new ListedInstance(
+                        name,
+                        instance.endpoints().callerAddress(),
+                        instance.endpoints().peerAddress(),
+                        settings.dataCentre(),
+                        false));
+        return instance;
+    }
+
+    /** Puts a document as the next version of a stage; returns the new version. */
+    public long put(Stage stage, FleetDocument document) {
+        Instance at = mInstances.getFirst();
+        long expected = at.context().require(EnvironmentInForce.class).version(stage);
+        ActionOutcome outcome = put(at, stage, document, expected, "fleet");
+        if (!outcome.isSuccess()) {
+            throw new IllegalStateException("the document was not accepted: " + outcome);
+        }
+        return expected + 1;
+    }
+
+    /** Puts a document at an instance as an operator does. */
+    public ActionOutcome put(
+            Instance at, Stage stage, FleetDocument document, long expected, String operator) {
+        Request.Builder request =
+                operatorRequest(
+                                at,
+                                "/operator/environment/"
+                                        + stage.text()
+                                        + "?expected_version="
+                                        + expected)
+                        .header("Rattanport-Operator", operator)
+                        .put(RequestBody.create(document.text(), HttpCaller.JSON));
+        return mClient.send(request);
+    }
+
+    /** Promotes a trial version at an instance as an operator does. */
+    public ActionOutcome promote(Instance at, long trialVersion, long expected) {
+        Request.Builder request =
+                operatorRequest(
+                                at,
+                                "/operator/promotions?trial_version="
+                                        + trialVersion
+                                        + "&expected_version="
+                                        + expected)
+                        .header("Rattanport-Operator", "fleet")
+                        .post(RequestBody.create("{}", HttpCaller.JSON));
+        return mClient.send(request);
+    }
+
+    /** A request with the operator key. */
+    public Request.Builder operatorRequest(Instance at, String path) {
+        return new Request.Builder()
+                .url("http://" + at.endpoints().callerAddress() + path)
+                .header("Authorization", "Bearer " + OPERATOR_KEY);
+    }
+
+    /** Waits until the condition holds, looking again after short pauses; false after the limit. */
+    public static boolean await(Duration limit, java.util.function.BooleanSupplier condition) {
+        var time = new org.rattanport.kernel.time.SystemTimeSource();
+        var deadline = org.rattanport.kernel.time.Deadline.after(time, limit);
+        while (!condition.getAsBoolean()) {
+            if (deadline.hasPassed(time)) {
+                return false;
+            }
+            time.sleep(Duration.ofMillis(5));
+        }
+        return true;
+    }
+
+    /** Waits until every instance acts on the version and knows all engines and instances. */
+    public boolean awaitReady(Stage stage, long version, Duration limit) {
+        return await(
+                limit, () -> mInstances.stream().allMatch(each -> isReady(each, stage, version)));
+    }
+
+    private boolean isReady(Instance instance, Stage stage, long version) {
+        var context = instance.context();
+        boolean hasVersion = context.require(EnvironmentInForce.class).version(stage) >= version;
+        var directory = context.require(org.rattanport.decisions.target.TargetDirectory.class);
+        var board = context.require(org.rattanport.decisions.target.EngineBoard.class);
+        var membership = context.require(org.rattanport.kernel.peer.Membership.class);
+        int views =
+                board.candidates(directory.serving(TargetKind.ENGINE, FleetDocument.MODEL)).size();
+        return hasVersion
+                && views == mEngines.size()
+                && membership.aliveMembers().size() == mInstances.size();
+    }
+
+    /** Stops an instance gracefully. */
+    public boolean stop(Instance instance) {
+        boolean isClean = instance.stop();
+        remove(instance);
+        return isClean;
+    }
+
+    /** Ends an instance without any goodbye to its callers and peers. */
+    public void kill(Instance instance) {
+        instance.kill();
+        remove(instance);
+    }
+
+    private void remove(Instance instance) {
+        mInstances.remove(instance);
+        mList.removeInstanceLate(instance.id().name());
+    }
+
+    public TableStandIn table() {
+        return mTable;
+    }
+
+    public InstanceListStandIn list() {
+        return mList;
+    }
+
+    public List<EngineStandIn> engines() {
+        return mEngines;
+    }
+
+    public List<ServiceStandIn> services() {
+        return mServices;
+    }
+
+    public List<Instance> instances() {
+        return mInstances;
+    }
+
+    public ServiceStandIn.Ledger ledger() {
+        return mLedger;
+    }
+
+    public CallerClient client() {
+        return mClient;
+    }
+
+    /** Address for callers of the instance at an index. */
+    public String address(int index) {
+        return mInstances.get(index).endpoints().callerAddress();
+    }
+
+    @Override
+    public void close() {
+        List.copyOf(mInstances).forEach(Instance::kill);
+        mInstances.clear();
+        mEngines.forEach(EngineStandIn::close);
+        mServices.forEach(ServiceStandIn::close);
+        mList.close();
+        mObjects.close();
+        mTable.close();
+    }
+
+    /** Describes a fleet and starts it. */
+    public static final class Builder {
+        private int mInstanceCount = 3;
+        private int mEngines = 4;
+        private int mServices = 2;
+        private long mSeed = 1;
+        private EngineProfile mProfile = EngineProfile.standard(10);
+        private Duration mListLag = Duration.ofSeconds(2);
+        private Timings mTimings = fastTimings();
+        private Optional<PolicyChoice> mPolicy = Optional.empty();
+        private FleetDocument mDocument = FleetDocument.of(4);
+
+        /** Periods shortened so that a whole life of a fleet fits into a minute. */
+        public static Timings fastTimings() {
+            return new Timings(
+                    Duration.ofMillis(200),
+                    Duration.ofMillis(400),
+                    Duration.ofMillis(1600),
+                    Duration.ofMillis(500),
+                    Duration.ofMillis(100),
+                    Duration.ofSeconds(1),
+                    Duration.ofSeconds(2),
+                    Duration.ofSeconds(30));
+        }
+
+        public Builder instances(int count) {
+            mInstanceCount = count;
+            return this;
+        }
+
+        public Builder engines(int count, EngineProfile profile) {
+            mEngines = count;
+            mProfile = profile;
+            return this;
+        }
+
+        public Builder services(int count) {
+            mServices = count;
+            return this;
+        }
+
+        public Builder seed(long seed) {
+            mSeed = seed;
+            return this;
+        }
+
+        public Builder timings(Timings timings) {
+            mTimings = timings;
+            return this;
+        }
+
+        public Builder policy(PolicyChoice policy) {
+            mPolicy = Optional.of(policy);
+            return this;
+        }
+
+        public Builder document(FleetDocument document) {
+            mDocument = document;
+            return this;
+        }
+
+        /** Starts everything, puts the document and waits until all instances are ready. */
+        public Fleet start() {
+            Logging.configure(false, System.getProperty("rattanport.log", "ERROR"));
+            Fleet fleet = new Fleet(this);
+            for (int i = 0; i < mInstanceCount; i++) {
+                fleet.startInstance();
+            }
+            long version = fleet.put(Stage.PRODUCTION, mDocument);
+            if (!fleet.awaitReady(Stage.PRODUCTION, version, Duration.ofSeconds(20))) {
+                fleet.close();
+                throw new IllegalStateException("the fleet did not get ready");
+            }
+            return fleet;
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/rattanport/standins/fleet/FleetTest.java
@@ -0,0 +1,67 @@
+package org.rattanport.standins.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.rattanport.standins.engine.EngineText;
+
+/** The whole path over real protocols. */
+final class FleetTest {
+    private static Fleet sFleet;
+
+    @BeforeAll
+    static void start() {
+        sFleet = Fleet.builder().start();
+    }
+
+    @AfterAll
+    static void close() {
+        sFleet.close();
+    }
+
+    @Nested
+    final class Prompts {
+        @Test
+        void shouldBeAnsweredWhole() {
+            String text = "user: why does the pump stop?";
+            PromptOutcome outcome =
+                    sFleet.client()
+                            .prompt(
+                                    sFleet.address(0),
+                                    new CallerClient.Prompt(
+                                            FleetDocument.key(0),
+                                            FleetDocument.MODEL,
+                                            text.substring("user: ".length()),
+                                            40,
+                                            20));
+            assertThat(outcome.code()).isEmpty();
+            assertThat(outcome.isComplete()).isTrue();
+            assertThat(outcome.text()).isEqualTo(EngineText.answer(text, 40));
+        }
+    }
+
+    @Nested
+    final class Bookings {
+        @Test
+        void shouldRunOnceAndReplay() {
+            ActionOutcome first = book("booking-1");
+            ActionOutcome second = book("booking-1");
+            assertThat(first.status()).isEqualTo(200);
+            assertThat(second.body()).isEqualTo(first.body());
+            assertThat(sFleet.ledger().runs("booking-1")).isEqualTo(1);
+        }
+
+        private ActionOutcome book(String key) {
+            return sFleet.client()
+                    .call(
+                            sFleet.address(1),
+                            FleetDocument.key(0),
+                            FleetDocument.SERVICE + "/book",
+                            key,
+                            "{\"pump\": 7}");
+        }
+    }
+}
