Add the demo: the main job with a check of each promise

Cause: nothing showed whether the promises hold on the whole path. Two faults were found and mended: chunks of an account's quota were kept by overwriting and could empty the owner's bucket (12 of 33 prompts refused with account_limit); a pool of eight engines refused a prompt that needs five.

--- /dev/null
+++ b/benchmark/src/main/java/org/rattanport/benchmark/demo/BookingScenario.java
@@ -0,0 +1,78 @@
+package org.rattanport.benchmark.demo;
+
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.stream.IntStream;
+import org.rattanport.standins.ServiceFault;
+import org.rattanport.standins.TableFault;
+import org.rattanport.standins.fleet.ActionOutcome;
+import org.rattanport.standins.fleet.FleetDocument;
+
+/** Bookings with resends at other instances, while the store and the service misbehave. */
+public final class BookingScenario implements Scenario {
+    private static final int BOOKINGS = 30;
+    private static final int SENDS = 3;
+    private static final double FAULT_SHARE = 0.3;
+
+    @Override
+    public int order() {
+        return 20;
+    }
+
+    @Override
+    public String title() {
+        return "bookings and resends with a failing store and a failing service";
+    }
+
+    @Override
+    public void run(DemoContext context) {
+        round(context, "well", TableFault.NONE, ServiceFault.NONE);
+        round(context, "lost-answers", TableFault.LOST_ANSWER, ServiceFault.NONE);
+        round(context, "late-writes", TableFault.LATE_WRITE, ServiceFault.NONE);
+        round(context, "crashes", TableFault.NONE, ServiceFault.RUN_THEN_CUT);
+        round(context, "refusals", TableFault.LOST_ANSWER, ServiceFault.REFUSE);
+        round(context, "store-down", TableFault.DOWN, ServiceFault.NONE);
+    }
+
+    private static void round(
+            DemoContext context, String name, TableFault tableFault, ServiceFault serviceFault) {
+        context.fleet().table().fault(tableFault, FAULT_SHARE);
+        context.fleet().services().forEach(each -> each.fault(serviceFault, FAULT_SHARE));
+        DemoContext.together(
+                IntStream.range(0, BOOKINGS)
+                        .<Callable<Boolean>>mapToObj(
+                                i -> () -> checkBooking(context, name + "-" + i)));
+        context.fleet().table().fault(TableFault.NONE, 0);
+        context.fleet().services().forEach(each -> each.fault(ServiceFault.NONE, 0));
+    }
+
+    /** Sends one booking at all instances at once and compares verdicts with the ledger. */
+    private static boolean checkBooking(DemoContext context, String key) {
+        List<ActionOutcome> outcomes =
+                DemoContext.together(
+                        IntStream.range(0, SENDS)
+                                .<Callable<ActionOutcome>>mapToObj(
+                                        i -> () -> book(context, i, key)));
+        int runs = context.fleet().ledger().runs(key);
+        boolean isAllNotRun = outcomes.stream().allMatch(each -> each.verdict().equals("not_run"));
+        boolean isAnySuccess = outcomes.stream().anyMatch(ActionOutcome::isSuccess);
+        context.tally().check(Promise.AT_MOST_ONCE, runs <= 1, key + " ran " + runs + " times");
+        context.tally()
+                .check(
+                        Promise.TRUE_NOT_RUN,
+                        !(isAllNotRun && runs > 0) && !(isAnySuccess && runs == 0),
+                        key + " ran " + runs + " times: " + outcomes);
+        return true;
+    }
+
+    private static ActionOutcome book(DemoContext context, int instance, String key) {
+        return context.fleet()
+                .client()
+                .call(
+                        context.fleet().address(instance),
+                        FleetDocument.key(instance % 2 == 0 ? 0 : 0),
+                        FleetDocument.SERVICE + "/book",
+                        key,
+                        "{\"shop\": \"Valle Central\"}");
+    }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/rattanport/benchmark/demo/DocumentScenario.java
@@ -0,0 +1,117 @@
+package org.rattanport.benchmark.demo;
+
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import java.util.stream.IntStream;
+import org.rattanport.daemon.Instance;
+import org.rattanport.kernel.environment.EnvironmentInForce;
+import org.rattanport.kernel.environment.Stage;
+import org.rattanport.standins.TableFault;
+import org.rattanport.standins.fleet.ActionOutcome;
+import org.rattanport.standins.fleet.FleetDocument;
+
+/** Operators that race one another, a promotion, and stale reads of the store. */
+public final class DocumentScenario implements Scenario {
+    private static final Duration IN_FORCE_LIMIT = Duration.ofSeconds(5);
+
+    @Override
+    public int order() {
+        return 30;
+    }
+
+    @Override
+    public String title() {
+        return "racing edits, a promotion, lost answers and stale reads";
+    }
+
+    @Override
+    public void run(DemoContext context) {
+        race(context);
+        promote(context);
+        staleReads(context);
+    }
+
+    private static void race(DemoContext context) {
+        long before = version(context.fleet().instances().getFirst(), Stage.TRIAL);
+        context.fleet().table().fault(TableFault.LOST_ANSWER, 0.5);
+        long accepted =
+                DemoContext.together(
+                                IntStream.range(0, 3)
+                                        .<Callable<ActionOutcome>>mapToObj(
+                                                i ->
+                                                        () ->
+                                                                context.fleet()
+                                                                        .put(
+                                                                                context.fleet()
+                                                                                        .instances()
+                                                                                        .get(i),
+                                                                                Stage.TRIAL,
+                                                                                document(400 + i),
+                                                                                before,
+                                                                                "operator-" + i)))
+                        .stream()
+                        .filter(ActionOutcome::isSuccess)
+                        .count();
+        context.fleet().table().fault(TableFault.NONE, 0);
+        context.tally()
+                .check(
+                        Promise.DOCUMENT_IN_FORCE,
+                        accepted == 1,
+                        accepted + " of three racing edits were accepted");
+        checkInForce(context, Stage.TRIAL, before + 1);
+    }
+
+    private static void promote(DemoContext context) {
+        Instance at = context.fleet().instances().getFirst();
+        long trial = version(at, Stage.TRIAL);
+        long production = version(at, Stage.PRODUCTION);
+        ActionOutcome outcome = context.fleet().promote(at, trial, production);
+        context.tally()
+                .check(Promise.DOCUMENT_IN_FORCE, outcome.isSuccess(), "promotion: " + outcome);
+        ActionOutcome again = context.fleet().promote(at, trial, production);
+        context.tally()
+                .check(
+                        Promise.DOCUMENT_IN_FORCE,
+                        again.code().equals("version_conflict"),
+                        "a promotion over an old version: " + again);
+        checkInForce(context, Stage.PRODUCTION, production + 1);
+    }
+
+    private static void staleReads(DemoContext context) {
+        context.fleet().table().fault(TableFault.STALE_READ, 1);
+        context.fleet().table().fault(TableFault.NONE, 0);
+        long version = context.fleet().put(Stage.PRODUCTION, document(599));
+        checkInForce(context, Stage.PRODUCTION, version);
+        context.fleet().table().fault(TableFault.STALE_READ, 0.7);
+        boolean hasReverted =
+                DemoContext.await(
+                        Duration.ofSeconds(2),
+                        () ->
+                                context.fleet().instances().stream()
+                                        .anyMatch(
+                                                each -> version(each, Stage.PRODUCTION) < version));
+        context.fleet().table().fault(TableFault.NONE, 0);
+        context.tally()
+                .check(Promise.DOCUMENT_IN_FORCE, !hasReverted, "a stale read reverted a version");
+    }
+
+    private static void checkInForce(DemoContext context, Stage stage, long version) {
+        for (Instance instance : context.fleet().instances()) {
+            boolean isInForce =
+                    DemoContext.await(IN_FORCE_LIMIT, () -> version(instance, stage) == version);
+            context.tally()
+                    .check(
+                            Promise.DOCUMENT_IN_FORCE,
+                            isInForce,
+                            stage + " " + version + " not in force at " + instance.id());
+        }
+    }
+
+    private static long version(Instance instance, Stage stage) {
+        return instance.context().require(EnvironmentInForce.class).version(stage);
+    }
+
+    private static FleetDocument document(int timeLimitSeconds) {
+        return FleetDocument.of(4).timeLimitSeconds(timeLimitSeconds);
+    }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/rattanport/benchmark/demo/InstanceStopScenario.java
@@ -0,0 +1,118 @@
+package org.rattanport.benchmark.demo;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.rattanport.daemon.Instance;
+import org.rattanport.standins.fleet.CallerClient;
+import org.rattanport.standins.fleet.Fleet;
+import org.rattanport.standins.fleet.PromptOutcome;
+
+/** One instance stops gracefully under load, another dies and its callers resume elsewhere. */
+public final class InstanceStopScenario implements Scenario {
+    private static final int PROMPTS = 12;
+
+    @Override
+    public int order() {
+        return 60;
+    }
+
+    @Override
+    public String title() {
+        return "a graceful stop under load, then a death with callers that resume";
+    }
+
+    @Override
+    public void run(DemoContext context) {
+        stopUnderLoad(context);
+        dieAndResume(context);
+        checkMemory(context);
+    }
+
+    private static void stopUnderLoad(DemoContext context) {
+        Fleet fleet = context.fleet();
+        Instance stopping = fleet.instances().get(2);
+        String address = stopping.endpoints().callerAddress();
+        AtomicBoolean isClean = new AtomicBoolean();
+        Callable<Boolean> stop =
+                () -> {
+                    isClean.set(fleet.stop(stopping));
+                    return true;
+                };
+        Stream<Callable<Boolean>> prompts =
+                IntStream.range(0, PROMPTS)
+                        .mapToObj(i -> context.prompt("stop-" + i, 3_000, 400))
+                        .map(prompt -> () -> isAnswered(context, address, prompt));
+        Stream<Callable<Boolean>> calls = Stream.concat(Stream.of(stop), prompts);
+        long kept = DemoContext.together(calls).stream().filter(each -> each).count();
+        context.tally()
+                .check(
+                        Promise.STOP_CUTS_NOTHING,
+                        isClean.get() && kept == PROMPTS + 1,
+                        kept - 1 + " of " + PROMPTS + " answered by a stopping instance");
+    }
+
+    private static boolean isAnswered(
+            DemoContext context, String address, CallerClient.Prompt prompt) {
+        PromptOutcome outcome = context.fleet().client().prompt(address, prompt);
+        context.check(prompt, outcome);
+        return outcome.isComplete();
+    }
+
+    private static void dieAndResume(DemoContext context) {
+        Fleet fleet = context.fleet();
+        Instance dying = fleet.instances().get(1);
+        String address = dying.endpoints().callerAddress();
+        String other = fleet.address(0);
+        List<CallerClient.Prompt> prompts =
+                IntStream.range(0, PROMPTS)
+                        .mapToObj(i -> context.prompt("resume-" + i, 2_000, 600))
+                        .toList();
+        Callable<PromptOutcome> death =
+                () -> {
+                    DemoContext.await(Duration.ofMillis(700), () -> false);
+                    fleet.kill(dying);
+                    return PromptOutcomes.NONE;
+                };
+        Stream<Callable<PromptOutcome>> sends =
+                prompts.stream().map(prompt -> () -> fleet.client().prompt(address, prompt));
+        Stream<Callable<PromptOutcome>> calls = Stream.concat(sends, Stream.of(death));
+        List<PromptOutcome> outcomes = DemoContext.together(calls);
+        for (int i = 0; i < PROMPTS; i++) {
+            checkResumed(context, other, prompts.get(i), outcomes.get(i));
+        }
+    }
+
+    private static void checkResumed(
+            DemoContext context, String other, CallerClient.Prompt prompt, PromptOutcome cut) {
+        if (cut.isComplete() || cut.ticket().isEmpty()) {
+            return;
+        }
+        PromptOutcome rest =
+                context.fleet()
+                        .client()
+                        .prompt(other, prompt.resumed(cut.ticket().get(), cut.tokens()));
+        context.tally()
+                .check(
+                        Promise.WHOLE_ANSWER,
+                        (cut.text() + rest.text()).equals(DemoContext.expected(prompt)),
+                        "resumed after " + cut.tokens() + " tokens: " + rest.code());
+    }
+
+    private static void checkMemory(DemoContext context) {
+        boolean isFree =
+                DemoContext.await(
+                        Duration.ofSeconds(30),
+                        () ->
+                                context.fleet().engines().stream()
+                                        .allMatch(each -> each.usedMemory() == 0));
+        context.tally()
+                .check(
+                        Promise.NO_MEMORY_LOST,
+                        isFree,
+                        "engines still hold memory after 30 s without requests");
+    }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/rattanport/benchmark/demo/LengthsScenario.java
@@ -0,0 +1,52 @@
+package org.rattanport.benchmark.demo;
+
+import java.util.concurrent.Callable;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.rattanport.standins.fleet.PromptOutcome;
+
+/** Prompts of unlike lengths at the same time, one of them longer than any engine's memory. */
+public final class LengthsScenario implements Scenario {
+    private static final int OUTPUT_TOKENS = 48;
+
+    @Override
+    public int order() {
+        return 10;
+    }
+
+    @Override
+    public String title() {
+        return "prompts from a thousand to a million tokens at the same time";
+    }
+
+    @Override
+    public void run(DemoContext context) {
+        Stream<Callable<PromptOutcome>> calls =
+                Stream.of(
+                                IntStream.range(0, 24)
+                                        .mapToObj(i -> call(context, "short", i, 1_000)),
+                                IntStream.range(0, 6)
+                                        .mapToObj(i -> call(context, "middle", i, 30_000)),
+                                IntStream.range(0, 2)
+                                        .mapToObj(i -> call(context, "long", i, 200_000)),
+                                Stream.of(call(context, "spanning", 0, 1_000_000)))
+                        .flatMap(each -> each);
+        for (PromptOutcome outcome : DemoContext.together(calls)) {
+            context.tally()
+                    .check(
+                            Promise.WHOLE_ANSWER,
+                            outcome.isComplete(),
+                            "not answered: " + outcome.code());
+        }
+    }
+
+    private static Callable<PromptOutcome> call(
+            DemoContext context, String lengthClass, int index, int tokens) {
+        return () -> {
+            var prompt = context.prompt(lengthClass + "-" + index, tokens, OUTPUT_TOKENS);
+            PromptOutcome outcome = context.send(index % 3, prompt);
+            context.firstToken(lengthClass, outcome);
+            return outcome;
+        };
+    }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/rattanport/benchmark/package-info.java
@@ -0,0 +1,5 @@
+/** The demo and the measurements. */
+@NullMarked
+package org.rattanport.benchmark;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/benchmark/src/main/resources/META-INF/services/org.rattanport.daemon.command.Command
@@ -0,0 +1,1 @@
+org.rattanport.benchmark.demo.DemoCommand
--- a/decisions/src/main/java/org/rattanport/decisions/prompt/SpanningPrompts.java
+++ b/decisions/src/main/java/org/rattanport/decisions/prompt/SpanningPrompts.java
@@ -89,8 +89,9 @@
             Set<String> liveKeys,
             Cancellation cancellation) {
         while (true) {
-            List<Candidate> engines = spanningEngines(request.model());
-            List<Segment> segments = split(request, engines);
+            List<Candidate> all = candidates(request.model());
+            List<Segment> segments = split(request, all);
+            List<Candidate> engines = spanningEngines(request.model(), all, segments.size());
             Span span = new Span(liveKeys);
             try {
                 if (reserveAll(span, request, key, segments, engines)) {
@@ -123,9 +124,11 @@
     }
 
     /** The part of the pool that takes spanning prompts, the same at every instance. */
-    private List<Candidate> spanningEngines(String model) {
-        List<Candidate> all = candidates(model);
-        int count = (int) Math.ceil(all.size() * SPANNING_ENGINES_SHARE);
+    private static List<Candidate> spanningEngines(
+            String model, List<Candidate> all, int segments) {
+        int share = (int) Math.ceil(all.size() * SPANNING_ENGINES_SHARE);
+        // A small pool still takes one such prompt at a time.
+        int count = Math.max(share, segments);
         return RendezvousHash.order("spanning/" + model, all, each -> each.target().id().name())
                 .subList(0, count);
     }
--- a/decisions/src/main/java/org/rattanport/decisions/quota/AccountQuota.java
+++ b/decisions/src/main/java/org/rattanport/decisions/quota/AccountQuota.java
@@ -138,18 +138,22 @@
 
     private synchronized boolean spend(AccountId account, long tokens) {
         Chunk chunk = mChunks.get(account);
-        if (chunk == null
-                || chunk.tokens() < tokens
-                || (mTime.nanoTime() - chunk.grantedNanos()) / NANOS_PER_SECOND
-                        > 2 * CHUNK_SECONDS) {
+        if (chunk == null || chunk.tokens() < tokens || hasLapsed(chunk)) {
             return false;
         }
         mChunks.put(account, new Chunk(chunk.tokens() - tokens, chunk.grantedNanos()));
         return true;
     }
 
+    private boolean hasLapsed(Chunk chunk) {
+        double seconds = (mTime.nanoTime() - chunk.grantedNanos()) / NANOS_PER_SECOND;
+        return seconds > 2 * CHUNK_SECONDS;
+    }
+
     private synchronized void keep(AccountId account, long tokens) {
-        mChunks.put(account, new Chunk(tokens, mTime.nanoTime()));
+        Chunk before = mChunks.get(account);
+        long left = before == null || hasLapsed(before) ? 0 : before.tokens();
+        mChunks.put(account, new Chunk(left + tokens, mTime.nanoTime()));
     }
 
     /** Tokens at hand; they lapse so that idle instances hold nothing back for long. */
--- a/decisions/src/main/java/org/rattanport/decisions/quota/QuotaOwner.java
+++ b/decisions/src/main/java/org/rattanport/decisions/quota/QuotaOwner.java
@@ -10,11 +10,12 @@
  * Grants the tokens of the accounts that this instance owns by rendezvous.
  *
  * <p>A bucket that is above zero grants a request whole and may fall below zero, so that a prompt
- * larger than the burst is served at all. A new owner starts at zero, since the owner before it may
- * just have granted the whole burst.
+ * larger than the burst is served at all. A new owner starts with one second of the rate and not
+ * with the burst, since the owner before it may just have granted that.
  */
 public final class QuotaOwner {
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double LARGEST_SPARE_SHARE = 0.1;
 
     private final TimeSource mTime;
     private final Map<AccountId, Bucket> mBuckets = new HashMap<>();
@@ -36,7 +37,9 @@
         if (bucket.mTokens <= 0) {
             return 0;
         }
-        long granted = Math.max(needed, Math.min(wanted, (long) bucket.mTokens));
+        // What is granted ahead of need stays small, so that one instance cannot empty the bucket.
+        long spare = (long) (Math.max(0, bucket.mTokens - needed) * LARGEST_SPARE_SHARE);
+        long granted = needed + Math.min(wanted - needed, spare);
         bucket.mTokens -= granted;
         return granted;
     }
@@ -51,7 +54,7 @@
     }
 
     private static final class Bucket {
-        private double mTokens = 1;
+        private double mTokens;
         private long mRefilledNanos;
         private boolean mIsStarted;
 
@@ -63,6 +66,9 @@
                                 account.burstTokens(),
                                 mTokens + seconds * account.tokensPerSecond());
             }
+            if (!mIsStarted) {
+                mTokens = Math.min(account.burstTokens(), account.tokensPerSecond());
+            }
             mIsStarted = true;
             mRefilledNanos = nowNanos;
         }
--- a/standins/src/main/java/org/rattanport/standins/ServiceStandIn.java
+++ b/standins/src/main/java/org/rattanport/standins/ServiceStandIn.java
@@ -2,6 +2,7 @@
 
 import io.helidon.http.HeaderNames;
 import io.helidon.http.Method;
+import io.helidon.webserver.CloseConnectionException;
 import io.helidon.webserver.http.HttpRouting;
 import io.helidon.webserver.http.ServerRequest;
 import io.helidon.webserver.http.ServerResponse;
@@ -83,7 +84,7 @@
             mLedger.ran(key);
         }
         switch (fault) {
-            case RUN_THEN_CUT -> throw new IllegalStateException("scripted crash");
+            case RUN_THEN_CUT -> throw new CloseConnectionException("scripted crash");
             case RUN_THEN_ERROR -> StandInHttp.error(response, SERVER_ERROR, "crashed");
             default ->
                     StandInHttp.answer(
--- a/standins/src/main/java/org/rattanport/standins/StandInHttp.java
+++ b/standins/src/main/java/org/rattanport/standins/StandInHttp.java
@@ -58,6 +58,7 @@
         routing.route(method, path, handler);
     }
 
+    /** Reads the whole body. */
     public static byte[] body(ServerRequest request) {
         if (!request.content().hasEntity()) {
             return new byte[0];
--- a/standins/src/main/java/org/rattanport/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/org/rattanport/standins/engine/EngineStandIn.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.helidon.http.HeaderNames;
 import io.helidon.http.Method;
+import io.helidon.webserver.CloseConnectionException;
 import io.helidon.webserver.http.HttpRouting;
 import io.helidon.webserver.http.ServerRequest;
 import io.helidon.webserver.http.ServerResponse;
@@ -100,6 +101,10 @@
         mIsLeaving = true;
     }
 
+    public synchronized boolean isRunning() {
+        return mServer.isPresent();
+    }
+
     /** Dies at once: connections break and memory is lost. */
     public synchronized void crash() {
         mServer.ifPresent(StandInHttp::close);
@@ -156,7 +161,7 @@
         String prompt = body.path("messages").path(0).path("content").asText();
         if (prompt.contains(DEADLY_TEXT)) {
             Tasks.start("engine-death", this::crash);
-            return;
+            throw new CloseConnectionException("scripted death");
         }
         Sequence sequence = sequence(key, prompt, body, extensions);
         mBatch.add(sequence);
--- a/standins/src/main/java/org/rattanport/standins/fleet/CallerClient.java
+++ b/standins/src/main/java/org/rattanport/standins/fleet/CallerClient.java
@@ -47,6 +47,7 @@
             this(key, model, text, maximumTokens, timeoutSeconds, Optional.empty());
         }
 
+        /** A prompt that starts from the beginning. */
         public Prompt resumed(String ticket, int receivedTokens) {
             return new Prompt(
                     key,
