Measure the lengths and the path; send small writes at once

Cause: the first token of a 2,000-token prompt took 0.43 engine seconds where the engine needs 0.2, and every attempt opened a new connection to its engine.

--- /dev/null
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/LoadRun.java
@@ -0,0 +1,122 @@
+package org.rattanport.benchmark.measure;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.function.Predicate;
+import org.rattanport.benchmark.BenchmarkText;
+import org.rattanport.kernel.settings.PolicyChoice;
+import org.rattanport.kernel.time.SystemTimeSource;
+import org.rattanport.kernel.time.TimeSource;
+import org.rattanport.standins.engine.EngineProfile;
+import org.rattanport.standins.fleet.CallerClient;
+import org.rattanport.standins.fleet.Fleet;
+import org.rattanport.standins.fleet.FleetDocument;
+import org.rattanport.standins.fleet.PromptOutcome;
+
+/** Sends a workload to a fleet with one policy and gathers what its callers saw. */
+public final class LoadRun {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final int mInstances;
+    private final double mTimeScale;
+    private final BenchmarkText mText;
+    private final TimeSource mTime = new SystemTimeSource();
+
+    public LoadRun(int instances, double timeScale, BenchmarkText text) {
+        mInstances = instances;
+        mTimeScale = timeScale;
+        mText = text;
+    }
+
+    /** One prompt and what came of it, with times in engine seconds. */
+    public record Served(
+            Workload.Arrival arrival, PromptOutcome outcome, double firstToken, double total) {
+        public boolean isAnswered() {
+            return outcome.isComplete();
+        }
+
+        public boolean isRefused() {
+            return outcome.verdict().equals("not_run");
+        }
+    }
+
+    /** Runs the workload for the given engine time; only arrivals that pass the filter are sent. */
+    public List<Served> run(
+            Workload workload,
+            PolicyChoice policy,
+            long seed,
+            double seconds,
+            Predicate<Workload.Arrival> filter) {
+        EngineProfile profile = EngineProfile.standard(mTimeScale);
+        Fleet.Builder builder =
+                Fleet.builder()
+                        .instances(mInstances)
+                        .engines(workload.engines(), profile)
+                        .policy(policy)
+                        .document(document(workload));
+        double tokensPerEngineSecond = profile.statedPrefillRate() / mTimeScale;
+        List<Workload.Arrival> arrivals =
+                workload.arrivals(seed, seconds, tokensPerEngineSecond).stream()
+                        .filter(filter)
+                        .toList();
+        try (Fleet fleet = builder.start()) {
+            return send(fleet, arrivals);
+        }
+    }
+
+    private FleetDocument document(Workload workload) {
+        double total =
+                workload.classes().stream()
+                        .mapToDouble(each -> each.share() * each.meanTokens())
+                        .sum();
+        int shortShare = share(workload.classes().get(0), total);
+        int middleShare = share(workload.classes().get(1), total);
+        return FleetDocument.of(workload.accounts())
+                .shares(shortShare, middleShare, 100 - shortShare - middleShare, 60);
+    }
+
+    /** An operator sets the shares of the classes by their shares of the tokens. */
+    private static int share(WorkloadClass lengthClass, double totalTokens) {
+        return (int)
+                Math.round(100 * lengthClass.share() * lengthClass.meanTokens() / totalTokens);
+    }
+
+    private List<Served> send(Fleet fleet, List<Workload.Arrival> arrivals) {
+        long start = mTime.nanoTime();
+        List<Future<Served>> started = new ArrayList<>();
+        try (ExecutorService tasks = Executors.newVirtualThreadPerTaskExecutor()) {
+            for (Workload.Arrival arrival : arrivals) {
+                long at = start + (long) (arrival.atSeconds() / mTimeScale * NANOS_PER_SECOND);
+                long left = at - mTime.nanoTime();
+                if (left > 0) {
+                    mTime.sleep(Duration.ofNanos(left));
+                }
+                started.add(tasks.submit(() -> send(fleet, arrival)));
+            }
+        }
+        return started.stream().map(Future::resultNow).toList();
+    }
+
+    private Served send(Fleet fleet, Workload.Arrival arrival) {
+        String name = arrival.lengthClass().name() + "-" + arrival.number();
+        CallerClient.Prompt prompt =
+                new CallerClient.Prompt(
+                        FleetDocument.key(arrival.account()),
+                        FleetDocument.MODEL,
+                        mText.prompt(name, arrival.tokens()),
+                        arrival.lengthClass().outputTokens(),
+                        arrival.lengthClass().timeLimitSeconds() / mTimeScale);
+        int instance = Math.floorMod(name.hashCode(), fleet.instances().size());
+        PromptOutcome outcome = fleet.client().prompt(fleet.address(instance), prompt);
+        double factor = mTimeScale / NANOS_PER_SECOND;
+        return new Served(
+                arrival,
+                outcome,
+                outcome.firstTokenNanos() * factor,
+                outcome.totalNanos() * factor);
+    }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/MeasureLengthsCommand.java
@@ -0,0 +1,209 @@
+package org.rattanport.benchmark.measure;
+
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.rattanport.benchmark.BenchmarkText;
+import org.rattanport.connectors.json.Json;
+import org.rattanport.daemon.command.Command;
+import org.rattanport.daemon.command.CommandOutput;
+import org.rattanport.daemon.command.ExitCode;
+import org.rattanport.kernel.settings.PolicyChoice;
+
+/** Compares policies under prompts of unlike lengths, in the same run and on the same arrivals. */
+public final class MeasureLengthsCommand implements Command {
+    private static final List<PolicyChoice> POLICIES =
+            List.of(
+                    new PolicyChoice("round-robin", false),
+                    new PolicyChoice("least-outstanding", false),
+                    PolicyChoice.DEFAULT);
+    private static final List<String> CLASSES = List.of("short", "middle", "long");
+
+    private static final class Options {
+        @Parameter(names = "--seed", description = "seed of the arrivals")
+        private long mSeed = 1;
+
+        @Parameter(names = "--json", description = "print the result as JSON")
+        private boolean mIsJson;
+
+        @Parameter(names = "--workload", description = "haneul, cordillera, burst or all")
+        private String mWorkload = "all";
+
+        @Parameter(names = "--seconds", description = "length of each run in engine time")
+        private double mSeconds = 120;
+
+        @Parameter(names = "--time-scale", description = "engine seconds in one second")
+        private double mTimeScale = 4;
+
+        @Parameter(names = "--instances", description = "entry instances")
+        private int mInstances = 6;
+
+        @Parameter(names = "--load", description = "offered load as a share of capacity")
+        private double mLoad = 0.7;
+
+        @Parameter(names = "--policy", description = "only this placement policy")
+        private String mPolicy = "";
+    }
+
+    private final Options mOptions = new Options();
+    private final ArrayNode mRows = Json.MAPPER.createArrayNode();
+
+    @Override
+    public String name() {
+        return "measure lengths";
+    }
+
+    @Override
+    public String summary() {
+        return "compare policies under prompts of unlike lengths";
+    }
+
+    @Override
+    public Object options() {
+        return mOptions;
+    }
+
+    @Override
+    public int run(CommandOutput output) {
+        LoadRun runner =
+                new LoadRun(mOptions.mInstances, mOptions.mTimeScale, BenchmarkText.load());
+        print(
+                output,
+                String.format(
+                        "seed %d, %d instances, time scale %.1f, %.0f s of engine time a run;"
+                                + " times in engine seconds",
+                        mOptions.mSeed,
+                        mOptions.mInstances,
+                        mOptions.mTimeScale,
+                        mOptions.mSeconds));
+        for (Workload workload : workloads()) {
+            for (PolicyChoice policy : policies()) {
+                measure(runner, workload, policy, output);
+            }
+        }
+        if (mOptions.mIsJson) {
+            output.results().println(Json.write(mRows));
+        }
+        return ExitCode.SUCCESS;
+    }
+
+    private List<PolicyChoice> policies() {
+        return POLICIES.stream()
+                .filter(
+                        each ->
+                                mOptions.mPolicy.isEmpty()
+                                        || each.placement().equals(mOptions.mPolicy))
+                .toList();
+    }
+
+    private List<Workload> workloads() {
+        List<Workload> all = new ArrayList<>();
+        all.add(Workload.haneul(mOptions.mLoad));
+        all.add(Workload.cordillera(mOptions.mLoad));
+        all.add(Workload.haneul(1.0).named("burst at capacity"));
+        all.add(Workload.haneul(2.0).named("burst at twice capacity"));
+        String wanted = mOptions.mWorkload;
+        return all.stream()
+                .filter(each -> wanted.equals("all") || each.name().startsWith(wanted))
+                .toList();
+    }
+
+    private void measure(
+            LoadRun runner, Workload workload, PolicyChoice policy, CommandOutput output) {
+        RunFigures mixed =
+                new RunFigures(
+                        runner.run(
+                                workload, policy, mOptions.mSeed, mOptions.mSeconds, each -> true),
+                        mOptions.mSeconds);
+        boolean isBurst = workload.name().startsWith("burst");
+        double alone = isBurst ? 0 : shortAlone(runner, workload, policy);
+        add(workload, policy, mixed, alone);
+        printRun(output, workload, policy, mixed, alone);
+    }
+
+    /** Time to first token of the same short prompts at the same times without the others. */
+    private double shortAlone(LoadRun runner, Workload workload, PolicyChoice policy) {
+        return new RunFigures(
+                        runner.run(
+                                workload,
+                                policy,
+                                mOptions.mSeed,
+                                mOptions.mSeconds,
+                                each -> each.lengthClass().name().equals("short")),
+                        mOptions.mSeconds)
+                .firstToken("short", 95);
+    }
+
+    private void add(
+            Workload workload, PolicyChoice policy, RunFigures figures, double alone) {
+        ObjectNode row = mRows.addObject();
+        row.put("workload", workload.name()).put("policy", policy.placement());
+        for (String each : CLASSES) {
+            ObjectNode node = row.putObject(each);
+            node.put("sent", figures.sent(each)).put("answered", figures.answered(each));
+            node.put("first_token_p50", figures.firstToken(each, 50));
+            node.put("first_token_p95", figures.firstToken(each, 95));
+            node.put("first_token_p99", figures.firstToken(each, 99));
+            node.put("tokens_per_second", figures.tokensPerSecond(each));
+        }
+        if (alone > 0) {
+            row.put("short_slowdown_p95", figures.firstToken("short", 95) / alone);
+        }
+        row.put("goodput", figures.goodput());
+        row.put("refused_share", figures.refusedShare());
+        row.put("failed_after_admission", figures.failedAfterAdmission());
+        row.put("ended_late", figures.endedLate());
+        row.put("fairness", figures.fairness());
+    }
+
+    private void printRun(
+            CommandOutput output,
+            Workload workload,
+            PolicyChoice policy,
+            RunFigures figures,
+            double alone) {
+        print(output, "");
+        print(output, workload.name() + ", " + policy.placement());
+        for (String each : CLASSES) {
+            print(
+                    output,
+                    String.format(
+                            "  %-7s %5d sent %5d answered  first token p50 %7.2f p95 %7.2f p99"
+                                    + " %7.2f  %7.0f tokens/s  %s",
+                            each,
+                            figures.sent(each),
+                            figures.answered(each),
+                            figures.firstToken(each, 50),
+                            figures.firstToken(each, 95),
+                            figures.firstToken(each, 99),
+                            figures.tokensPerSecond(each),
+                            Bars.logarithmic(figures.firstToken(each, 95))));
+        }
+        String slowdown =
+                alone > 0
+                        ? String.format(
+                                "short p95 slowdown %.2f (alone %.2f)  ",
+                                figures.firstToken("short", 95) / alone, alone)
+                        : "";
+        print(
+                output,
+                String.format(
+                        "  %sgoodput %.0f tokens/s  refused %.1f%%  failed after admission %d "
+                                + " ended late %d  fairness %.3f",
+                        slowdown,
+                        figures.goodput(),
+                        100 * figures.refusedShare(),
+                        figures.failedAfterAdmission(),
+                        figures.endedLate(),
+                        figures.fairness()));
+    }
+
+    private void print(CommandOutput output, String line) {
+        if (!mOptions.mIsJson) {
+            output.results().println(line);
+            output.results().flush();
+        }
+    }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/MeasurePathCommand.java
@@ -0,0 +1,176 @@
+package org.rattanport.benchmark.measure;
+
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.lang.management.ManagementFactory;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.Callable;
+import java.util.stream.IntStream;
+import org.HdrHistogram.Histogram;
+import org.rattanport.benchmark.BenchmarkText;
+import org.rattanport.benchmark.demo.DemoContext;
+import org.rattanport.connectors.json.Json;
+import org.rattanport.daemon.command.Command;
+import org.rattanport.daemon.command.CommandOutput;
+import org.rattanport.daemon.command.ExitCode;
+import org.rattanport.standins.engine.EngineProfile;
+import org.rattanport.standins.fleet.CallerClient;
+import org.rattanport.standins.fleet.Fleet;
+import org.rattanport.standins.fleet.FleetDocument;
+import org.rattanport.standins.fleet.PromptOutcome;
+
+/** Measures what one entry instance adds to the time of an answer, and what it forwards. */
+public final class MeasurePathCommand implements Command {
+    private static final double TIME_SCALE = 40;
+    private static final int WARM_UP_PROMPTS = 300;
+    private static final int PROMPT_TOKENS = 500;
+    private static final int OUTPUT_TOKENS = 40;
+    private static final int PARALLEL_CALLERS = 16;
+    private static final int PARALLEL_PROMPTS = 600;
+    private static final double NANOS_PER_MICRO = 1000;
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final int SIGNIFICANT_DIGITS = 3;
+
+    private static final class Options {
+        @Parameter(names = "--prompts", description = "prompts of each way")
+        private int mPrompts = 500;
+
+        @Parameter(names = "--json", description = "print the result as JSON")
+        private boolean mIsJson;
+    }
+
+    private final Options mOptions = new Options();
+    private final BenchmarkText mText = BenchmarkText.load();
+
+    @Override
+    public String name() {
+        return "measure path";
+    }
+
+    @Override
+    public String summary() {
+        return "measure what one entry instance adds to an answer";
+    }
+
+    @Override
+    public Object options() {
+        return mOptions;
+    }
+
+    @Override
+    public int run(CommandOutput output) {
+        ObjectNode result = Json.object();
+        Fleet.Builder builder =
+                Fleet.builder()
+                        .instances(1)
+                        .engines(2, EngineProfile.standard(TIME_SCALE))
+                        .document(FleetDocument.of(2));
+        try (Fleet fleet = builder.start()) {
+            measureTimes(fleet, result);
+            measureForwarding(fleet, result);
+        }
+        print(result, output);
+        return ExitCode.SUCCESS;
+    }
+
+    private void measureTimes(Fleet fleet, ObjectNode result) {
+        String direct = fleet.engines().getFirst().address();
+        String through = fleet.address(0);
+        for (int i = 0; i < WARM_UP_PROMPTS; i++) {
+            send(fleet, direct, "warm-direct-" + i);
+            send(fleet, through, "warm-through-" + i);
+        }
+        Times directTimes = new Times();
+        Times throughTimes = new Times();
+        // The two ways take turns, so that what else the machine does meets both alike.
+        for (int i = 0; i < mOptions.mPrompts; i++) {
+            directTimes.add(send(fleet, direct, "direct-" + i));
+            throughTimes.add(send(fleet, through, "through-" + i));
+        }
+        for (int percentile : List.of(50, 95)) {
+            result.put(
+                    "added_first_token_micros_p" + percentile,
+                    throughTimes.firstToken(percentile) - directTimes.firstToken(percentile));
+            result.put(
+                    "added_between_tokens_micros_p" + percentile,
+                    throughTimes.between(percentile) - directTimes.between(percentile));
+        }
+        result.put("direct_first_token_micros_p50", directTimes.firstToken(50));
+        result.put("through_first_token_micros_p50", throughTimes.firstToken(50));
+    }
+
+    private PromptOutcome send(Fleet fleet, String address, String name) {
+        return fleet.client().prompt(address, prompt(name));
+    }
+
+    private CallerClient.Prompt prompt(String name) {
+        return new CallerClient.Prompt(
+                FleetDocument.key(0),
+                FleetDocument.MODEL,
+                mText.prompt(name, PROMPT_TOKENS),
+                OUTPUT_TOKENS,
+                30,
+                Optional.empty());
+    }
+
+    /** Callers, instance and engines share this process; the figure is a lower bound. */
+    private void measureForwarding(Fleet fleet, ObjectNode result) {
+        var process =
+                (com.sun.management.OperatingSystemMXBean)
+                        ManagementFactory.getOperatingSystemMXBean();
+        long cpuBefore = process.getProcessCpuTime();
+        int each = PARALLEL_PROMPTS / PARALLEL_CALLERS;
+        List<Integer> tokens =
+                DemoContext.together(
+                        IntStream.range(0, PARALLEL_CALLERS)
+                                .<Callable<Integer>>mapToObj(i -> () -> sendMany(fleet, i, each)));
+        double cpuSeconds = (process.getProcessCpuTime() - cpuBefore) / NANOS_PER_SECOND;
+        int total = tokens.stream().mapToInt(Integer::intValue).sum();
+        result.put("tokens_per_cpu_second_whole_process", total / cpuSeconds);
+        result.put("cpu_micros_per_request_whole_process", cpuSeconds * 1e6 / PARALLEL_PROMPTS);
+    }
+
+    private int sendMany(Fleet fleet, int caller, int count) {
+        return IntStream.range(0, count)
+                .map(i -> send(fleet, fleet.address(0), "many-" + caller + "-" + i).tokens())
+                .sum();
+    }
+
+    private void print(ObjectNode result, CommandOutput output) {
+        if (mOptions.mIsJson) {
+            output.results().println(Json.write(result));
+            return;
+        }
+        result.properties()
+                .forEach(
+                        entry ->
+                                output.results()
+                                        .println(
+                                                String.format(
+                                                        "  %-42s %12.1f",
+                                                        entry.getKey(),
+                                                        entry.getValue().asDouble())));
+    }
+
+    private static final class Times {
+        private final Histogram mFirstTokens = new Histogram(SIGNIFICANT_DIGITS);
+        private final Histogram mBetween = new Histogram(SIGNIFICANT_DIGITS);
+
+        void add(PromptOutcome outcome) {
+            if (outcome.tokens() > 1) {
+                mFirstTokens.recordValue(outcome.firstTokenNanos());
+                long rest = outcome.totalNanos() - outcome.firstTokenNanos();
+                mBetween.recordValue(rest / (outcome.tokens() - 1));
+            }
+        }
+
+        double firstToken(int percentile) {
+            return mFirstTokens.getValueAtPercentile(percentile) / NANOS_PER_MICRO;
+        }
+
+        double between(int percentile) {
+            return mBetween.getValueAtPercentile(percentile) / NANOS_PER_MICRO;
+        }
+    }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/RunFigures.java
@@ -0,0 +1,118 @@
+package org.rattanport.benchmark.measure;
+
+import java.util.List;
+import java.util.function.Predicate;
+import org.HdrHistogram.Histogram;
+import org.rattanport.benchmark.measure.LoadRun.Served;
+
+/** Figures of one run. */
+public final class RunFigures {
+    private static final double MICROS_PER_SECOND = 1e6;
+    private static final int SIGNIFICANT_DIGITS = 3;
+
+    /** A caller notices the end of its time a little late: one machine serves all parts. */
+    private static final double LATE_TOLERANCE_ENGINE_SECONDS = 2.0;
+
+    private final List<Served> mServed;
+    private final double mSeconds;
+
+    public RunFigures(List<Served> served, double seconds) {
+        mServed = served;
+        mSeconds = seconds;
+    }
+
+    /** Percentile of the time to first token of a class, in engine seconds. */
+    public double firstToken(String lengthClass, double percentile) {
+        Histogram histogram = new Histogram(SIGNIFICANT_DIGITS);
+        mServed.stream()
+                .filter(each -> each.arrival().lengthClass().name().equals(lengthClass))
+                .filter(each -> each.firstToken() > 0)
+                .forEach(
+                        each ->
+                                histogram.recordValue(
+                                        (long) (each.firstToken() * MICROS_PER_SECOND)));
+        return histogram.getValueAtPercentile(percentile) / MICROS_PER_SECOND;
+    }
+
+    public long sent(String lengthClass) {
+        return count(lengthClass, each -> true);
+    }
+
+    public long answered(String lengthClass) {
+        return count(lengthClass, Served::isAnswered);
+    }
+
+    /** Prompt tokens of answered prompts of a class in a second of engine time. */
+    public double tokensPerSecond(String lengthClass) {
+        return mServed.stream()
+                        .filter(each -> each.arrival().lengthClass().name().equals(lengthClass))
+                        .filter(Served::isAnswered)
+                        .mapToLong(each -> each.arrival().tokens())
+                        .sum()
+                / mSeconds;
+    }
+
+    /** Prompt tokens of all answered prompts in a second of engine time. */
+    public double goodput() {
+        return mServed.stream()
+                        .filter(Served::isAnswered)
+                        .mapToLong(each -> each.arrival().tokens())
+                        .sum()
+                / mSeconds;
+    }
+
+    public double refusedShare() {
+        return (double) mServed.stream().filter(Served::isRefused).count()
+                / Math.max(1, mServed.size());
+    }
+
+    /** Prompts that were admitted and then failed, for whatever reason. */
+    public long failedAfterAdmission() {
+        return mServed.stream().filter(each -> !each.isAnswered() && !each.isRefused()).count();
+    }
+
+    /** Prompts that ended after their time, answered or not. */
+    public long endedLate() {
+        return mServed.stream()
+                .filter(
+                        each ->
+                                each.total()
+                                        > each.arrival().lengthClass().timeLimitSeconds()
+                                                + LATE_TOLERANCE_ENGINE_SECONDS)
+                .count();
+    }
+
+    /** Jain's index over the accounts' share of sent tokens that was answered; 1 is fair. */
+    public double fairness() {
+        int accounts =
+                mServed.stream().mapToInt(each -> each.arrival().account()).max().orElse(0) + 1;
+        double sum = 0;
+        double squares = 0;
+        int counted = 0;
+        for (int account = 0; account < accounts; account++) {
+            double sent = tokens(account, each -> true);
+            if (sent > 0) {
+                double share = tokens(account, Served::isAnswered) / sent;
+                sum += share;
+                squares += share * share;
+                counted++;
+            }
+        }
+        return squares == 0 ? 0 : sum * sum / (counted * squares);
+    }
+
+    private double tokens(int account, Predicate<Served> filter) {
+        return mServed.stream()
+                .filter(each -> each.arrival().account() == account)
+                .filter(filter)
+                .mapToLong(each -> each.arrival().tokens())
+                .sum();
+    }
+
+    private long count(String lengthClass, Predicate<Served> filter) {
+        return mServed.stream()
+                .filter(each -> each.arrival().lengthClass().name().equals(lengthClass))
+                .filter(filter)
+                .count();
+    }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/package-info.java
@@ -0,0 +1,5 @@
+/** Measurements against baselines and budgets. */
+@NullMarked
+package org.rattanport.benchmark.measure;
+
+import org.jspecify.annotations.NullMarked;
--- a/benchmark/src/main/resources/META-INF/services/org.rattanport.daemon.command.Command
+++ b/benchmark/src/main/resources/META-INF/services/org.rattanport.daemon.command.Command
@@ -1,1 +1,3 @@
 org.rattanport.benchmark.demo.DemoCommand
+org.rattanport.benchmark.measure.MeasureLengthsCommand
+org.rattanport.benchmark.measure.MeasurePathCommand
--- a/connectors/src/main/java/org/rattanport/connectors/caller/CallerPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/caller/CallerPlugin.java
@@ -26,12 +26,15 @@
 
     @Override
     public Set<Class<?>> provides() {
-        return Set.of(LocalEndpoints.class, InstanceMetrics.class);
+        return Set.of(LocalEndpoints.class, InstanceMetrics.class, ResumeTickets.class);
     }
 
     @Override
     public void start(PluginContext context) {
         context.provide(InstanceMetrics.class, new InstanceMetrics());
+        context.provide(
+                ResumeTickets.class,
+                new ResumeTickets(context.require(InstanceSettings.class).peerSecret()));
         CallerServer server =
                 new CallerServer(context.require(InstanceSettings.class).callerAddress(), context);
         mServer = Optional.of(server);
--- a/connectors/src/main/java/org/rattanport/connectors/caller/CallerServer.java
+++ b/connectors/src/main/java/org/rattanport/connectors/caller/CallerServer.java
@@ -37,6 +37,7 @@
                         .port(Integer.parseInt(bindAddress.substring(colon + 1)))
                         // The drain ends connections; a hook would cut them at once.
                         .shutdownHook(false)
+                        .connectionOptions(options -> options.tcpNoDelay(true))
                         .backlog(WAITING_CONNECTIONS)
                         .idleConnectionTimeout(IDLE_CONNECTION)
                         .addProtocol(
--- a/connectors/src/main/java/org/rattanport/connectors/caller/PromptEndpoint.java
+++ b/connectors/src/main/java/org/rattanport/connectors/caller/PromptEndpoint.java
@@ -14,7 +14,6 @@
 import org.rattanport.kernel.plugin.PluginContext;
 import org.rattanport.kernel.request.PromptRequest;
 import org.rattanport.kernel.request.ResumePoint;
-import org.rattanport.kernel.settings.InstanceSettings;
 import org.rattanport.kernel.task.Cancellation;
 import org.rattanport.kernel.time.Deadline;
 
@@ -101,9 +100,7 @@
             PromptRequest request,
             PluginContext context,
             String lengthClass) {
-        ResumeTickets tickets =
-                new ResumeTickets(context.require(InstanceSettings.class).peerSecret());
-        EventSink sink = new EventSink(exchange, request, tickets);
+        EventSink sink = new EventSink(exchange, request, context.require(ResumeTickets.class));
         Cancellation cancellation = new Cancellation();
         InstanceMetrics metrics = context.require(InstanceMetrics.class);
         try (RequestGuard guard =
@@ -147,8 +144,7 @@
 
     private static PromptRequest resumed(
             Exchange exchange, PromptRequest.Builder builder, String text, PluginContext context) {
-        String secret = context.require(InstanceSettings.class).peerSecret();
-        ResumeTickets.Ticket ticket = new ResumeTickets(secret).open(text);
+        ResumeTickets.Ticket ticket = context.require(ResumeTickets.class).open(text);
         if (!ticket.fingerprint().equals(builder.build().fingerprint().value())) {
             throw RattanportException.builder(
                             ErrorCode.INVALID_REQUEST,
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpCaller.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpCaller.java
@@ -37,6 +37,7 @@
         mClient =
                 new OkHttpClient.Builder()
                         .retryOnConnectionFailure(false)
+                        .socketFactory(new NoDelaySocketFactory())
                         .followRedirects(false)
                         .protocols(List.of(Protocol.HTTP_1_1))
                         .connectTimeout(CONNECT_TIMEOUT)
--- a/standins/src/main/java/org/rattanport/standins/StandInHttp.java
+++ b/standins/src/main/java/org/rattanport/standins/StandInHttp.java
@@ -34,6 +34,7 @@
                         .address(InetAddress.getLoopbackAddress())
                         .port(port)
                         .shutdownHook(false)
+                        .connectionOptions(options -> options.tcpNoDelay(true))
                         .backlog(1024)
                         .addRouting(routing)
                         .build()
--- a/standins/src/main/java/org/rattanport/standins/engine/EngineProfile.java
+++ b/standins/src/main/java/org/rattanport/standins/engine/EngineProfile.java
@@ -48,12 +48,12 @@
     }
 
     /** Prompt tokens in one second of the machine, the fixed time of steps included. */
-    double statedPrefillRate() {
+    public double statedPrefillRate() {
         return prefillChunkTokens * NANOS_PER_SECOND / stepNanos(prefillChunkTokens, 0);
     }
 
     /** Seconds of the machine between two output tokens of a lightly loaded engine. */
-    double statedSecondsPerOutputToken() {
+    public double statedSecondsPerOutputToken() {
         return stepNanos(0, 4) / NANOS_PER_SECOND;
     }
 }
--- a/standins/src/main/java/org/rattanport/standins/fleet/CallerClient.java
+++ b/standins/src/main/java/org/rattanport/standins/fleet/CallerClient.java
@@ -27,6 +27,7 @@
         mClient =
                 new OkHttpClient.Builder()
                         .retryOnConnectionFailure(false)
+                        .socketFactory(new org.rattanport.connectors.http.NoDelaySocketFactory())
                         .protocols(List.of(Protocol.HTTP_1_1))
                         .connectionPool(new ConnectionPool(512, 30, TimeUnit.SECONDS))
                         .callTimeout(timeout)
