--- a/benchmark/src/main/java/org/rattanport/benchmark/measure/LoadRun.java
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/LoadRun.java
@@ -81,8 +81,7 @@
 
     /** An operator sets the shares of the classes by their shares of the tokens. */
     private static int share(WorkloadClass lengthClass, double totalTokens) {
-        return (int)
-                Math.round(100 * lengthClass.share() * lengthClass.meanTokens() / totalTokens);
+        return (int) Math.round(100 * lengthClass.share() * lengthClass.meanTokens() / totalTokens);
     }
 
     private List<Served> send(Fleet fleet, List<Workload.Arrival> arrivals) {
--- a/benchmark/src/main/java/org/rattanport/benchmark/measure/MeasureLengthsCommand.java
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/MeasureLengthsCommand.java
@@ -136,8 +136,7 @@
                 .firstToken("short", 95);
     }
 
-    private void add(
-            Workload workload, PolicyChoice policy, RunFigures figures, double alone) {
+    private void add(Workload workload, PolicyChoice policy, RunFigures figures, double alone) {
         ObjectNode row = mRows.addObject();
         row.put("workload", workload.name()).put("policy", policy.placement());
         for (String each : CLASSES) {
--- a/benchmark/src/main/java/org/rattanport/benchmark/measure/RunFigures.java
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/RunFigures.java
@@ -42,23 +42,26 @@
         return count(lengthClass, Served::isAnswered);
     }
 
-    /** Prompt tokens of answered prompts of a class in a second of engine time. */
+    /** Prompt tokens of answered prompts of a class in a second, until its last answer. */
     public double tokensPerSecond(String lengthClass) {
-        return mServed.stream()
-                        .filter(each -> each.arrival().lengthClass().name().equals(lengthClass))
-                        .filter(Served::isAnswered)
-                        .mapToLong(each -> each.arrival().tokens())
-                        .sum()
-                / mSeconds;
+        return throughput(each -> each.arrival().lengthClass().name().equals(lengthClass));
     }
 
-    /** Prompt tokens of all answered prompts in a second of engine time. */
+    /** Prompt tokens of all answered prompts in a second, until the last answer. */
     public double goodput() {
-        return mServed.stream()
-                        .filter(Served::isAnswered)
-                        .mapToLong(each -> each.arrival().tokens())
-                        .sum()
-                / mSeconds;
+        return throughput(each -> true);
+    }
+
+    /** What was offered ends with the run, so the answers that come later are spread over it. */
+    private double throughput(Predicate<Served> filter) {
+        List<Served> answered = mServed.stream().filter(filter).filter(Served::isAnswered).toList();
+        double end =
+                answered.stream()
+                        .mapToDouble(each -> each.arrival().atSeconds() + each.total())
+                        .max()
+                        .orElse(mSeconds);
+        long tokens = answered.stream().mapToLong(each -> each.arrival().tokens()).sum();
+        return tokens / Math.max(end, mSeconds);
     }
 
     public double refusedShare() {
--- a/benchmark/src/main/java/org/rattanport/benchmark/measure/Workload.java
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/Workload.java
@@ -78,8 +78,7 @@
                     Math.log((double) lengthClass.longestTokens() / lengthClass.shortestTokens());
             int tokens =
                     (int) (lengthClass.shortestTokens() * Math.exp(random.nextDouble() * spread));
-            int account =
-                    random.nextDouble() < FIRST_ACCOUNT_SHARE ? 0 : random.nextInt(accounts);
+            int account = random.nextDouble() < FIRST_ACCOUNT_SHARE ? 0 : random.nextInt(accounts);
             arrivals.add(new Arrival(at, lengthClass, tokens, account, arrivals.size()));
         }
     }
--- a/benchmark/src/main/java/org/rattanport/benchmark/measure/WorkloadClass.java
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/WorkloadClass.java
@@ -19,7 +19,6 @@
         double timeLimitSeconds) {
     /** Mean prompt length of the spread. */
     double meanTokens() {
-        return (longestTokens - shortestTokens)
-                / Math.log((double) longestTokens / shortestTokens);
+        return (longestTokens - shortestTokens) / Math.log((double) longestTokens / shortestTokens);
     }
 }
--- a/connectors/src/main/java/org/rattanport/connectors/peer/NettyPeerNetwork.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/NettyPeerNetwork.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.jboss.logging.Logger;
 import org.rattanport.connectors.peer.protocol.Frame;
@@ -90,7 +91,19 @@
 
     @Override
     public PeerMessage ask(String peerAddress, PeerMessage question, Deadline deadline) {
-        return link(peerAddress, deadline).ask(question, deadline);
+        if (mEventLoop.isShuttingDown()) {
+            throw new RattanportException(
+                    ErrorCode.PEER_UNREACHABLE, "the network of this instance is closed");
+        }
+        try {
+            return link(peerAddress, deadline).ask(question, deadline);
+        } catch (RejectedExecutionException | IllegalStateException e) {
+            // The event loop was closed in this moment.
+            throw RattanportException.builder(
+                            ErrorCode.PEER_UNREACHABLE, "the network of this instance is closed")
+                    .cause(e)
+                    .build();
+        }
     }
 
     private PeerLink link(String address, Deadline deadline) {
--- /dev/null
+++ b/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
@@ -0,0 +1,160 @@
+package org.rattanport.connectors.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.rattanport.kernel.environment.DocumentVersion;
+import org.rattanport.kernel.environment.Stage;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.model.Fingerprint;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.model.RequestId;
+import org.rattanport.kernel.model.TargetId;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.peer.MemberState;
+import org.rattanport.kernel.peer.PeerMessage;
+import org.rattanport.kernel.peer.Rumor;
+import org.rattanport.kernel.request.Explanation;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.SystemTimeSource;
+
+final class PeerNetworkTest {
+    private static final String SECRET = "the-secret-of-the-fleet";
+    private static final String ANY_PORT = "127.0.0.1:0";
+
+    private final SystemTimeSource mTime = new SystemTimeSource();
+    private final NettyPeerNetwork mServer = new NettyPeerNetwork(ANY_PORT, SECRET, mTime);
+
+    PeerNetworkTest() {
+        mServer.handle(
+                PeerMessage.IndirectPing.class, question -> new PeerMessage.IndirectAck(true));
+    }
+
+    @AfterEach
+    void close() {
+        mServer.close();
+    }
+
+    @Nested
+    final class Asking {
+        @Test
+        void shouldBeAnswered() {
+            assertThat(ask(SECRET)).isEqualTo(new PeerMessage.IndirectAck(true));
+        }
+
+        @Test
+        void shouldFailWithAnotherSecret() {
+            RattanportException error =
+                    assertThrows(RattanportException.class, () -> ask("another-secret-entirely"));
+            assertThat(error.code()).isEqualTo(ErrorCode.PEER_UNREACHABLE);
+        }
+
+        @Test
+        void shouldFailWhenNobodyListens() {
+            String address = mServer.boundAddress();
+            mServer.close();
+            try (NettyPeerNetwork client = new NettyPeerNetwork(ANY_PORT, SECRET, mTime)) {
+                RattanportException error =
+                        assertThrows(
+                                RattanportException.class,
+                                () ->
+                                        client.ask(
+                                                address,
+                                                new PeerMessage.IndirectPing("x"),
+                                                deadline()));
+                assertThat(error.code()).isEqualTo(ErrorCode.PEER_UNREACHABLE);
+            }
+        }
+    }
+
+    @Nested
+    final class Garbage {
+        @Test
+        void shouldNotKeepThePortFromServing() throws Exception {
+            Random random = new Random(5);
+            for (int i = 0; i < 20; i++) {
+                byte[] garbage = new byte[1 + random.nextInt(4000)];
+                random.nextBytes(garbage);
+                send(garbage);
+            }
+            // A frame that claims to be far larger than any may be.
+            send(new byte[] {0x7f, (byte) 0xff, (byte) 0xff, (byte) 0xff, 1, 2, 3});
+            assertThat(ask(SECRET)).isEqualTo(new PeerMessage.IndirectAck(true));
+        }
+
+        private void send(byte[] bytes) throws Exception {
+            String address = mServer.boundAddress();
+            int port = Integer.parseInt(address.substring(address.lastIndexOf(':') + 1));
+            try (Socket socket = new Socket()) {
+                socket.connect(new InetSocketAddress("127.0.0.1", port));
+                OutputStream output = socket.getOutputStream();
+                output.write(bytes);
+                output.flush();
+            }
+        }
+    }
+
+    @Nested
+    final class Codec {
+        private final PeerCodec mCodec = new PeerCodec();
+        private final Member mMember =
+                new Member(new InstanceId("a", 7), "c:1", "p:2", "dc", MemberState.SUSPECT, 3);
+
+        @Test
+        void shouldKeepEveryMessage() {
+            TargetId target = new TargetId("engine", 4);
+            List<Rumor> rumors =
+                    List.of(
+                            new Rumor.MemberRumor(mMember),
+                            new Rumor.TargetLeaving(target),
+                            new Rumor.RequestSuspected(Fingerprint.of("x"), target));
+            DocumentVersion version =
+                    new DocumentVersion("e", Stage.TRIAL, 3, "id", "me", 5, 2, "{\"a\": 1}");
+            List.of(
+                            new PeerMessage.Ping(mMember, 1, 2, rumors),
+                            new PeerMessage.Ack(mMember, 3, 4, rumors),
+                            new PeerMessage.IndirectPing("p:9"),
+                            new PeerMessage.IndirectAck(false),
+                            new PeerMessage.MembersRequest(mMember),
+                            new PeerMessage.MembersReply(List.of(mMember)),
+                            new PeerMessage.DocumentRequest(Stage.TRIAL),
+                            new PeerMessage.DocumentReply(List.of(version)),
+                            new PeerMessage.QuotaRequest(
+                                    Stage.PRODUCTION,
+                                    List.of(new PeerMessage.QuotaDemand("x", 5, 9))),
+                            new PeerMessage.QuotaReply(List.of(5L)),
+                            new PeerMessage.ExplainRequest("req-1"),
+                            new PeerMessage.ExplainReply(
+                                    List.of(
+                                            new Explanation(
+                                                    new RequestId("req-1"),
+                                                    List.of(new Explanation.Step(3, "did"))))),
+                            new PeerMessage.Unhandled())
+                    .forEach(
+                            message ->
+                                    assertThat(mCodec.decode(mCodec.encode(message).build()))
+                                            .hasValue(message));
+        }
+    }
+
+    private PeerMessage ask(String secret) {
+        try (NettyPeerNetwork client = new NettyPeerNetwork(ANY_PORT, secret, mTime)) {
+            return client.ask(
+                    mServer.boundAddress(), new PeerMessage.IndirectPing("x"), deadline());
+        }
+    }
+
+    private Deadline deadline() {
+        return Deadline.after(mTime, Duration.ofSeconds(5));
+    }
+}
--- a/decisions/src/main/java/org/rattanport/decisions/admission/DeadlineCheck.java
+++ b/decisions/src/main/java/org/rattanport/decisions/admission/DeadlineCheck.java
@@ -20,6 +20,9 @@
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double MILLIS_PER_SECOND = 1e3;
 
+    /** Later arrivals of other accounts may go first, so a wait can be longer than expected. */
+    private static final double SAFETY_FACTOR = 1.25;
+
     private final Dispatcher.EngineSource mEngines;
     private final EngineBoard mBoard;
     private final CostModel mCost;
@@ -51,7 +54,7 @@
         }
         double expected = expectedSeconds(admission, candidates);
         double remaining = request.deadline().remaining(mTime).toNanos() / NANOS_PER_SECOND;
-        if (expected > remaining) {
+        if (expected * SAFETY_FACTOR > remaining) {
             throw RattanportException.builder(
                             ErrorCode.DEADLINE_NOT_FEASIBLE,
                             String.format(
--- a/decisions/src/main/java/org/rattanport/decisions/placement/EngineLanes.java
+++ b/decisions/src/main/java/org/rattanport/decisions/placement/EngineLanes.java
@@ -1,8 +1,10 @@
 package org.rattanport.decisions.placement;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.rattanport.decisions.target.EngineBoard.Candidate;
 import org.rattanport.kernel.environment.LengthClass;
 import org.rattanport.kernel.model.RendezvousHash;
@@ -12,10 +14,14 @@
  * only on names and shares, so all instances agree on it without a message.
  */
 public final class EngineLanes {
+    private static final double OPEN_SHARE = 0.5;
+
     private final Map<String, Integer> mLanes;
+    private final Set<String> mOpen;
 
-    private EngineLanes(Map<String, Integer> lanes) {
+    private EngineLanes(Map<String, Integer> lanes, Set<String> open) {
         mLanes = lanes;
+        mOpen = open;
     }
 
     /** Assigns the candidates by the shares of the classes. */
@@ -28,6 +34,7 @@
                         name -> name);
         int totalShare = classes.stream().mapToInt(LengthClass::engineSharePercent).sum();
         Map<String, Integer> lanes = new HashMap<>();
+        Set<String> open = new HashSet<>();
         int shareBefore = 0;
         for (int index = 0; index < classes.size(); index++) {
             int share = classes.get(index).engineSharePercent();
@@ -36,9 +43,11 @@
             for (String name : ordered.subList(from, to)) {
                 lanes.put(name, index);
             }
+            int openCount = (int) ((to - from) * OPEN_SHARE);
+            open.addAll(ordered.subList(to - openCount, to));
             shareBefore += share;
         }
-        return new EngineLanes(lanes);
+        return new EngineLanes(lanes, open);
     }
 
     /** Index of the class that the engine serves first. */
@@ -46,6 +55,14 @@
         return mLanes.getOrDefault(engineName, 0);
     }
 
+    /**
+     * Whether longer classes may borrow the engine. The other engines of a lane stay free of them,
+     * so that its own class always finds some without a long prompt.
+     */
+    public boolean isOpen(String engineName) {
+        return mOpen.contains(engineName);
+    }
+
     public boolean hasLane(int lengthClass) {
         return mLanes.containsValue(lengthClass);
     }
--- a/decisions/src/main/java/org/rattanport/decisions/placement/LengthAwarePlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/placement/LengthAwarePlacement.java
@@ -60,7 +60,8 @@
         double limit = best * (1 + NEARLY_SAME_SHARE) + NEARLY_SAME_SECONDS;
         List<Scored> nearlyBest = fitting.stream().filter(each -> each.seconds() <= limit).toList();
         Scored chosen = nearlyBest.get(mRandom.nextInt(nearlyBest.size()));
-        if (chosen.isBorrowed()) {
+        int lane = lanes.lane(chosen.candidate().target().id().name());
+        if (chosen.isBorrowed() && request.lengthClass() < lane) {
             chosen.candidate().view().borrow(request.request().promptTokens());
         }
         return Optional.of(
@@ -84,7 +85,7 @@
                 mCost.secondsToFirstToken(candidate.view(), request.request().promptTokens());
         double ownPrefill = firstToken - backlog;
         if (isBorrowed) {
-            return mayBorrow(request, candidate, lane, backlog)
+            return mayBorrow(request, candidate, lanes, backlog)
                     ? new Scored(
                             candidate, firstToken + BORROWING_PENALTY_SECONDS, firstToken, true)
                     : null;
@@ -103,11 +104,15 @@
         return candidate.view().freeMemoryTokens() >= needed;
     }
 
-    /** A shorter class borrows within a budget; a longer one only an engine without backlog. */
-    private boolean mayBorrow(
-            PlacementRequest request, Candidate candidate, int lane, double backlog) {
-        if (request.lengthClass() > lane && backlog > 0) {
-            return false;
+    /**
+     * A shorter class borrows within a budget, so that the engine's own class keeps most of it. A
+     * longer one borrows an open engine that has nothing to read, and goes behind all others there.
+     */
+    private static boolean mayBorrow(
+            PlacementRequest request, Candidate candidate, EngineLanes lanes, double backlog) {
+        String name = candidate.target().id().name();
+        if (request.lengthClass() > lanes.lane(name)) {
+            return lanes.isOpen(name) && backlog == 0;
         }
         double rate =
                 CostModel.prefillRate(candidate.view().report())
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/FakeEngines.java
@@ -0,0 +1,82 @@
+package org.rattanport.decisions;
+
+import io.reactivex.rxjava3.core.Flowable;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.model.Target;
+import org.rattanport.kernel.model.TargetLoad;
+import org.rattanport.kernel.request.AnswerChunk;
+import org.rattanport.kernel.target.EngineCall;
+import org.rattanport.kernel.target.EngineClient;
+import org.rattanport.kernel.target.EngineHolding;
+import org.rattanport.kernel.target.EngineState;
+import org.rattanport.kernel.target.ModelOrder;
+import org.rattanport.kernel.target.SegmentCall;
+import org.rattanport.kernel.target.SegmentPiece;
+import org.rattanport.kernel.time.Deadline;
+
+/** Engines in memory: what they hold, what they serve and what they were told. */
+public final class FakeEngines implements EngineClient {
+    /** What each engine holds, by name. */
+    public final Map<String, List<EngineHolding>> mHoldings = new HashMap<>();
+
+    /** What each engine serves, by name. */
+    public final Map<String, EngineState> mStates = new HashMap<>();
+
+    /** Keys that were released, in order. */
+    public final List<String> mReleased = new ArrayList<>();
+
+    /** Orders that were given, in order. */
+    public final List<ModelOrder> mOrders = new ArrayList<>();
+
+    @Override
+    public Flowable<AnswerChunk> generate(Target target, EngineCall call) {
+        return Flowable.error(new RattanportException(ErrorCode.TARGET_FAILED, "not scripted"));
+    }
+
+    @Override
+    public void release(Target target, String key, Deadline deadline) {
+        mReleased.add(key);
+        mHoldings
+                .getOrDefault(target.id().name(), new ArrayList<>())
+                .removeIf(each -> each.key().equals(key));
+    }
+
+    @Override
+    public TargetLoad load(Target target, Deadline deadline) {
+        throw new RattanportException(ErrorCode.TARGET_FAILED, "not scripted");
+    }
+
+    @Override
+    public List<EngineHolding> holdings(Target target, Deadline deadline) {
+        return List.copyOf(mHoldings.getOrDefault(target.id().name(), List.of()));
+    }
+
+    @Override
+    public boolean reserve(Target target, SegmentCall call) {
+        return false;
+    }
+
+    @Override
+    public SegmentPiece computeSegment(Target target, SegmentCall call) {
+        return new SegmentPiece(target, call.key(), call.tokens());
+    }
+
+    @Override
+    public EngineState state(Target target, Deadline deadline) {
+        return mStates.get(target.id().name());
+    }
+
+    @Override
+    public boolean order(Target target, ModelOrder order, Deadline deadline) {
+        mOrders.add(order);
+        mStates.put(
+                target.id().name(),
+                new EngineState(order.model(), order.version(), true, order.fencingNumber()));
+        return true;
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/action/ActionServiceTest.java
@@ -0,0 +1,333 @@
+package org.rattanport.decisions.action;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.rattanport.decisions.FakeRowCodec;
+import org.rattanport.decisions.FakeTable;
+import org.rattanport.decisions.StoreFault;
+import org.rattanport.decisions.TestDocuments;
+import org.rattanport.decisions.retry.BudgetedRetry;
+import org.rattanport.decisions.retry.RetryBudget;
+import org.rattanport.decisions.target.TargetDirectory;
+import org.rattanport.decisions.target.TargetHealth;
+import org.rattanport.kernel.environment.Operation;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.model.AccountId;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.model.RequestId;
+import org.rattanport.kernel.model.Target;
+import org.rattanport.kernel.model.TargetId;
+import org.rattanport.kernel.model.TargetKind;
+import org.rattanport.kernel.request.ActionRequest;
+import org.rattanport.kernel.request.ActionResult;
+import org.rattanport.kernel.request.RequestJournal;
+import org.rattanport.kernel.target.ServiceClient;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.ManualTimeSource;
+
+/** Verdicts and runs of calls that may not be repeated, row by row of the fault table. */
+final class ActionServiceTest {
+    private static final Duration TIME_LIMIT = Duration.ofSeconds(5);
+    private static final int ACTIONS_PER_ROW = 10_000;
+
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final FakeRowCodec mCodec = new FakeRowCodec();
+    private final FakeService mService = new FakeService();
+    private final List<ClaimWriter> mWriters = new ArrayList<>();
+    private FakeTable mTable = new FakeTable(1);
+
+    @AfterEach
+    void close() {
+        mWriters.forEach(ClaimWriter::close);
+    }
+
+    @Nested
+    final class FaultTable {
+        /** Store fault, service fault, share of calls that meet a fault, seed. */
+        @ParameterizedTest
+        @CsvSource({
+            "NONE, NONE, 0, 1",
+            "NOT_SENT, NONE, 0.3, 2",
+            "LOST_REQUEST, NONE, 0.3, 3",
+            "LOST_ANSWER, NONE, 0.3, 4",
+            "LATE_WRITE, NONE, 0.3, 5",
+            "NONE, REFUSED, 0.4, 6",
+            "NONE, RUN_THEN_BROKEN, 0.4, 7",
+            "NONE, BROKEN_BEFORE_RUN, 0.4, 8",
+            "LOST_ANSWER, RUN_THEN_BROKEN, 0.3, 9",
+            "LATE_WRITE, REFUSED, 0.3, 10",
+            "LOST_ANSWER, BROKEN_BEFORE_RUN, 0.7, 11",
+            "LATE_WRITE, RUN_THEN_BROKEN, 0.7, 12"
+        })
+        void shouldNeverRunTwiceNorLieAboutNotRun(
+                StoreFault storeFault, ServiceFault serviceFault, double share, long seed) {
+            mTable = new FakeTable(seed);
+            mTable.randomly(storeFault, share);
+            mService.fault(serviceFault, share, seed);
+            ActionService first = service("first");
+            ActionService second = service("second");
+            for (int i = 0; i < ACTIONS_PER_ROW; i++) {
+                String key = "key-" + i;
+                Verdict before = call(first, key).verdict();
+                int runsAfterFirst = mService.runs(key);
+                if (before == Verdict.NOT_RUN) {
+                    assertThat(runsAfterFirst).isEqualTo(0);
+                }
+                // The caller sends again, at another instance, as callers do.
+                Verdict after = call(second, key).verdict();
+                assertThat(mService.runs(key)).isAtMost(1);
+                if (before == Verdict.NOT_RUN && after == Verdict.NOT_RUN) {
+                    assertThat(mService.runs(key)).isEqualTo(0);
+                }
+                if (before == Verdict.RAN || after == Verdict.RAN) {
+                    assertThat(mService.runs(key)).isEqualTo(1);
+                }
+            }
+            mTable.landAll();
+        }
+    }
+
+    @Nested
+    final class Claiming {
+        @Test
+        void shouldRefuseWithoutAKey() {
+            RattanportException error = failure(service("a"), request("lock-out", "", "{}"));
+            assertThat(error.code()).isEqualTo(ErrorCode.IDEMPOTENCY_KEY_REQUIRED);
+            assertThat(error.verdict()).isEqualTo(Verdict.NOT_RUN);
+        }
+
+        @Test
+        void shouldRefuseAKeyUsedWithAnotherBody() {
+            ActionService service = service("a");
+            run(service, request("lock-out", "k", "{\"pump\": 1}"));
+            RattanportException error = failure(service, request("lock-out", "k", "{\"pump\": 2}"));
+            assertThat(error.code()).isEqualTo(ErrorCode.IDEMPOTENCY_KEY_REUSED);
+            assertThat(mService.runs("k")).isEqualTo(1);
+        }
+
+        @Test
+        void shouldKeepKeysOfAccountsApart() {
+            ActionService service = service("a");
+            run(service, request("inspectors", "lock-out", "k", "{}"));
+            run(service, request("reviews", "lock-out", "k", "{}"));
+            assertThat(mService.runs("k")).isEqualTo(2);
+        }
+
+        @Test
+        void shouldReplayAnOutcome() {
+            ActionResult first = run(service("a"), request("lock-out", "k", "{}"));
+            ActionResult again = run(service("b"), request("lock-out", "k", "{}"));
+            assertThat(again.isReplay()).isTrue();
+            assertThat(again.body()).isEqualTo(first.body());
+        }
+
+        @Test
+        void shouldRefuseAsNotRunWhileTheStoreIsDown() {
+            mTable.down(true);
+            RattanportException error = failure(service("a"), request("lock-out", "k", "{}"));
+            assertThat(error.code()).isEqualTo(ErrorCode.STORE_UNAVAILABLE);
+            assertThat(error.verdict()).isEqualTo(Verdict.NOT_RUN);
+            assertThat(mService.runs("k")).isEqualTo(0);
+        }
+
+        @Test
+        void shouldServeIdempotentCallsWhileTheStoreIsDown() {
+            mTable.down(true);
+            assertThat(run(service("a"), request("status", "", "{}")).status()).isEqualTo(200);
+        }
+    }
+
+    @Nested
+    final class Recovery {
+        @Test
+        void shouldRunOnResendAfterAnUnconfirmedClaimWasSettled() {
+            ActionService service = service("a");
+            mTable.script(StoreFault.LOST_ANSWER);
+            ClaimTable claims = mClaims.get("a");
+            RattanportException error =
+                    failure(service, request("lock-out", "k", "{}", Duration.ofMillis(1)));
+            assertThat(error.verdict()).isEqualTo(Verdict.NOT_RUN);
+            mSettlers.get("a").retry();
+            assertThat(claims.read(ClaimKeys.of(new AccountId("inspectors"), "k"), deadline()))
+                    .isPresent();
+            run(service, request("lock-out", "k", "{}"));
+            assertThat(mService.runs("k")).isEqualTo(1);
+        }
+
+        @Test
+        void shouldNotReleaseTheClaimOfAnEndedInstance() {
+            service("a");
+            ClaimTable claims = mClaims.get("a");
+            String key = ClaimKeys.of(new AccountId("inspectors"), "k");
+            ActionRequest request = request("lock-out", "k", "{}");
+            claims.claim(key, request.fingerprint(), deadline());
+            claims.page("", 10, deadline()).forEach(row -> claims.abandon(row, deadline()));
+            RattanportException error = failure(service("b"), request);
+            assertThat(error.code()).isEqualTo(ErrorCode.IDEMPOTENT_CALL_UNSETTLED);
+            assertThat(error.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+        }
+
+        @Test
+        void shouldLetAnOwnerThatWakesLateStillTellItsOutcome() {
+            service("a");
+            ClaimTable claims = mClaims.get("a");
+            String key = ClaimKeys.of(new AccountId("inspectors"), "k");
+            ActionRequest request = request("lock-out", "k", "{}");
+            var granted =
+                    (ClaimTable.ClaimResult.Granted)
+                            claims.claim(key, request.fingerprint(), deadline());
+            claims.page("", 10, deadline()).forEach(row -> claims.abandon(row, deadline()));
+            claims.settle(key, granted.claim().done(200, "{}", 0), deadline());
+            assertThat(run(service("b"), request).isReplay()).isTrue();
+        }
+    }
+
+    private final Map<String, ClaimTable> mClaims = new HashMap<>();
+    private final Map<String, ClaimSettler> mSettlers = new HashMap<>();
+
+    private ActionService service(String instance) {
+        ClaimWriter writer = new ClaimWriter(mTable, mTime);
+        mWriters.add(writer);
+        ClaimTable claims =
+                new ClaimTable(mTable, writer, mCodec, new InstanceId(instance, 1), mTime);
+        ClaimSettler settler = new ClaimSettler(claims, mTime);
+        mClaims.put(instance, claims);
+        mSettlers.put(instance, settler);
+        TargetDirectory directory =
+                new TargetDirectory(new TargetHealth(mTime), new EventStreams(), rumor -> {});
+        directory.listed(List.of(target("service-1"), target("service-2")));
+        RetryBudget budget = new RetryBudget();
+        return new ActionService(
+                directory,
+                mService,
+                claims,
+                settler,
+                new BudgetedRetry(budget),
+                budget,
+                new RequestJournal(mTime),
+                mTime,
+                new Random(7));
+    }
+
+    private static Target target(String name) {
+        return new Target(
+                new TargetId(name, 1),
+                TargetKind.SERVICE,
+                TestDocuments.SERVICE,
+                "127.0.0.1:1",
+                "dc",
+                false);
+    }
+
+    /** What the caller learns of one call. */
+    private record Learned(Verdict verdict) {}
+
+    private Learned call(ActionService service, String key) {
+        try {
+            run(service, request("lock-out", key, "{}"));
+            return new Learned(Verdict.RAN);
+        } catch (RattanportException e) {
+            mTime.advance(Duration.ofSeconds(1));
+            return new Learned(e.verdict());
+        }
+    }
+
+    private static ActionResult run(ActionService service, ActionRequest request) {
+        return service.run(request, TestDocuments.active());
+    }
+
+    private static RattanportException failure(ActionService service, ActionRequest request) {
+        return assertThrows(RattanportException.class, () -> run(service, request));
+    }
+
+    private ActionRequest request(String operation, String key, String body) {
+        return request("inspectors", operation, key, body);
+    }
+
+    private ActionRequest request(String operation, String key, String body, Duration limit) {
+        return request("inspectors", operation, key, body, limit);
+    }
+
+    private ActionRequest request(String account, String operation, String key, String body) {
+        return request(account, operation, key, body, TIME_LIMIT);
+    }
+
+    private ActionRequest request(
+            String account, String operation, String key, String body, Duration limit) {
+        return new ActionRequest(
+                RequestId.random(),
+                new AccountId(account),
+                TestDocuments.SERVICE,
+                operation,
+                body,
+                Optional.of(key).filter(each -> !each.isEmpty()),
+                Deadline.after(mTime, limit));
+    }
+
+    private Deadline deadline() {
+        return Deadline.after(mTime, TIME_LIMIT);
+    }
+
+    /** How the service misbehaves. */
+    private enum ServiceFault {
+        NONE,
+        REFUSED,
+        RUN_THEN_BROKEN,
+        BROKEN_BEFORE_RUN
+    }
+
+    /** A service that counts its runs by key. */
+    private static final class FakeService implements ServiceClient {
+        private final Map<String, Integer> mRuns = new HashMap<>();
+        private ServiceFault mFault = ServiceFault.NONE;
+        private double mShare;
+        private Random mRandom = new Random(1);
+
+        void fault(ServiceFault fault, double share, long seed) {
+            mFault = fault;
+            mShare = share;
+            mRandom = new Random(seed);
+        }
+
+        int runs(String key) {
+            return mRuns.getOrDefault(key, 0);
+        }
+
+        @Override
+        public ActionResult call(
+                Target target, Operation operation, ActionRequest request, long fencingNumber) {
+            ServiceFault fault = mRandom.nextDouble() < mShare ? mFault : ServiceFault.NONE;
+            if (fault == ServiceFault.REFUSED) {
+                throw failed(ErrorCode.TARGET_REFUSED, Verdict.NOT_RUN);
+            }
+            if (fault == ServiceFault.BROKEN_BEFORE_RUN) {
+                throw failed(ErrorCode.TARGET_FAILED, Verdict.MAY_HAVE_RUN);
+            }
+            request.idempotencyKey().ifPresent(key -> mRuns.merge(key, 1, Integer::sum));
+            if (fault == ServiceFault.RUN_THEN_BROKEN) {
+                throw failed(ErrorCode.TARGET_FAILED, Verdict.MAY_HAVE_RUN);
+            }
+            return new ActionResult(200, "{\"key\": \"" + request.idempotencyKey() + "\"}", false);
+        }
+
+        private static RattanportException failed(ErrorCode code, Verdict verdict) {
+            return RattanportException.builder(code, "scripted").verdict(verdict).build();
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
@@ -0,0 +1,98 @@
+package org.rattanport.decisions.lifecycle;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.FakeMembership;
+import org.rattanport.decisions.membership.MemberTable;
+import org.rattanport.decisions.membership.RumorQueue;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.peer.MemberState;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.ManualTimeSource;
+
+final class LifecycleTest {
+    private final ManualTimeSource mTime = new ManualTimeSource();
+
+    @Nested
+    final class Addresses {
+        private final FakeMembership mMembership =
+                new FakeMembership()
+                        .add("a", "near", MemberState.ALIVE)
+                        .add("b", "near", MemberState.ALIVE)
+                        .add("c", "near", MemberState.LEAVING)
+                        .add("d", "far", MemberState.SUSPECT)
+                        .add("e", "far", MemberState.ALIVE)
+                        .add("f", "far", MemberState.ALIVE);
+
+        @Test
+        void shouldNeverNameTheLeavingOrTheUnwell() {
+            Set<String> named = new HashSet<>();
+            for (int seed = 0; seed < 50; seed++) {
+                named.addAll(new AddressBook(mMembership, new Random(seed)).addresses("near"));
+            }
+            assertThat(named).containsExactly("a:caller", "b:caller", "e:caller", "f:caller");
+        }
+
+        @Test
+        void shouldPutNearbyInstancesFirst() {
+            List<String> addresses = new AddressBook(mMembership, new Random(1)).addresses("near");
+            assertThat(addresses.subList(0, 2)).containsExactly("a:caller", "b:caller");
+        }
+
+        @Test
+        void shouldSpreadCallers() {
+            Set<String> firsts = new HashSet<>();
+            AddressBook book = new AddressBook(mMembership, new Random(1));
+            for (int i = 0; i < 50; i++) {
+                firsts.add(book.addresses("unknown").getFirst());
+            }
+            assertThat(firsts).hasSize(4);
+        }
+    }
+
+    @Nested
+    final class Draining {
+        private final MemberTable mMembers =
+                new MemberTable(
+                        new FakeMembership().add("a", "dc", MemberState.ALIVE).self(),
+                        new RumorQueue(),
+                        new EventStreams());
+        private final InFlight mInFlight = new InFlight(mTime);
+        private final Drain mDrain = new Drain(mMembers, mInFlight, Duration.ofSeconds(10), mTime);
+
+        @Test
+        void shouldServeUntilAddressAnswersHaveRunOut() {
+            long before = mTime.nanoTime();
+            assertThat(mDrain.drain(Deadline.after(mTime, Duration.ofMinutes(1)))).isTrue();
+            assertThat(mTime.nanoTime() - before).isEqualTo(Duration.ofSeconds(10).toNanos());
+            assertThat(mMembers.self().state()).isEqualTo(MemberState.LEAVING);
+        }
+
+        @Test
+        void shouldRefuseAsNotRunAfterwards() {
+            mDrain.drain(Deadline.after(mTime, Duration.ofMinutes(1)));
+            RattanportException error = assertThrows(RattanportException.class, mInFlight::enter);
+            assertThat(error.code()).isEqualTo(ErrorCode.STOPPING);
+            assertThat(error.verdict()).isEqualTo(Verdict.NOT_RUN);
+        }
+
+        @Test
+        void shouldSayWhenItCutRequests() throws Exception {
+            AutoCloseable request = mInFlight.enter();
+            assertThat(mDrain.drain(Deadline.after(mTime, Duration.ofSeconds(10)))).isFalse();
+            request.close();
+            assertThat(mInFlight.count()).isEqualTo(0);
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/membership/MembershipTest.java
@@ -0,0 +1,324 @@
+package org.rattanport.decisions.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.rattanport.kernel.environment.ActiveEnvironment;
+import org.rattanport.kernel.environment.DocumentVersion;
+import org.rattanport.kernel.environment.EnvironmentInForce;
+import org.rattanport.kernel.environment.Stage;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.peer.MemberState;
+import org.rattanport.kernel.peer.PeerHandler;
+import org.rattanport.kernel.peer.PeerMessage;
+import org.rattanport.kernel.peer.PeerNetwork;
+import org.rattanport.kernel.peer.Rumor;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.ManualTimeSource;
+
+/** Members that probe each other over a network in memory, round by round. */
+final class MembershipTest {
+    private static final int SUSPICION_ROUNDS = 5;
+    private static final int REJOIN_ROUNDS = 5;
+
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final Map<String, Node> mNodes = new ConcurrentHashMap<>();
+    private final Set<String> mCut = ConcurrentHashMap.newKeySet();
+
+    @Nested
+    final class Joining {
+        @ParameterizedTest
+        @ValueSource(ints = {3, 18, 60})
+        void shouldMakeAllKnownToAllWithinAMinute(int size) {
+            start(size);
+            rounds(60);
+            mNodes.values().forEach(node -> assertThat(node.mTable.aliveMembers()).hasSize(size));
+        }
+    }
+
+    @Nested
+    final class Death {
+        @ParameterizedTest
+        @ValueSource(ints = {3, 18})
+        void shouldBeKnownToAllAndBlameNoOther(int size) {
+            start(size);
+            rounds(12);
+            cutOff("node-1");
+            rounds(2 * size + SUSPICION_ROUNDS + 20);
+            others("node-1")
+                    .forEach(
+                            node -> {
+                                assertThat(node.state("node-1")).isEqualTo(MemberState.DEAD);
+                                assertThat(node.mTable.aliveMembers()).hasSize(size - 1);
+                            });
+        }
+
+        @Test
+        void shouldEndOnlyTheIncarnationThatDied() {
+            start(3);
+            rounds(8);
+            cutOff("node-1");
+            rounds(30);
+            InstanceId old = new InstanceId("node-1", 1);
+            mCut.clear();
+            mNodes.put("node-1", new Node("node-1", 2, 99));
+            mNodes.get("node-1").join("node-0");
+            rounds(20);
+            Node observer = mNodes.get("node-0");
+            assertThat(observer.mTable.hasEnded(old)).isTrue();
+            assertThat(observer.mTable.hasEnded(new InstanceId("node-1", 2))).isFalse();
+            assertThat(observer.mTable.aliveMembers()).hasSize(3);
+        }
+    }
+
+    @Nested
+    final class Pause {
+        @Test
+        void shouldBeRefutedWhenItEndsInTime() {
+            start(6);
+            rounds(10);
+            mNodes.get("node-2").mIsPaused = true;
+            rounds(3);
+            mNodes.get("node-2").mIsPaused = false;
+            rounds(25);
+            mNodes.values().forEach(node -> assertThat(node.mTable.aliveMembers()).hasSize(6));
+        }
+
+        @Test
+        void shouldNotMakeThePausedMemberJudgeOthers() {
+            start(6);
+            rounds(10);
+            Node paused = mNodes.get("node-2");
+            paused.mIsPaused = true;
+            mTime.advance(Duration.ofMinutes(10));
+            paused.mIsPaused = false;
+            paused.mProber.round();
+            assertThat(paused.mTable.aliveMembers()).hasSize(6);
+        }
+
+        @Test
+        void shouldBeUndoneAfterALongOne() {
+            start(4);
+            rounds(10);
+            mNodes.get("node-2").mIsPaused = true;
+            rounds(40);
+            assertThat(mNodes.get("node-0").state("node-2")).isEqualTo(MemberState.DEAD);
+            mNodes.get("node-2").mIsPaused = false;
+            rounds(60);
+            mNodes.values().forEach(node -> assertThat(node.mTable.aliveMembers()).hasSize(4));
+        }
+    }
+
+    @Nested
+    final class Partition {
+        @Test
+        void shouldHeal() {
+            start(8);
+            rounds(12);
+            Set<String> left = Set.of("node-0", "node-1", "node-2", "node-3");
+            partition(left);
+            rounds(60);
+            assertThat(mNodes.get("node-0").mTable.aliveMembers()).hasSize(4);
+            assertThat(mNodes.get("node-7").mTable.aliveMembers()).hasSize(4);
+            mCut.clear();
+            rounds(120);
+            mNodes.values()
+                    .forEach(
+                            node ->
+                                    assertWithMessage(node.mName)
+                                            .that(node.mTable.aliveMembers())
+                                            .hasSize(8));
+        }
+    }
+
+    @Nested
+    final class Leaving {
+        @Test
+        void shouldBeKnownToAll() {
+            start(6);
+            rounds(10);
+            mNodes.get("node-3").mTable.announce(MemberState.LEAVING);
+            rounds(10);
+            mNodes.values()
+                    .forEach(
+                            node ->
+                                    assertThat(node.state("node-3"))
+                                            .isEqualTo(MemberState.LEAVING));
+        }
+    }
+
+    @Nested
+    final class Spreading {
+        @Test
+        void shouldReachAllAndThenFallSilent() {
+            start(18);
+            rounds(30);
+            Rumor rumor = new Rumor.TargetLeaving(new org.rattanport.kernel.model.TargetId("e", 1));
+            mNodes.get("node-0").hear(rumor);
+            rounds(20);
+            mNodes.values().forEach(node -> assertThat(node.mHeard).contains(rumor.key()));
+            rounds(40);
+            mNodes.values().forEach(node -> assertThat(node.mRumors.take(18)).isEmpty());
+        }
+
+        @Test
+        void shouldBoundAMessage() {
+            RumorQueue queue = new RumorQueue();
+            for (int i = 0; i < 500; i++) {
+                queue.add(
+                        new Rumor.TargetLeaving(
+                                new org.rattanport.kernel.model.TargetId("e" + i, 1)));
+            }
+            assertThat(queue.take(300)).hasSize(12);
+        }
+    }
+
+    private void start(int size) {
+        for (int i = 0; i < size; i++) {
+            String name = "node-" + i;
+            mNodes.put(name, new Node(name, 1, i));
+        }
+        for (int i = 1; i < size; i++) {
+            mNodes.get("node-" + i).join("node-" + (i - 1));
+        }
+    }
+
+    private void rounds(int count) {
+        for (int i = 0; i < count; i++) {
+            mNodes.values().stream()
+                    .filter(node -> !node.mIsPaused)
+                    .forEach(node -> node.mProber.round());
+            mTime.advance(Duration.ofSeconds(1));
+        }
+    }
+
+    private List<Node> others(String name) {
+        return mNodes.values().stream().filter(node -> !node.mName.equals(name)).toList();
+    }
+
+    private void cutOff(String name) {
+        partition(Set.of(name));
+    }
+
+    private void partition(Set<String> side) {
+        Set<String> names = new HashSet<>(mNodes.keySet());
+        names.forEach(
+                left ->
+                        names.stream()
+                                .filter(right -> side.contains(left) != side.contains(right))
+                                .forEach(right -> mCut.add(left + ">" + right)));
+    }
+
+    /** One member with everything that it needs. */
+    private final class Node implements PeerNetwork {
+        private final String mName;
+        private final RumorQueue mRumors = new RumorQueue();
+        private final MemberTable mTable;
+        private final Gossip mGossip;
+        private final Prober mProber;
+        private final Map<Class<?>, PeerHandler<?>> mHandlers = new HashMap<>();
+        private final List<String> mHeard = new ArrayList<>();
+        private volatile boolean mIsPaused;
+
+        private Node(String name, long incarnation, long seed) {
+            mName = name;
+            Member self =
+                    new Member(
+                            new InstanceId(name, incarnation),
+                            name,
+                            name,
+                            "dc",
+                            MemberState.ALIVE,
+                            0);
+            mTable = new MemberTable(self, mRumors, new EventStreams());
+            mGossip =
+                    new Gossip(
+                            mTable,
+                            mRumors,
+                            this,
+                            new NoDocuments(),
+                            (address, stage, version) -> {},
+                            this::hear);
+            mGossip.register(Duration.ofMillis(400), mTime);
+            mProber =
+                    new Prober(
+                            mTable,
+                            mGossip,
+                            this,
+                            new ProbeSettings(
+                                    Duration.ofMillis(400), 3, SUSPICION_ROUNDS, REJOIN_ROUNDS),
+                            mTime,
+                            new Random(seed));
+        }
+
+        private void join(String address) {
+            mGossip.join(address, new Deadline(Long.MAX_VALUE));
+        }
+
+        private synchronized void hear(Rumor rumor) {
+            if (!mHeard.contains(rumor.key())) {
+                mHeard.add(rumor.key());
+                mRumors.add(rumor);
+            }
+        }
+
+        private MemberState state(String name) {
+            return mTable.find(name).orElseThrow().state();
+        }
+
+        @Override
+        public PeerMessage ask(String address, PeerMessage question, Deadline deadline) {
+            Node other = mNodes.get(address);
+            if (other == null || other.mIsPaused || mCut.contains(mName + ">" + address)) {
+                throw new RattanportException(ErrorCode.PEER_UNREACHABLE, "cut");
+            }
+            return other.answer(question);
+        }
+
+        @SuppressWarnings("unchecked")
+        private <T extends PeerMessage> PeerMessage answer(PeerMessage question) {
+            PeerHandler<T> handler = (PeerHandler<T>) mHandlers.get(question.getClass());
+            return handler.answer((T) question);
+        }
+
+        @Override
+        public <T extends PeerMessage> void handle(Class<T> type, PeerHandler<T> handler) {
+            mHandlers.put(type, handler);
+        }
+    }
+
+    private static final class NoDocuments implements EnvironmentInForce {
+        @Override
+        public Optional<ActiveEnvironment> current(Stage stage) {
+            return Optional.empty();
+        }
+
+        @Override
+        public boolean offer(DocumentVersion version) {
+            return false;
+        }
+
+        @Override
+        public io.reactivex.rxjava3.core.Flowable<ActiveEnvironment> changes() {
+            return io.reactivex.rxjava3.core.Flowable.never();
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/retry/RetryTest.java
@@ -0,0 +1,66 @@
+package org.rattanport.decisions.retry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
+
+final class RetryTest {
+    @Nested
+    final class Deciding {
+        @ParameterizedTest
+        @CsvSource({
+            "TARGET_FAILED, NOT_RUN, false, 1, true",
+            "TARGET_FAILED, MAY_HAVE_RUN, false, 1, false",
+            "TARGET_FAILED, MAY_HAVE_RUN, true, 1, true",
+            "TARGET_REFUSED, NOT_RUN, false, 1, true",
+            "ANSWER_CUT, MAY_HAVE_RUN, true, 1, true",
+            "TARGET_FAILED, NOT_RUN, true, 4, false",
+            "DEADLINE_EXCEEDED, NOT_RUN, true, 1, false",
+            "CANCELLED, MAY_HAVE_RUN, true, 1, false"
+        })
+        void shouldNeverRepeatWhatMayHaveRunUnlessIdempotent(
+                ErrorCode code,
+                Verdict verdict,
+                boolean isIdempotent,
+                int attempts,
+                boolean isRetried) {
+            RattanportException error =
+                    RattanportException.builder(code, "scripted").verdict(verdict).build();
+            assertThat(
+                            new BudgetedRetry(new RetryBudget())
+                                    .shouldRetry(error, isIdempotent, attempts, "pool"))
+                    .isEqualTo(isRetried);
+        }
+    }
+
+    @Nested
+    final class Budget {
+        @Test
+        void shouldBoundRetriesToAShareOfFirstTries() {
+            RetryBudget budget = new RetryBudget();
+            int retries = 0;
+            for (int i = 0; i < 1_000; i++) {
+                budget.firstTry("pool");
+                retries += budget.tryRetry("pool") ? 1 : 0;
+            }
+            assertThat(retries).isAtMost(221);
+            assertThat(retries).isAtLeast(200);
+        }
+
+        @Test
+        void shouldKeepPoolsApart() {
+            RetryBudget budget = new RetryBudget();
+            for (int i = 0; i < 100; i++) {
+                budget.tryRetry("broken");
+            }
+            assertThat(budget.tryRetry("broken")).isFalse();
+            assertThat(budget.tryRetry("well")).isTrue();
+        }
+    }
+}
--- a/kernel/src/main/java/org/rattanport/kernel/request/RequestJournal.java
+++ b/kernel/src/main/java/org/rattanport/kernel/request/RequestJournal.java
@@ -26,7 +26,7 @@
 
     /** Notes a step; the text must hold no prompt text and no key. */
     public synchronized void note(RequestId id, String what) {
-        Entry entry = mEntries.computeIfAbsent(id, this::open);
+        Entry entry = entry(id);
         if (entry.mSteps.size() < KEPT_STEPS) {
             long millis = (mTime.nanoTime() - entry.mStartNanos) / NANOS_PER_MILLI;
             entry.mSteps.add(new Explanation.Step(millis, what));
@@ -38,12 +38,18 @@
                 .map(entry -> new Explanation(id, List.copyOf(entry.mSteps)));
     }
 
-    private Entry open(RequestId id) {
+    private Entry entry(RequestId id) {
+        Entry known = mEntries.get(id);
+        if (known != null) {
+            return known;
+        }
+        Entry opened = new Entry(mTime.nanoTime());
+        mEntries.put(id, opened);
         mOldestFirst.addLast(id);
         if (mOldestFirst.size() > KEPT_REQUESTS) {
             mEntries.remove(mOldestFirst.removeFirst());
         }
-        return new Entry(mTime.nanoTime());
+        return opened;
     }
 
     private static final class Entry {
--- a/standins/src/main/java/org/rattanport/standins/InstanceListStandIn.java
+++ b/standins/src/main/java/org/rattanport/standins/InstanceListStandIn.java
@@ -1,5 +1,6 @@
 package org.rattanport.standins;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import io.helidon.http.HeaderNames;
 import io.helidon.http.Method;
 import io.helidon.webserver.http.HttpRouting;
@@ -10,6 +11,8 @@
 import java.util.TreeMap;
 import org.rattanport.connectors.json.Json;
 import org.rattanport.kernel.model.Target;
+import org.rattanport.kernel.model.TargetId;
+import org.rattanport.kernel.model.TargetKind;
 import org.rattanport.kernel.platform.InstanceList.ListedInstance;
 import org.rattanport.kernel.task.Tasks;
 import org.rattanport.kernel.time.SystemTimeSource;
@@ -101,6 +104,24 @@
                                     false));
                     StandInHttp.answer(response, OK, Json.object());
                 });
+        StandInHttp.route(
+                routing,
+                Method.PUT,
+                "/targets",
+                (request, response) -> {
+                    put(target(StandInHttp.json(request)));
+                    StandInHttp.answer(response, OK, Json.object());
+                });
+    }
+
+    private static Target target(JsonNode body) {
+        return new Target(
+                new TargetId(body.path("name").asText(), body.path("incarnation").asLong()),
+                TargetKind.valueOf(body.path("kind").asText()),
+                body.path("pool").asText(),
+                body.path("address").asText(),
+                body.path("data_centre").asText(),
+                body.path("leaving").asBoolean());
     }
 
     private synchronized void list(ServerRequest request, ServerResponse response) {
--- a/standins/src/main/java/org/rattanport/standins/fleet/FleetDocument.java
+++ b/standins/src/main/java/org/rattanport/standins/fleet/FleetDocument.java
@@ -106,7 +106,7 @@
                     %s
                   ],
                   "limits": {"maximum_time_limit_seconds": %d, "maximum_output_tokens": 4096,
-                             "queued_tokens": 50000000, "ageing_seconds": 5}
+                             "queued_tokens": 50000000, "ageing_seconds": 2}
                 }
                 """,
                 ENVIRONMENT,
--- /dev/null
+++ b/standins/src/main/resources/META-INF/services/org.rattanport.daemon.command.Command
@@ -0,0 +1,3 @@
+org.rattanport.standins.command.StandInEngineCommand
+org.rattanport.standins.command.StandInPlatformCommand
+org.rattanport.standins.command.StandInServiceCommand
--- /dev/null
+++ b/standins/src/test/java/org/rattanport/standins/fleet/BadInputTest.java
@@ -0,0 +1,250 @@
+package org.rattanport.standins.fleet;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.rattanport.connectors.http.HttpCaller;
+
+/** What callers send wrongly: a clear error, nothing runs, and the instance keeps serving. */
+final class BadInputTest {
+    private static final String PROMPT =
+            "{\"model\": \"assistant\", \"max_tokens\": 4,"
+                    + " \"messages\": [{\"role\": \"user\", \"content\": \"why?\"}]}";
+
+    private static Fleet sFleet;
+
+    @BeforeAll
+    static void start() {
+        sFleet = Fleet.builder().instances(1).engines(1, profile()).start();
+    }
+
+    private static org.rattanport.standins.engine.EngineProfile profile() {
+        return org.rattanport.standins.engine.EngineProfile.standard(20);
+    }
+
+    @AfterAll
+    static void close() {
+        sFleet.close();
+    }
+
+    @AfterEach
+    void shouldKeepServing() {
+        assertThat(send(FleetDocument.key(0), PROMPT, "10").status()).isEqualTo(200);
+    }
+
+    @Nested
+    final class Requests {
+        @ParameterizedTest
+        @CsvSource(
+                delimiter = '|',
+                value = {
+                    "not json | 400 | invalid_request",
+                    "[1, 2] | 400 | invalid_request",
+                    "{\"model\": 7} | 400 | invalid_request",
+                    "{\"model\": \"nobody\", \"messages\":"
+                            + " [{\"role\": \"user\", \"content\": \"x\"}]} | 404 | unknown_model",
+                    "{\"model\": \"assistant\", \"max_tokens\": 99999, \"messages\":"
+                            + " [{\"role\": \"user\", \"content\": \"x\"}]} | 400 | invalid_request"
+                })
+        void shouldBeRefusedAsNotRun(String body, int status, String code) {
+            assertRefused(send(FleetDocument.key(0), body, "10"), status, code);
+        }
+
+        @ParameterizedTest
+        @CsvSource({"-5", "0", "1e9", "NaN", "Infinity", "soon"})
+        void shouldBeRefusedForAnAbsurdTimeLimit(String timeout) {
+            assertRefused(send(FleetDocument.key(0), PROMPT, timeout), 400, "invalid_request");
+        }
+
+        @ParameterizedTest
+        @CsvSource({"unknown-key", "''"})
+        void shouldBeRefusedForAnUnknownKey(String key) {
+            assertRefused(send(key, PROMPT, "10"), 401, "unauthenticated");
+        }
+
+        @Test
+        void shouldBeRefusedBeyondTheReachOfTheFleet() {
+            String text = "x".repeat(5_200_000);
+            assertRefused(
+                    send(FleetDocument.key(0), PROMPT.replace("why?", text), "10"),
+                    400,
+                    "prompt_too_long");
+        }
+
+        @Test
+        void shouldBeRefusedForABodyThatIsTooLarge() {
+            String text = "x".repeat(13 * 1024 * 1024);
+            assertRefused(
+                    send(FleetDocument.key(0), PROMPT.replace("why?", text), "10"),
+                    413,
+                    "body_too_large");
+        }
+
+        @Test
+        void shouldBeRefusedOnAnUnknownPath() {
+            ActionOutcome outcome =
+                    sFleet.client().send(new Request.Builder().url(url("/v1/nothing")));
+            assertRefused(outcome, 404, "not_found");
+        }
+
+        @Test
+        void shouldBeRefusedForAnUnknownOperation() {
+            ActionOutcome outcome =
+                    sFleet.client()
+                            .call(
+                                    sFleet.address(0),
+                                    FleetDocument.key(0),
+                                    "dispatch/fly",
+                                    "k",
+                                    "{}");
+            assertRefused(outcome, 404, "unknown_operation");
+        }
+
+        @Test
+        void shouldBeRefusedForACallWithoutAKeyThatMayNotRepeat() {
+            ActionOutcome outcome =
+                    sFleet.client()
+                            .call(
+                                    sFleet.address(0),
+                                    FleetDocument.key(0),
+                                    "dispatch/book",
+                                    "",
+                                    "{}");
+            assertRefused(outcome, 400, "idempotency_key_required");
+        }
+
+        @Test
+        void shouldBeRefusedWithAForgedTicket() {
+            Request.Builder request =
+                    request(FleetDocument.key(0), PROMPT, "10")
+                            .header("Rattanport-Resume", "forged");
+            assertRefused(sFleet.client().send(request), 400, "invalid_request");
+        }
+    }
+
+    @Nested
+    final class Connections {
+        @Test
+        void shouldNotMatterWhenTheyStayHalfOpen() throws Exception {
+            for (int i = 0; i < 30; i++) {
+                Socket socket = connect();
+                write(socket, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Le");
+            }
+        }
+
+        @Test
+        void shouldBeRefusedWithHeadersThatAreTooLarge() throws Exception {
+            try (Socket socket = connect()) {
+                write(
+                        socket,
+                        "GET /health HTTP/1.1\r\nHost: x\r\nX: " + "y".repeat(40_000) + "\r\n\r\n");
+                assertThat(firstLine(socket)).startsWith("HTTP/1.1 4");
+            }
+        }
+
+        @Test
+        void shouldGiveTheEngineBackWhenTheCallerGoes() {
+            CallerClient.Prompt prompt =
+                    new CallerClient.Prompt(
+                            FleetDocument.key(0), FleetDocument.MODEL, "leave midway", 4000, 60);
+            sFleet.client().prompt(sFleet.address(0), prompt, tokens -> tokens < 3);
+            assertThat(
+                            Fleet.await(
+                                    Duration.ofSeconds(20),
+                                    () -> sFleet.engines().getFirst().usedMemory() == 0))
+                    .isTrue();
+        }
+
+        @Test
+        void shouldEndAtTheDeadlineWhenTheCallerDoesNotRead() throws Exception {
+            String body =
+                    "{\"model\": \"assistant\", \"stream\": true, \"max_tokens\": 4000,"
+                            + " \"messages\": [{\"role\": \"user\", \"content\": \"slow\"}]}";
+            try (Socket socket = new Socket()) {
+                socket.setReceiveBufferSize(1024);
+                socket.connect(address());
+                write(
+                        socket,
+                        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "
+                                + FleetDocument.key(0)
+                                + "\r\nRattanport-Timeout-Seconds: 2\r\nContent-Length: "
+                                + body.length()
+                                + "\r\n\r\n"
+                                + body);
+                assertThat(
+                                Fleet.await(
+                                        Duration.ofSeconds(20),
+                                        () -> sFleet.engines().getFirst().usedMemory() > 0))
+                        .isTrue();
+                assertThat(
+                                Fleet.await(
+                                        Duration.ofSeconds(20),
+                                        () -> sFleet.engines().getFirst().usedMemory() == 0))
+                        .isTrue();
+            }
+        }
+
+        private InetSocketAddress address() {
+            String address = sFleet.address(0);
+            int colon = address.lastIndexOf(':');
+            return new InetSocketAddress(
+                    address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        }
+
+        private Socket connect() throws Exception {
+            Socket socket = new Socket();
+            socket.connect(address());
+            socket.setSoTimeout(10_000);
+            return socket;
+        }
+
+        private void write(Socket socket, String text) throws Exception {
+            OutputStream output = socket.getOutputStream();
+            output.write(text.getBytes(StandardCharsets.US_ASCII));
+            output.flush();
+        }
+
+        private String firstLine(Socket socket) throws Exception {
+            InputStream input = socket.getInputStream();
+            byte[] head = new byte[64];
+            int read = input.read(head);
+            return new String(head, 0, Math.max(0, read), StandardCharsets.US_ASCII);
+        }
+    }
+
+    private static void assertRefused(ActionOutcome outcome, int status, String code) {
+        assertThat(outcome.code()).isEqualTo(code);
+        assertThat(outcome.status()).isEqualTo(status);
+        assertThat(outcome.verdict()).isEqualTo("not_run");
+    }
+
+    private static ActionOutcome send(String key, String body, String timeout) {
+        return sFleet.client().send(request(key, body, timeout));
+    }
+
+    private static Request.Builder request(String key, String body, String timeout) {
+        return new Request.Builder()
+                .url(url("/v1/chat/completions"))
+                .header("Authorization", "Bearer " + key)
+                .header("Rattanport-Timeout-Seconds", timeout)
+                .post(RequestBody.create(body, HttpCaller.JSON));
+    }
+
+    private static String url(String path) {
+        return "http://" + sFleet.address(0) + path;
+    }
+}
