--- a/daemon/src/main/java/org/rattanport/daemon/command/CommandLine.java
+++ b/daemon/src/main/java/org/rattanport/daemon/command/CommandLine.java
@@ -59,6 +59,7 @@
         }
         try {
             parser.parse(arguments.toArray(String[]::new));
+            requireOptions(parser);
         } catch (ParameterException e) {
             output.errors().println(command.name() + ": " + e.getMessage());
             return ExitCode.USAGE;
@@ -81,6 +82,17 @@
         }
     }
 
+    /** JCommander itself checks required options only when there is any argument. */
+    private static void requireOptions(JCommander parser) {
+        parser.getParameters().stream()
+                .filter(each -> each.getParameter().required() && !each.isAssigned())
+                .findFirst()
+                .ifPresent(
+                        each -> {
+                            throw new ParameterException(each.getNames() + " is required");
+                        });
+    }
+
     private static int exitCode(ErrorCode code) {
         return switch (code) {
             case INVALID_SETTINGS, INVALID_DOCUMENT -> ExitCode.INVALID_INPUT;
