Keep documents in two rows, one controller for all loads, and measure control

Cause: every instance read the whole document every ten seconds, about 10 KB/s a node with 460 accounts; each model's controller could load an engine at the same time; an interrupt inside the HTTP client escaped as an undeclared InterruptedException and ended the task that followed documents. Change: a small head row names the version and is the only row that is read again and again; history is kept for 200 versions; documents between instances are compressed; one leased controller with limits.model_loads_at_once; the client turns the interrupt into a failure with its true verdict; measure control, actions, documents and placement.

--- /dev/null
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/MeasureActionsCommand.java
@@ -0,0 +1,198 @@
+package org.rattanport.benchmark.measure;
+
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.rattanport.benchmark.demo.DemoContext;
+import org.rattanport.connectors.json.Json;
+import org.rattanport.daemon.command.Command;
+import org.rattanport.daemon.command.CommandOutput;
+import org.rattanport.daemon.command.ExitCode;
+import org.rattanport.standins.ServiceFault;
+import org.rattanport.standins.TableFault;
+import org.rattanport.standins.engine.EngineProfile;
+import org.rattanport.standins.fleet.ActionOutcome;
+import org.rattanport.standins.fleet.Fleet;
+import org.rattanport.standins.fleet.FleetDocument;
+
+/** Measures calls that may not be repeated, with and without faults, each sent twice. */
+public final class MeasureActionsCommand implements Command {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final double FAULT_SHARE = 0.3;
+    private static final int SIGNIFICANT_DIGITS = 3;
+
+    private record FaultRow(String name, TableFault table, ServiceFault service) {}
+
+    private static final List<FaultRow> ROWS =
+            List.of(
+                    new FaultRow("no fault", TableFault.NONE, ServiceFault.NONE),
+                    new FaultRow("store loses answers", TableFault.LOST_ANSWER, ServiceFault.NONE),
+                    new FaultRow("store writes late", TableFault.LATE_WRITE, ServiceFault.NONE),
+                    new FaultRow("store down at times", TableFault.DOWN, ServiceFault.NONE),
+                    new FaultRow("service crashes", TableFault.NONE, ServiceFault.RUN_THEN_CUT),
+                    new FaultRow("service refuses", TableFault.NONE, ServiceFault.REFUSE),
+                    new FaultRow(
+                            "store loses answers and service crashes",
+                            TableFault.LOST_ANSWER,
+                            ServiceFault.RUN_THEN_CUT));
+
+    private static final class Options {
+        @Parameter(names = "--seed", description = "seed of the faults")
+        private long mSeed = 1;
+
+        @Parameter(names = "--actions", description = "actions of each row")
+        private int mActions = 2000;
+
+        @Parameter(names = "--callers", description = "callers at the same time")
+        private int mCallers = 64;
+
+        @Parameter(names = "--instances", description = "entry instances")
+        private int mInstances = 3;
+
+        @Parameter(names = "--json", description = "print the result as JSON")
+        private boolean mIsJson;
+    }
+
+    private final Options mOptions = new Options();
+
+    @Override
+    public String name() {
+        return "measure actions";
+    }
+
+    @Override
+    public String summary() {
+        return "measure calls that may not be repeated, with faults of store and service";
+    }
+
+    @Override
+    public Object options() {
+        return mOptions;
+    }
+
+    @Override
+    public int run(CommandOutput output) {
+        ObjectNode result = Json.object();
+        Fleet.Builder builder =
+                Fleet.builder()
+                        .instances(mOptions.mInstances)
+                        .engines(1, EngineProfile.standard(1))
+                        .services(3)
+                        .seed(mOptions.mSeed);
+        boolean isKept = true;
+        try (Fleet fleet = builder.start()) {
+            for (FaultRow row : ROWS) {
+                ObjectNode figures = measure(fleet, row);
+                isKept &= figures.path("double_runs").asLong() == 0;
+                isKept &= figures.path("false_not_run").asLong() == 0;
+                result.set(row.name(), figures);
+            }
+        }
+        FigureTable.print(result, mOptions.mIsJson, output);
+        return isKept ? ExitCode.SUCCESS : ExitCode.FAILED;
+    }
+
+    private ObjectNode measure(Fleet fleet, FaultRow row) {
+        fleet.table().fault(row.table(), FAULT_SHARE);
+        fleet.services().forEach(each -> each.fault(row.service(), FAULT_SHARE));
+        Run run = new Run(fleet, row.name());
+        long writesBefore = fleet.table().writes();
+        long start = System.nanoTime();
+        DemoContext.together(
+                IntStream.range(0, mOptions.mCallers)
+                        .<Callable<Boolean>>mapToObj(caller -> () -> sendAll(run, caller)));
+        double seconds = (System.nanoTime() - start) / NANOS_PER_SECOND;
+        long writes = fleet.table().writes() - writesBefore;
+        fleet.table().fault(TableFault.NONE, 0);
+        fleet.services().forEach(each -> each.fault(ServiceFault.NONE, 0));
+        ObjectNode figures = Json.object();
+        figures.put("actions_a_second", mOptions.mActions / seconds);
+        figures.put("transactions_an_action", (double) writes / mOptions.mActions);
+        figures.put("first_send_millis_p50", run.millis(50));
+        figures.put("first_send_millis_p99", run.millis(99));
+        figures.put("answered", run.mAnswered.get());
+        figures.put("not_run", run.mNotRun.get());
+        figures.put("may_have_run", run.mMayHaveRun.get());
+        figures.put("double_runs", run.mDoubleRuns.get());
+        figures.put("false_not_run", run.mFalseNotRun.get());
+        return figures;
+    }
+
+    private boolean sendAll(Run run, int caller) {
+        for (int i = caller; i < mOptions.mActions; i += mOptions.mCallers) {
+            run.send(i);
+        }
+        return true;
+    }
+
+    /** The actions of one row. */
+    private static final class Run {
+        private final Fleet mFleet;
+        private final String mName;
+        private final Histogram mNanos = new ConcurrentHistogram(SIGNIFICANT_DIGITS);
+        private final AtomicInteger mAnswered = new AtomicInteger();
+        private final AtomicInteger mNotRun = new AtomicInteger();
+        private final AtomicInteger mMayHaveRun = new AtomicInteger();
+        private final AtomicInteger mDoubleRuns = new AtomicInteger();
+        private final AtomicInteger mFalseNotRun = new AtomicInteger();
+
+        private Run(Fleet fleet, String name) {
+            mFleet = fleet;
+            mName = name;
+        }
+
+        private double millis(int percentile) {
+            return mNanos.getValueAtPercentile(percentile) / NANOS_PER_MILLI;
+        }
+
+        /** Sends an action, and again at another instance, and compares with the ledger. */
+        private void send(int number) {
+            String key = mName + "-" + number;
+            long start = System.nanoTime();
+            ActionOutcome first = call(number, key);
+            mNanos.recordValue(System.nanoTime() - start);
+            count(first);
+            int runsAfterFirst = mFleet.ledger().runs(key);
+            ActionOutcome second = call(number + 1, key);
+            int runs = mFleet.ledger().runs(key);
+            if (runs > 1) {
+                mDoubleRuns.incrementAndGet();
+            }
+            boolean isFirstFalse = first.verdict().equals("not_run") && runsAfterFirst > 0;
+            boolean isSecondFalse =
+                    first.verdict().equals("not_run")
+                            && second.verdict().equals("not_run")
+                            && runs > 0;
+            if (isFirstFalse || isSecondFalse) {
+                mFalseNotRun.incrementAndGet();
+            }
+        }
+
+        private void count(ActionOutcome outcome) {
+            if (outcome.isSuccess()) {
+                mAnswered.incrementAndGet();
+            } else if (outcome.verdict().equals("not_run")) {
+                mNotRun.incrementAndGet();
+            } else {
+                mMayHaveRun.incrementAndGet();
+            }
+        }
+
+        private ActionOutcome call(int number, String key) {
+            int instance = Math.floorMod(number, mFleet.instances().size());
+            return mFleet.client()
+                    .call(
+                            mFleet.address(instance),
+                            FleetDocument.key(0),
+                            FleetDocument.SERVICE + "/book",
+                            key,
+                            "{\"action\": " + number + "}");
+        }
+    }
+}
--- /dev/null
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/MeasureControlCommand.java
@@ -0,0 +1,194 @@
+package org.rattanport.benchmark.measure;
+
+import com.beust.jcommander.Parameter;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.UncheckedIOException;
+import java.lang.management.ManagementFactory;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.rattanport.connectors.json.Json;
+import org.rattanport.connectors.peer.NettyPeerNetwork;
+import org.rattanport.daemon.Instance;
+import org.rattanport.daemon.command.Command;
+import org.rattanport.daemon.command.CommandOutput;
+import org.rattanport.daemon.command.ExitCode;
+import org.rattanport.kernel.settings.InstanceSettings.Timings;
+import org.rattanport.kernel.time.SystemTimeSource;
+import org.rattanport.kernel.time.TimeSource;
+import org.rattanport.standins.engine.EngineProfile;
+import org.rattanport.standins.engine.EngineStandIn;
+import org.rattanport.standins.fleet.Fleet;
+import org.rattanport.standins.fleet.FleetDocument;
+
+/** Measures what instances cost without any request: messages, processor time and memory. */
+public final class MeasureControlCommand implements Command {
+    private static final double NANOS_PER_SECOND = 1e9;
+    private static final Duration SETTLING = Duration.ofSeconds(8);
+
+    private static final class Options {
+        @Parameter(names = "--sizes", description = "numbers of instances")
+        private List<Integer> mSizes = List.of(4, 8, 18, 36);
+
+        @Parameter(names = "--seconds", description = "time that each size is watched")
+        private int mSeconds = 20;
+
+        @Parameter(names = "--engines", description = "stand-in engines")
+        private int mEngines = 23;
+
+        @Parameter(names = "--accounts", description = "client accounts in the document")
+        private int mAccounts = 10;
+
+        @Parameter(names = "--seed", description = "seed of scripted faults")
+        private long mSeed = 1;
+
+        @Parameter(names = "--json", description = "print the result as JSON")
+        private boolean mIsJson;
+    }
+
+    private final Options mOptions = new Options();
+    private final TimeSource mTime = new SystemTimeSource();
+
+    @Override
+    public String name() {
+        return "measure control";
+    }
+
+    @Override
+    public String summary() {
+        return "measure what idle instances cost in messages, processor time and memory";
+    }
+
+    @Override
+    public Object options() {
+        return mOptions;
+    }
+
+    @Override
+    public int run(CommandOutput output) {
+        ObjectNode result = Json.object();
+        mOptions.mSizes.forEach(size -> result.set(size + " instances", measure(size)));
+        FigureTable.print(result, mOptions.mIsJson, output);
+        return ExitCode.SUCCESS;
+    }
+
+    private ObjectNode measure(int size) {
+        long heapBefore = heapAfterCollection();
+        Fleet.Builder builder =
+                Fleet.builder()
+                        .instances(size)
+                        .engines(mOptions.mEngines, EngineProfile.standard(1))
+                        .timings(Timings.defaults())
+                        .seed(mOptions.mSeed)
+                        .document(FleetDocument.of(mOptions.mAccounts));
+        long started = mTime.nanoTime();
+        try (Fleet fleet = builder.start()) {
+            ObjectNode figures = Json.object();
+            figures.put("seconds_until_all_ready", (mTime.nanoTime() - started) / NANOS_PER_SECOND);
+            mTime.sleep(SETTLING);
+            watch(fleet, size, figures);
+            figures.put("heap_bytes_an_instance", (heapAfterCollection() - heapBefore) / size);
+            wireSizes(fleet, figures);
+            return figures;
+        }
+    }
+
+    private void watch(Fleet fleet, int size, ObjectNode figures) {
+        Counts before = counts(fleet);
+        mTime.sleep(Duration.ofSeconds(mOptions.mSeconds));
+        Counts after = counts(fleet);
+        double each = (double) size * mOptions.mSeconds;
+        figures.put("peer_received_bytes_a_second", (after.received() - before.received()) / each);
+        figures.put("peer_sent_bytes_a_second", (after.sent() - before.sent()) / each);
+        figures.put("load_reads_a_second", (after.loads() - before.loads()) / each);
+        figures.put("store_reads_a_second_all", (after.reads() - before.reads()) * size / each);
+        figures.put("store_writes_a_second_all", (after.writes() - before.writes()) * size / each);
+        figures.put(
+                "cpu_micros_a_second_with_stand_ins",
+                (after.cpuNanos() - before.cpuNanos()) / 1000 / each);
+    }
+
+    private record Counts(
+            long received, long sent, long loads, long reads, long writes, double cpuNanos) {}
+
+    private static Counts counts(Fleet fleet) {
+        var process =
+                (com.sun.management.OperatingSystemMXBean)
+                        ManagementFactory.getOperatingSystemMXBean();
+        long received = 0;
+        long sent = 0;
+        for (Instance instance : fleet.instances()) {
+            NettyPeerNetwork network = instance.context().require(NettyPeerNetwork.class);
+            received += network.traffic().received();
+            sent += network.traffic().sent();
+        }
+        return new Counts(
+                received,
+                sent,
+                fleet.engines().stream().mapToLong(EngineStandIn::loadRequests).sum(),
+                fleet.table().reads(),
+                fleet.table().writes(),
+                process.getProcessCpuTime());
+    }
+
+    /** Bytes of the small exchanges that instances repeat, both directions, without TCP and IP. */
+    private static void wireSizes(Fleet fleet, ObjectNode figures) {
+        figures.put(
+                "bytes_of_one_load_read",
+                exchange(fleet.engines().getFirst().address(), "/v1/load", ""));
+        String list = fleet.list().url().substring("http://".length());
+        figures.put("bytes_of_one_list_read", exchange(list, "/instances", ""));
+        figures.put(
+                "bytes_of_one_list_read_unchanged",
+                exchange(list, "/instances", fleet.list().entityTag()));
+        String table = fleet.table().url().substring("http://".length());
+        figures.put(
+                "bytes_of_one_version_read",
+                exchange(
+                        table,
+                        "/row?key=environment/" + FleetDocument.ENVIRONMENT + "/production",
+                        ""));
+    }
+
+    /** Sends what the HTTP client sends and counts both directions. */
+    private static long exchange(String address, String path, String entityTag) {
+        int colon = address.lastIndexOf(':');
+        String condition = entityTag.isEmpty() ? "" : "If-None-Match: " + entityTag + "\r\n";
+        String request =
+                "GET "
+                        + path
+                        + " HTTP/1.1\r\n"
+                        + condition
+                        + "Host: "
+                        + address
+                        + "\r\nConnection: close\r\nAccept-Encoding: gzip\r\n"
+                        + "User-Agent: okhttp/5.5.1\r\n\r\n";
+        byte[] bytes = request.getBytes(StandardCharsets.US_ASCII);
+        try (Socket socket =
+                new Socket(
+                        address.substring(0, colon),
+                        Integer.parseInt(address.substring(colon + 1)))) {
+            socket.getOutputStream().write(bytes);
+            socket.getOutputStream().flush();
+            InputStream input = socket.getInputStream();
+            return bytes.length + input.readAllBytes().length;
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Heap in use after collections, once it no longer falls. */
+    private long heapAfterCollection() {
+        var memory = ManagementFactory.getMemoryMXBean();
+        long used = Long.MAX_VALUE;
+        for (int i = 0; i < 5; i++) {
+            memory.gc();
+            mTime.sleep(Duration.ofMillis(200));
+            used = Math.min(used, memory.getHeapMemoryUsage().getUsed());
+        }
+        return used;
+    }
+}
--- a/benchmark/src/main/resources/META-INF/services/org.rattanport.daemon.command.Command
+++ b/benchmark/src/main/resources/META-INF/services/org.rattanport.daemon.command.Command
@@ -1,3 +1,7 @@
 org.rattanport.benchmark.demo.DemoCommand
+org.rattanport.benchmark.measure.MeasureActionsCommand
+org.rattanport.benchmark.measure.MeasureControlCommand
+org.rattanport.benchmark.measure.MeasureDocumentsCommand
 org.rattanport.benchmark.measure.MeasureLengthsCommand
 org.rattanport.benchmark.measure.MeasurePathCommand
+org.rattanport.benchmark.measure.MeasurePlacementCommand
--- a/benchmark/src/test/java/org/rattanport/benchmark/ArchitectureTest.java
+++ b/benchmark/src/test/java/org/rattanport/benchmark/ArchitectureTest.java
@@ -18,6 +18,8 @@
     private static final JavaClasses CLASSES =
             new ClassFileImporter()
                     .withImportOption(new ImportOption.DoNotIncludeTests())
+                    // What the annotation processor of the micro-benchmarks generates.
+                    .withImportOption(location -> !location.contains("/jmh_generated/"))
                     .importPackages("org.rattanport");
 
     @Nested
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpCaller.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpCaller.java
@@ -65,9 +65,22 @@
             return call.execute();
         } catch (IOException e) {
             throw failure(call, e);
+        } catch (Exception e) {
+            throw undeclared(call, e);
         }
     }
 
+    /** The client is written in Kotlin and throws InterruptedException without declaring it. */
+    private RuntimeException undeclared(Call call, Exception error) {
+        if (error instanceof InterruptedException) {
+            Thread.currentThread().interrupt();
+            return failure(call, new InterruptedIOException("interrupted while connecting"));
+        }
+        return error instanceof RuntimeException unchecked
+                ? unchecked
+                : new IllegalStateException(error);
+    }
+
     /** Sends the request and reads the whole answer. */
     public HttpAnswer exchange(Request.Builder request, Deadline deadline) {
         Call call = prepare(request, deadline);
--- a/connectors/src/main/java/org/rattanport/connectors/json/JsonDocumentCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/json/JsonDocumentCodec.java
@@ -137,6 +137,7 @@
                 Duration.ofSeconds(fields.integer("ageing_seconds", 1, MAXIMUM_SECONDS, 10)),
                 (int) fields.integer("target_deaths_per_request", 1, 10, 2),
                 Duration.ofSeconds(
-                        fields.integer("idempotency_retention_seconds", 60, 30L * 86_400, 86_400)));
+                        fields.integer("idempotency_retention_seconds", 60, 30L * 86_400, 86_400)),
+                (int) fields.integer("model_loads_at_once", 1, 1000, 1));
     }
 }
--- a/connectors/src/main/java/org/rattanport/connectors/metrics/InstanceMetrics.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/InstanceMetrics.java
@@ -8,6 +8,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import org.rattanport.connectors.peer.NettyPeerNetwork;
 import org.rattanport.decisions.lifecycle.InFlight;
 import org.rattanport.decisions.memory.MemoryReclaimer;
 import org.rattanport.decisions.ordering.Dispatcher;
@@ -89,6 +90,12 @@
         context.find(InFlight.class).ifPresent(each -> set("requests_in_flight", each.count()));
         context.find(Dispatcher.class)
                 .ifPresent(each -> set("queued_prompt_tokens", each.queuedTokens()));
+        context.find(NettyPeerNetwork.class)
+                .ifPresent(
+                        each -> {
+                            set("peer_received_bytes", each.traffic().received());
+                            set("peer_sent_bytes", each.traffic().sent());
+                        });
         context.find(Membership.class)
                 .ifPresent(each -> set("alive_members", each.aliveMembers().size()));
         context.find(MemoryReclaimer.class)
--- a/connectors/src/main/java/org/rattanport/connectors/peer/NettyPeerNetwork.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/NettyPeerNetwork.java
@@ -43,6 +43,7 @@
     private final Map<Class<?>, PeerHandler<?>> mHandlers = new ConcurrentHashMap<>();
     private final Map<String, PeerLink> mLinks = new ConcurrentHashMap<>();
     private final Set<PeerChannel> mAccepted = ConcurrentHashMap.newKeySet();
+    private final PeerTraffic mTraffic = new PeerTraffic();
     private final Channel mServer;
 
     public NettyPeerNetwork(String bindAddress, String secret, TimeSource time) {
@@ -62,7 +63,7 @@
                                 new ChannelInitializer<NioSocketChannel>() {
                                     @Override
                                     protected void initChannel(NioSocketChannel channel) {
-                                        PeerChannel accepted = new PeerChannel(channel);
+                                        PeerChannel accepted = new PeerChannel(channel, mTraffic);
                                         Tasks.start("peer-connection", () -> serve(accepted));
                                     }
                                 });
@@ -84,6 +85,11 @@
         return address.getAddress().getHostAddress() + ":" + address.getPort();
     }
 
+    /** Bytes that went between this instance and its peers. */
+    public PeerTraffic traffic() {
+        return mTraffic;
+    }
+
     @Override
     public <T extends PeerMessage> void handle(Class<T> type, PeerHandler<T> handler) {
         mHandlers.put(type, handler);
@@ -133,7 +139,7 @@
                                 new ChannelInitializer<NioSocketChannel>() {
                                     @Override
                                     protected void initChannel(NioSocketChannel created) {
-                                        channel[0] = new PeerChannel(created);
+                                        channel[0] = new PeerChannel(created, mTraffic);
                                     }
                                 });
         var connecting = client.connect(socketAddress(address));
--- a/connectors/src/main/java/org/rattanport/connectors/peer/PeerChannel.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PeerChannel.java
@@ -26,9 +26,10 @@
     private final BlockingQueue<Frame> mFrames = new LinkedBlockingQueue<>(WAITING_FRAMES + 1);
     private final Channel mChannel;
 
-    PeerChannel(Channel channel) {
+    PeerChannel(Channel channel, PeerTraffic traffic) {
         mChannel = channel;
         ChannelPipeline pipeline = channel.pipeline();
+        pipeline.addLast(traffic.counter());
         pipeline.addLast(
                 new LengthFieldBasedFrameDecoder(
                         LARGEST_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES));
--- a/connectors/src/main/java/org/rattanport/connectors/peer/PeerCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PeerCodec.java
@@ -65,6 +65,7 @@
                                     .addAllVersions(
                                             reply.versions().stream()
                                                     .map(mVersions::encode)
+                                                    .map(CompressedText::compress)
                                                     .toList()));
             case PeerMessage.QuotaRequest request -> frame.setQuotaRequest(quota(request));
             case PeerMessage.QuotaReply reply ->
@@ -117,9 +118,10 @@
                             new PeerMessage.DocumentReply(
                                     frame.getDocumentReply().getVersionsList().stream()
                                             .map(
-                                                    text ->
+                                                    bytes ->
                                                             mVersions.decode(
-                                                                    text, DocumentVersion.class))
+                                                                    CompressedText.expand(bytes),
+                                                                    DocumentVersion.class))
                                             .toList());
                     case QUOTA_REQUEST -> quota(frame.getQuotaRequest());
                     case QUOTA_REPLY ->
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/environment/DocumentHead.java
@@ -0,0 +1,4 @@
+package org.rattanport.decisions.environment;
+
+/** The row that names the current version of a stage, and the change that made it. */
+record DocumentHead(long version, String changeId) {}
--- a/decisions/src/main/java/org/rattanport/decisions/environment/DocumentKeys.java
+++ b/decisions/src/main/java/org/rattanport/decisions/environment/DocumentKeys.java
@@ -6,7 +6,8 @@
 final class DocumentKeys {
     private DocumentKeys() {}
 
-    static String current(String environment, Stage stage) {
+    /** Row that names the current version; small, since every instance reads it again and again. */
+    static String head(String environment, Stage stage) {
         return "environment/" + environment + "/" + stage.text();
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/environment/DocumentStore.java
+++ b/decisions/src/main/java/org/rattanport/decisions/environment/DocumentStore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.UUID;
+import org.jboss.logging.Logger;
 import org.rattanport.kernel.audit.AuditEntry;
 import org.rattanport.kernel.audit.AuditTrail;
 import org.rattanport.kernel.environment.DocumentCodec;
@@ -29,9 +30,10 @@
  * safe even if the first write lands late.
  */
 public final class DocumentStore {
+    private static final Logger LOGGER = Logger.getLogger(DocumentStore.class);
     private static final Duration FIRST_PAUSE = Duration.ofMillis(50);
     private static final Duration LONGEST_PAUSE = Duration.ofSeconds(1);
-    private static final int HISTORY_PAGE_ROWS = 200;
+    private static final int KEPT_VERSIONS = 200;
 
     private final TableService mTable;
     private final RowCodec mRows;
@@ -54,13 +56,27 @@
 
     /** Reads the current version of a stage. */
     public Optional<DocumentVersion> read(String environment, Stage stage, Deadline deadline) {
-        return mTable.get(DocumentKeys.current(environment, stage), deadline).map(this::decode);
+        return readNewer(environment, stage, 0, deadline);
+    }
+
+    /** Reads the current version of a stage if it is newer than the given one. */
+    public Optional<DocumentVersion> readNewer(
+            String environment, Stage stage, long version, Deadline deadline) {
+        return mTable.get(DocumentKeys.head(environment, stage), deadline)
+                .map(this::decodeHead)
+                .filter(head -> head.version() > version)
+                .flatMap(
+                        head ->
+                                mTable.get(
+                                        DocumentKeys.history(environment, stage, head.version()),
+                                        deadline))
+                .map(this::decode);
     }
 
     /** Returns all versions of a stage, the oldest first. */
     public List<DocumentVersion> history(String environment, Stage stage, Deadline deadline) {
         String prefix = DocumentKeys.historyPrefix(environment, stage);
-        return mTable.scan(prefix, "", HISTORY_PAGE_ROWS, deadline).stream()
+        return mTable.scan(prefix, "", 2 * KEPT_VERSIONS, deadline).stream()
                 .map(this::decode)
                 .toList();
     }
@@ -169,20 +185,23 @@
 
     /** Returns false when the row changed under the write, so that it must be looked at again. */
     private boolean write(DocumentVersion change, Deadline deadline) {
-        String key = DocumentKeys.current(change.environment(), change.stage());
+        String key = DocumentKeys.head(change.environment(), change.stage());
         Optional<Row> row = mTable.get(key, deadline);
-        Optional<DocumentVersion> current = row.map(this::decode);
-        if (current.filter(each -> each.changeId().equals(change.changeId())).isPresent()) {
+        Optional<DocumentHead> head = row.map(this::decodeHead);
+        if (head.filter(each -> each.changeId().equals(change.changeId())).isPresent()) {
             return true;
         }
-        if (current.map(DocumentVersion::version).orElse(0L) != change.version() - 1) {
+        if (head.map(DocumentHead::version).orElse(0L) != change.version() - 1) {
             if (hasLanded(change, deadline)) {
                 return true;
             }
             audit(change, "refused: version conflict");
-            throw conflict(change.stage(), change.version() - 1, current);
+            throw conflict(
+                    change.stage(),
+                    change.version() - 1,
+                    read(change.environment(), change.stage(), deadline));
         }
-        String text = mRows.encode(change);
+        DocumentHead next = new DocumentHead(change.version(), change.changeId());
         String historyKey =
                 DocumentKeys.history(change.environment(), change.stage(), change.version());
         List<RowWrite> writes =
@@ -190,8 +209,8 @@
                         new RowWrite(
                                 key,
                                 row.map(Row::revision).orElse(RowWrite.ABSENT),
-                                Optional.of(text)),
-                        RowWrite.insert(historyKey, text));
+                                Optional.of(mRows.encode(next))),
+                        RowWrite.insert(historyKey, mRows.encode(change)));
         return mTable.commit(writes, deadline) instanceof TransactionResult.Committed;
     }
 
@@ -205,9 +224,28 @@
 
     private DocumentVersion accepted(DocumentVersion change) {
         audit(change, "accepted");
+        deleteOldest(change);
         return change;
     }
 
+    /**
+     * Keeps the history bounded; a row that is left behind by a failure stays until a later scan.
+     */
+    private void deleteOldest(DocumentVersion change) {
+        long oldest = change.version() - KEPT_VERSIONS;
+        if (oldest <= 0) {
+            return;
+        }
+        Deadline deadline = Deadline.after(mTime, LONGEST_PAUSE);
+        String key = DocumentKeys.history(change.environment(), change.stage(), oldest);
+        try {
+            mTable.get(key, deadline)
+                    .ifPresent(row -> mTable.commit(List.of(RowWrite.delete(row)), deadline));
+        } catch (RattanportException e) {
+            LOGGER.debugf("version %d is not deleted: %s", oldest, e.getMessage());
+        }
+    }
+
     private void audit(DocumentVersion change, String outcome) {
         String what =
                 change.promotedTrialVersion() > 0
@@ -246,6 +284,10 @@
                 .build();
     }
 
+    private DocumentHead decodeHead(Row row) {
+        return mRows.decode(row.value(), DocumentHead.class);
+    }
+
     private DocumentVersion decode(Row row) {
         return mRows.decode(row.value(), DocumentVersion.class);
     }
--- a/decisions/src/main/java/org/rattanport/decisions/environment/EnvironmentFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/environment/EnvironmentFollower.java
@@ -47,10 +47,11 @@
         mRandom = random;
     }
 
-    /** Reads both stages from the store. */
+    /** Reads both stages from the store, and the documents only when they are newer. */
     public void readStore() {
         for (Stage stage : Stage.values()) {
-            mStore.read(mEnvironment, stage, Deadline.after(mTime, ANSWER_TIMEOUT))
+            Deadline deadline = Deadline.after(mTime, ANSWER_TIMEOUT);
+            mStore.readNewer(mEnvironment, stage, mInForce.version(stage), deadline)
                     .ifPresent(mInForce::offer);
         }
     }
--- a/decisions/src/main/java/org/rattanport/decisions/order/ModelController.java
+++ b/decisions/src/main/java/org/rattanport/decisions/order/ModelController.java
@@ -8,6 +8,8 @@
 import org.rattanport.decisions.target.TargetDirectory;
 import org.rattanport.kernel.audit.AuditEntry;
 import org.rattanport.kernel.audit.AuditTrail;
+import org.rattanport.kernel.environment.ActiveEnvironment;
+import org.rattanport.kernel.environment.EnvironmentDocument;
 import org.rattanport.kernel.environment.EnvironmentInForce;
 import org.rattanport.kernel.environment.ModelPool;
 import org.rattanport.kernel.environment.Stage;
@@ -30,18 +32,20 @@
 import org.rattanport.kernel.time.TimeSource;
 
 /**
- * Brings the engines of each model to the version that the document names, one after another.
+ * Brings the engines of all models to the versions that the document names, a few at a time.
  *
- * <p>A leased row with a fencing number makes one instance the controller of a model. Orders state
- * the desired version and carry the number. Engines that ignore the number are safe as well: an
- * order repeats what the production document says, so a controller that was paused can only order a
+ * <p>A leased row with a fencing number makes one instance the controller; one for all models, so
+ * that the loads of all together stay within what the weight store can take. Orders state the
+ * desired version and carry the number. Engines that ignore the number are safe as well: an order
+ * repeats what the production document says, so a controller that was paused can only order a
  * version that was in force, and the next round of the present controller corrects it.
  */
 public final class ModelController {
     private static final Logger LOGGER = Logger.getLogger(ModelController.class);
     private static final Duration TIMEOUT = Duration.ofSeconds(2);
     private static final int ROUNDS_BEFORE_TAKEOVER = 5;
-    private static final int LOADS_AT_ONCE = 1;
+    private static final String LEASE_KEY = "model-controller";
+    private static final double PERCENT = 100;
 
     private final EnvironmentInForce mInForce;
     private final TargetDirectory mDirectory;
@@ -49,10 +53,11 @@
     private final TableService mTable;
     private final RowCodec mCodec;
     private final AuditTrail mAudit;
-    private final InstanceId mSelf;
     private final Membership mMembership;
+    private final InstanceId mSelf;
     private final TimeSource mTime;
-    private final java.util.Map<String, Observed> mObserved = new java.util.HashMap<>();
+    private long mObservedRevision;
+    private int mUnchangedRounds;
 
     public ModelController(
             EnvironmentInForce inForce,
@@ -74,53 +79,42 @@
         mTime = time;
     }
 
-    /** Holds or takes the lease of each model and gives the next order. */
+    /** Holds or takes the lease and gives the orders that the bound on loads leaves room for. */
     public void round() {
-        mInForce.current(Stage.PRODUCTION)
-                .ifPresent(active -> active.document().models().forEach(this::control));
-    }
-
-    private void control(ModelPool model) {
-        if (model.version().isEmpty() || !isCandidate(model)) {
-            return;
+        Optional<EnvironmentDocument> document =
+                mInForce.current(Stage.PRODUCTION)
+                        .map(ActiveEnvironment::document)
+                        .filter(each -> each.models().stream().anyMatch(ModelPool::hasVersion));
+        if (document.isPresent() && isCandidate()) {
+            holdLease().ifPresent(lease -> control(document.get(), lease));
         }
-        Optional<ModelLease> lease = holdLease(model);
-        lease.ifPresent(held -> orderNext(model, held));
     }
 
-    /** Only one instance asks for the lease of a model, so the store is not read by all. */
-    private boolean isCandidate(ModelPool model) {
+    /** Only one instance asks for the lease, so the store is not read by all. */
+    private boolean isCandidate() {
         List<Member> alive = mMembership.aliveMembers();
         return !alive.isEmpty()
-                && RendezvousHash.order("model/" + model.name(), alive, each -> each.id().name())
+                && RendezvousHash.order(LEASE_KEY, alive, each -> each.id().name())
                         .getFirst()
                         .id()
                         .equals(mSelf);
     }
 
     /** Renews the own lease, or takes one that nobody renewed for some rounds of this instance. */
-    private Optional<ModelLease> holdLease(ModelPool model) {
-        String key = "model-lease/" + model.name();
+    private Optional<ModelLease> holdLease() {
         Deadline deadline = Deadline.after(mTime, TIMEOUT);
-        Optional<Row> row = mTable.get(key, deadline);
+        Optional<Row> row = mTable.get(LEASE_KEY, deadline);
         Optional<ModelLease> current =
                 row.map(each -> mCodec.decode(each.value(), ModelLease.class));
-        if (current.filter(each -> !isOwn(each)).isPresent() && !isStale(key, row.orElseThrow())) {
+        boolean isOthers = current.filter(each -> !isOwn(each)).isPresent();
+        if (isOthers && !isStale(row.orElseThrow())) {
             return Optional.empty();
         }
         ModelLease next =
-                current.filter(this::isOwn)
-                        .map(
-                                own ->
-                                        new ModelLease(
-                                                own.holder(),
-                                                own.incarnation(),
-                                                own.fencingNumber(),
-                                                own.renewals() + 1))
-                        .orElseGet(() -> takeover(current));
+                isOthers || current.isEmpty() ? takeover(current) : renewed(current.get());
         RowWrite write =
                 new RowWrite(
-                        key,
+                        LEASE_KEY,
                         row.map(Row::revision).orElse(RowWrite.ABSENT),
                         Optional.of(mCodec.encode(next)));
         boolean isHeld =
@@ -132,40 +126,51 @@
         return lease.holder().equals(mSelf.name()) && lease.incarnation() == mSelf.incarnation();
     }
 
+    private static ModelLease renewed(ModelLease own) {
+        return new ModelLease(
+                own.holder(), own.incarnation(), own.fencingNumber(), own.renewals() + 1);
+    }
+
     private ModelLease takeover(Optional<ModelLease> before) {
         long number = before.map(ModelLease::fencingNumber).orElse(0L) + 1;
         return new ModelLease(mSelf.name(), mSelf.incarnation(), number, 0);
     }
 
-    /**
-     * A lease is stale when its revision did not change over some own rounds; no clock is shared.
-     */
-    private boolean isStale(String key, Row row) {
-        Observed before = mObserved.get(key);
-        int rounds =
-                before != null && before.revision() == row.revision() ? before.rounds() + 1 : 0;
-        mObserved.put(key, new Observed(row.revision(), rounds));
-        return rounds >= ROUNDS_BEFORE_TAKEOVER;
+    /** A lease whose revision did not change over some own rounds; no clock is shared. */
+    private boolean isStale(Row row) {
+        mUnchangedRounds = mObservedRevision == row.revision() ? mUnchangedRounds + 1 : 0;
+        mObservedRevision = row.revision();
+        return mUnchangedRounds >= ROUNDS_BEFORE_TAKEOVER;
     }
 
-    private void orderNext(ModelPool model, ModelLease lease) {
-        List<Known> states =
-                mDirectory.serving(TargetKind.ENGINE, model.name()).stream()
-                        .map(this::state)
-                        .flatMap(Optional::stream)
-                        .sorted(Comparator.comparing(each -> each.target().id().name()))
-                        .toList();
-        long loading = states.stream().filter(each -> each.state().isLoading()).count();
-        long serving = states.size() - loading;
-        long floor = (long) Math.ceil(states.size() * model.minimumServingPercent() / 100.0);
-        if (loading >= LOADS_AT_ONCE || serving - 1 < floor) {
-            return;
+    private void control(EnvironmentDocument document, ModelLease lease) {
+        List<Pool> pools =
+                document.models().stream().map(model -> new Pool(model, states(model))).toList();
+        long loading = pools.stream().mapToLong(Pool::loading).sum();
+        for (Pool pool : pools) {
+            Optional<Known> next = pool.next();
+            if (next.isPresent() && loading < document.limits().modelLoadsAtOnce()) {
+                order(next.get().target(), pool.model(), lease);
+                loading++;
+            }
+        }
+    }
+
+    private List<Known> states(ModelPool model) {
+        return mDirectory.serving(TargetKind.ENGINE, model.name()).stream()
+                .map(this::state)
+                .flatMap(Optional::stream)
+                .sorted(Comparator.comparing(each -> each.target().id().name()))
+                .toList();
+    }
+
+    private Optional<Known> state(Target engine) {
+        try {
+            Deadline deadline = Deadline.after(mTime, TIMEOUT);
+            return Optional.of(new Known(engine, mEngines.state(engine, deadline)));
+        } catch (RattanportException e) {
+            return Optional.empty();
         }
-        states.stream()
-                .filter(each -> !each.state().isLoading())
-                .filter(each -> !each.state().version().equals(model.version()))
-                .findFirst()
-                .ifPresent(each -> order(each.target(), model, lease));
     }
 
     private void order(Target engine, ModelPool model, ModelLease lease) {
@@ -181,16 +186,25 @@
                         isTaken ? "accepted" : "refused: old fencing number"));
     }
 
-    private Optional<Known> state(Target engine) {
-        try {
-            Deadline deadline = Deadline.after(mTime, TIMEOUT);
-            return Optional.of(new Known(engine, mEngines.state(engine, deadline)));
-        } catch (RattanportException e) {
-            return Optional.empty();
-        }
-    }
-
     private record Known(Target target, EngineState state) {}
 
-    private record Observed(long revision, int rounds) {}
+    /** The engines of one model. */
+    private record Pool(ModelPool model, List<Known> engines) {
+        long loading() {
+            return engines.stream().filter(each -> each.state().isLoading()).count();
+        }
+
+        /** The next engine that should load; none while too few would go on serving. */
+        Optional<Known> next() {
+            double floor = engines.size() * model.minimumServingPercent() / PERCENT;
+            long servingAfter = engines.size() - loading() - 1;
+            if (!model.hasVersion() || servingAfter < floor) {
+                return Optional.empty();
+            }
+            return engines.stream()
+                    .filter(each -> !each.state().isLoading())
+                    .filter(each -> !each.state().version().equals(model.version()))
+                    .findFirst();
+        }
+    }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/placement/LengthAwarePlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/placement/LengthAwarePlacement.java
@@ -106,13 +106,15 @@
 
     /**
      * A shorter class borrows within a budget, so that the engine's own class keeps most of it. A
-     * longer one borrows an open engine that has nothing to read, and goes behind all others there.
+     * longer one borrows an engine that has nothing to read, if it is open or has no stream at all,
+     * and goes behind all others there.
      */
     private static boolean mayBorrow(
             PlacementRequest request, Candidate candidate, EngineLanes lanes, double backlog) {
         String name = candidate.target().id().name();
         if (request.lengthClass() > lanes.lane(name)) {
-            return lanes.isOpen(name) && backlog == 0;
+            boolean isIdle = candidate.view().report().runningStreams() == 0;
+            return backlog == 0 && (isIdle || lanes.isOpen(name));
         }
         double rate =
                 CostModel.prefillRate(candidate.view().report())
--- a/kernel/src/main/java/org/rattanport/kernel/environment/Limits.java
+++ b/kernel/src/main/java/org/rattanport/kernel/environment/Limits.java
@@ -11,6 +11,7 @@
  * @param ageing waiting time that raises a queued request by one priority
  * @param targetDeathsPerRequest engines that one request may take down before it is refused
  * @param idempotencyRetention how long an idempotency key is remembered after its outcome
+ * @param modelLoadsAtOnce engines of all models that load weights at the same time at most
  */
 public record Limits(
         Duration maximumTimeLimit,
@@ -18,4 +19,5 @@
         long queuedTokens,
         Duration ageing,
         int targetDeathsPerRequest,
-        Duration idempotencyRetention) {}
+        Duration idempotencyRetention,
+        int modelLoadsAtOnce) {}
--- a/kernel/src/main/java/org/rattanport/kernel/environment/ModelPool.java
+++ b/kernel/src/main/java/org/rattanport/kernel/environment/ModelPool.java
@@ -14,4 +14,9 @@
         String version,
         int maximumPromptTokens,
         boolean checksFencingNumbers,
-        int minimumServingPercent) {}
+        int minimumServingPercent) {
+    /** Whether the document says what the engines should have loaded. */
+    public boolean hasVersion() {
+        return !version.isEmpty();
+    }
+}
--- a/standins/src/main/java/org/rattanport/standins/InstanceListStandIn.java
+++ b/standins/src/main/java/org/rattanport/standins/InstanceListStandIn.java
@@ -78,6 +78,11 @@
                 });
     }
 
+    /** Entity tag of the present list. */
+    public synchronized String entityTag() {
+        return "\"" + mVersion + "\"";
+    }
+
     private void late(Runnable change) {
         Tasks.start(
                 "list-lag",
@@ -125,7 +130,7 @@
     }
 
     private synchronized void list(ServerRequest request, ServerResponse response) {
-        String entityTag = "\"" + mVersion + "\"";
+        String entityTag = entityTag();
         response.header(HeaderNames.create("ETag"), entityTag);
         if (request.headers().first(HeaderNames.IF_NONE_MATCH).orElse("").equals(entityTag)) {
             response.status(NOT_MODIFIED);
