--- a/connectors/src/main/java/org/rattanport/connectors/peer/PeerCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PeerCodec.java
@@ -48,13 +48,7 @@
                                     .setIsReached(ack.isReached()));
             case PeerMessage.MembersRequest request ->
                     frame.setMembersRequest(member(request.sender()));
-            case PeerMessage.MembersReply reply ->
-                    frame.setMembersReply(
-                            org.rattanport.connectors.peer.protocol.MembersReply.newBuilder()
-                                    .addAllMembers(
-                                            reply.members().stream()
-                                                    .map(PeerCodec::member)
-                                                    .toList()));
+            case PeerMessage.MembersReply reply -> frame.setMembersReply(members(reply));
             case PeerMessage.DocumentRequest request ->
                     frame.setDocumentRequest(
                             org.rattanport.connectors.peer.protocol.DocumentRequest.newBuilder()
@@ -136,6 +130,13 @@
                 });
     }
 
+    private static org.rattanport.connectors.peer.protocol.MembersReply members(
+            PeerMessage.MembersReply reply) {
+        return org.rattanport.connectors.peer.protocol.MembersReply.newBuilder()
+                .addAllMembers(reply.members().stream().map(PeerCodec::member).toList())
+                .build();
+    }
+
     private static org.rattanport.connectors.peer.protocol.Probe probe(
             Member sender, long trial, long production, List<Rumor> rumors) {
         return org.rattanport.connectors.peer.protocol.Probe.newBuilder()
--- a/decisions/src/main/java/org/rattanport/decisions/membership/MembershipPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/membership/MembershipPlugin.java
@@ -1,6 +1,9 @@
 package org.rattanport.decisions.membership;
 
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -24,6 +27,7 @@
 import org.rattanport.kernel.settings.InstanceSettings;
 import org.rattanport.kernel.settings.InstanceSettings.Timings;
 import org.rattanport.kernel.settings.LocalEndpoints;
+import org.rattanport.kernel.task.Tasks;
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.TimeSource;
 
@@ -33,8 +37,10 @@
     private static final int INDIRECT_PROBES = 3;
     private static final int REJOIN_ROUNDS = 5;
     private static final int JOIN_PEERS = 3;
+    private static final int TOLD_MEMBERS = 3;
     private static final Duration JOIN_TIMEOUT = Duration.ofSeconds(1);
 
+    private final CompositeDisposable mWatches = new CompositeDisposable();
     private Optional<TaskGroup> mTasks = Optional.empty();
 
     @Override
@@ -99,6 +105,32 @@
                                         time,
                                         random));
         awaitDocument(inForce, follower);
+        mWatches.add(
+                inForce.changes()
+                        .subscribe(
+                                ignored ->
+                                        Tasks.start(
+                                                "tell-version",
+                                                () -> tellOthers(table, gossip, time, random))));
+    }
+
+    /** A new version is told to a few members at once, who tell others when it was news to them. */
+    private static void tellOthers(
+            MemberTable table, Gossip gossip, TimeSource time, Random random) {
+        List<Member> others = new ArrayList<>(table.aliveMembers());
+        others.removeIf(each -> each.id().equals(table.self().id()));
+        Collections.shuffle(others, random);
+        others.stream()
+                .limit(TOLD_MEMBERS)
+                .forEach(each -> tryTell(each, gossip, Deadline.after(time, JOIN_TIMEOUT)));
+    }
+
+    private static void tryTell(Member member, Gossip gossip, Deadline deadline) {
+        try {
+            gossip.exchange(member.peerAddress(), deadline);
+        } catch (RattanportException e) {
+            LOGGER.debugf("%s was not told of a version: %s", member.id(), e.getMessage());
+        }
     }
 
     private static Prober prober(
@@ -161,11 +193,11 @@
             return;
         }
         List<ListedInstance> strangers =
-                new java.util.ArrayList<>(
+                new ArrayList<>(
                         listed.stream()
                                 .filter(each -> !known.contains(each.peerAddress()))
                                 .toList());
-        java.util.Collections.shuffle(strangers, random);
+        Collections.shuffle(strangers, random);
         strangers.stream()
                 .limit(JOIN_PEERS)
                 .forEach(each -> tryJoin(each, gossip, Deadline.after(time, JOIN_TIMEOUT)));
@@ -181,6 +213,7 @@
 
     @Override
     public void stop(Deadline deadline) {
+        mWatches.dispose();
         mTasks.ifPresent(TaskGroup::close);
     }
 }
