--- a/benchmark/src/main/java/org/rattanport/benchmark/measure/MeasurePathCommand.java
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/MeasurePathCommand.java
@@ -23,7 +23,7 @@
 /** Measures what one entry instance adds to the time of an answer, and what it forwards. */
 public final class MeasurePathCommand implements Command {
     private static final double TIME_SCALE = 40;
-    private static final int WARM_UP_PROMPTS = 300;
+    private static final int WARM_UP_PROMPTS = 2000;
     private static final int PROMPT_TOKENS = 500;
     private static final int OUTPUT_TOKENS = 40;
     private static final int PARALLEL_CALLERS = 16;
--- a/standins/src/main/java/org/rattanport/standins/command/StandInPlatformCommand.java
+++ b/standins/src/main/java/org/rattanport/standins/command/StandInPlatformCommand.java
@@ -2,14 +2,20 @@
 
 import com.beust.jcommander.Parameter;
 import java.time.Duration;
+import java.util.List;
 import org.rattanport.daemon.command.Command;
 import org.rattanport.daemon.command.CommandOutput;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.platform.InstanceList.ListedInstance;
 import org.rattanport.standins.InstanceListStandIn;
 import org.rattanport.standins.ObjectStandIn;
 import org.rattanport.standins.TableStandIn;
 
 /** Runs the stand-ins of the platform's services. */
 public final class StandInPlatformCommand implements Command {
+    private static final int INSTANCE_PARTS = 3;
+
     private static final class Options {
         @Parameter(names = "--table-port", description = "port of the table service")
         private int mTablePort = 9001;
@@ -22,6 +28,15 @@
 
         @Parameter(names = "--list-lag-millis", description = "lag of the instance list")
         private long mListLagMillis = 2000;
+
+        @Parameter(
+                names = "--instances",
+                description = "entry instances to list, each as name/caller-address/peer-address")
+        private List<String> mInstances =
+                List.of(
+                        "entry-1/127.0.0.1:8081/127.0.0.1:8181",
+                        "entry-2/127.0.0.1:8082/127.0.0.1:8182",
+                        "entry-3/127.0.0.1:8083/127.0.0.1:8183");
     }
 
     private final Options mOptions = new Options();
@@ -48,6 +63,7 @@
         InstanceListStandIn list =
                 new InstanceListStandIn(
                         mOptions.mListPort, Duration.ofMillis(mOptions.mListLagMillis));
+        mOptions.mInstances.forEach(each -> list.put(instance(each)));
         return StandInProcess.serve(
                 output,
                 "table service "
@@ -57,4 +73,14 @@
                         + ", instance list "
                         + list.url());
     }
+
+    private static ListedInstance instance(String text) {
+        String[] parts = text.split("/");
+        if (parts.length != INSTANCE_PARTS) {
+            throw new RattanportException(
+                    ErrorCode.INVALID_SETTINGS,
+                    "--instances: \"" + text + "\" is not name/caller-address/peer-address");
+        }
+        return new ListedInstance(parts[0], parts[1], parts[2], "dc-1", false);
+    }
 }
