Bound the wait for small exchanges in measure control

Cause: the stand-in keeps a connection open after an unchanged list, so the measurement never ended. Change: the answer ends when nothing more comes for half a second.

--- a/benchmark/src/main/java/org/rattanport/benchmark/measure/MeasureControlCommand.java
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/MeasureControlCommand.java
@@ -7,6 +7,7 @@
 import java.io.UncheckedIOException;
 import java.lang.management.ManagementFactory;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -27,6 +28,8 @@
 /** Measures what instances cost without any request: messages, processor time and memory. */
 public final class MeasureControlCommand implements Command {
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final int ANSWER_MILLIS = 500;
+    private static final int READ_BUFFER_BYTES = 8192;
     private static final Duration SETTLING = Duration.ofSeconds(8);
 
     private static final class Options {
@@ -171,15 +174,29 @@
                 new Socket(
                         address.substring(0, colon),
                         Integer.parseInt(address.substring(colon + 1)))) {
+            socket.setSoTimeout(ANSWER_MILLIS);
             socket.getOutputStream().write(bytes);
             socket.getOutputStream().flush();
-            InputStream input = socket.getInputStream();
-            return bytes.length + input.readAllBytes().length;
+            return bytes.length + countUntilSilent(socket.getInputStream());
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
+    /** Some servers keep the connection open, so the answer ends when nothing more comes. */
+    private static long countUntilSilent(InputStream input) throws IOException {
+        byte[] buffer = new byte[READ_BUFFER_BYTES];
+        long count = 0;
+        try {
+            for (int read = input.read(buffer); read >= 0; read = input.read(buffer)) {
+                count += read;
+            }
+        } catch (SocketTimeoutException e) {
+            return count;
+        }
+        return count;
+    }
+
     /** Heap in use after collections, once it no longer falls. */
     private long heapAfterCollection() {
         var memory = ManagementFactory.getMemoryMXBean();
