Bring loads along with answers; let idle engines be borrowed; read outcomes

The borrowing test now marks the other engines as in use, since idle ones are open to all by decision; two tests hold the new rule and the closed half of a lane.

--- a/benchmark/src/main/java/org/rattanport/benchmark/measure/RunFigures.java
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/RunFigures.java
@@ -9,6 +9,7 @@
 public final class RunFigures {
     private static final double MICROS_PER_SECOND = 1e6;
     private static final int SIGNIFICANT_DIGITS = 3;
+    private static final double HORIZON = 1.5;
 
     /** A caller notices the end of its time a little late: one machine serves all parts. */
     private static final double LATE_TOLERANCE_ENGINE_SECONDS = 2.0;
@@ -42,26 +43,30 @@
         return count(lengthClass, Served::isAnswered);
     }
 
-    /** Prompt tokens of answered prompts of a class in a second, until its last answer. */
+    /** Prompt tokens of answered prompts of a class in a second. */
     public double tokensPerSecond(String lengthClass) {
         return throughput(each -> each.arrival().lengthClass().name().equals(lengthClass));
     }
 
-    /** Prompt tokens of all answered prompts in a second, until the last answer. */
+    /** Prompt tokens of all answered prompts in a second. */
     public double goodput() {
         return throughput(each -> true);
     }
 
-    /** What was offered ends with the run, so the answers that come later are spread over it. */
+    /**
+     * Counts what was answered up to a fixed time, half as long again as the run. Until the last
+     * answer would let one prompt that came last decide the figure.
+     */
     private double throughput(Predicate<Served> filter) {
-        List<Served> answered = mServed.stream().filter(filter).filter(Served::isAnswered).toList();
-        double end =
-                answered.stream()
-                        .mapToDouble(each -> each.arrival().atSeconds() + each.total())
-                        .max()
-                        .orElse(mSeconds);
-        long tokens = answered.stream().mapToLong(each -> each.arrival().tokens()).sum();
-        return tokens / Math.max(end, mSeconds);
+        double horizon = mSeconds * HORIZON;
+        long tokens =
+                mServed.stream()
+                        .filter(filter)
+                        .filter(Served::isAnswered)
+                        .filter(each -> each.arrival().atSeconds() + each.total() <= horizon)
+                        .mapToLong(each -> each.arrival().tokens())
+                        .sum();
+        return tokens / horizon;
     }
 
     public double refusedShare() {
--- a/connectors/src/main/java/org/rattanport/connectors/caller/ActionEndpoint.java
+++ b/connectors/src/main/java/org/rattanport/connectors/caller/ActionEndpoint.java
@@ -2,14 +2,18 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Locale;
 import java.util.Optional;
 import org.rattanport.connectors.json.Json;
 import org.rattanport.connectors.metrics.InstanceMetrics;
 import org.rattanport.decisions.action.ActionService;
+import org.rattanport.decisions.action.Claim;
+import org.rattanport.decisions.action.ClaimState;
 import org.rattanport.decisions.lifecycle.InFlight;
 import org.rattanport.kernel.environment.Operation;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
 import org.rattanport.kernel.model.RequestId;
 import org.rattanport.kernel.plugin.PluginContext;
 import org.rattanport.kernel.request.ActionRequest;
@@ -18,6 +22,7 @@
 
 /** Calls of plain services: {@code POST /v1/services/{service}/{operation}}. */
 public final class ActionEndpoint implements Endpoint {
+    private static final int SUCCESS = 200;
     private static final int LARGEST_BODY_BYTES = 1024 * 1024;
     private static final int LONGEST_KEY_CHARACTERS = 256;
     private static final Duration STANDARD_TIME_LIMIT = Duration.ofSeconds(30);
@@ -25,6 +30,40 @@
     @Override
     public void register(Routes routes, PluginContext context) {
         routes.post("/v1/services/{service}/{operation}", exchange -> call(exchange, context));
+        routes.get("/v1/idempotency-keys/{key}", exchange -> outcome(exchange, context));
+    }
+
+    /** Tells what is known of the call with a key; nothing is run. */
+    private static void outcome(Exchange exchange, PluginContext context) {
+        Caller caller = Authentication.caller(exchange, context);
+        Claim claim =
+                context.require(ActionService.class)
+                        .outcome(
+                                caller.account().id(),
+                                exchange.pathParameter("key"),
+                                Deadline.after(context.time(), STANDARD_TIME_LIMIT))
+                        .orElseThrow(
+                                () ->
+                                        new RattanportException(
+                                                ErrorCode.NOT_FOUND,
+                                                "no call with this key is known"));
+        var body =
+                Json.object()
+                        .put("state", claim.state().name().toLowerCase(Locale.ROOT))
+                        .put("verdict", verdict(claim.state()).text())
+                        .put("fencing_number", claim.fencingNumber());
+        if (claim.state() == ClaimState.DONE) {
+            body.put("status", claim.status()).put("body", claim.body());
+        }
+        exchange.answer(SUCCESS, body);
+    }
+
+    private static Verdict verdict(ClaimState state) {
+        return switch (state) {
+            case DONE -> Verdict.RAN;
+            case NOT_RUN -> Verdict.NOT_RUN;
+            case SENDING, UNSETTLED -> Verdict.MAY_HAVE_RUN;
+        };
     }
 
     private static void call(Exchange exchange, PluginContext context) {
--- a/decisions/src/main/java/org/rattanport/decisions/action/ActionService.java
+++ b/decisions/src/main/java/org/rattanport/decisions/action/ActionService.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import org.rattanport.decisions.action.ClaimTable.ClaimResult;
@@ -15,6 +16,7 @@
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.model.AccountId;
 import org.rattanport.kernel.model.Target;
 import org.rattanport.kernel.model.TargetId;
 import org.rattanport.kernel.model.TargetKind;
@@ -22,6 +24,7 @@
 import org.rattanport.kernel.request.ActionResult;
 import org.rattanport.kernel.request.RequestJournal;
 import org.rattanport.kernel.target.ServiceClient;
+import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
@@ -85,6 +88,11 @@
         return runOnce(request, operation);
     }
 
+    /** Reads what is known of the call with a key; the caller's way to learn an outcome later. */
+    public Optional<Claim> outcome(AccountId account, String idempotencyKey, Deadline deadline) {
+        return mClaims.read(ClaimKeys.of(account, idempotencyKey), deadline);
+    }
+
     private ActionResult runOnce(ActionRequest request, Operation operation) {
         String idempotencyKey =
                 request.idempotencyKey()
--- a/decisions/src/main/java/org/rattanport/decisions/placement/LengthAwarePlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/placement/LengthAwarePlacement.java
@@ -112,9 +112,12 @@
     private static boolean mayBorrow(
             PlacementRequest request, Candidate candidate, EngineLanes lanes, double backlog) {
         String name = candidate.target().id().name();
+        boolean isIdle = backlog == 0 && candidate.view().report().runningStreams() == 0;
+        if (isIdle && candidate.view().outstanding() == 0) {
+            return true;
+        }
         if (request.lengthClass() > lanes.lane(name)) {
-            boolean isIdle = candidate.view().report().runningStreams() == 0;
-            return backlog == 0 && (isIdle || lanes.isOpen(name));
+            return backlog == 0 && lanes.isOpen(name);
         }
         double rate =
                 CostModel.prefillRate(candidate.view().report())
--- a/decisions/src/main/java/org/rattanport/decisions/prompt/PromptService.java
+++ b/decisions/src/main/java/org/rattanport/decisions/prompt/PromptService.java
@@ -398,6 +398,7 @@
                 mHasFirst = true;
                 noteFirst();
             }
+            chunk.load().ifPresent(mBoard::reported);
             mDelivery.accept(chunk);
         }
 
--- a/decisions/src/test/java/org/rattanport/decisions/placement/PlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/placement/PlacementTest.java
@@ -77,6 +77,7 @@
 
         @Test
         void shouldBorrowWhenTheLaneIsBusyAndStopAtTheBudget() {
+            mCandidates.forEach(each -> each.view().begin("in use", 0, 100, 0));
             lane(SHORT).forEach(each -> each.view().begin("busy", 50_000, 0, 0));
             int borrowed = 0;
             while (mPolicy.choose(request(1_000, SHORT)).isPresent()) {
@@ -86,6 +87,29 @@
             assertThat(borrowed).isAtLeast(1);
         }
 
+        @Test
+        void shouldUseAnIdleEngineOfAnyLaneOnceItsOwnIsBusy() {
+            lane(LONG).forEach(each -> each.view().begin("busy", 150_000, 0, 0));
+            Placement placement = mPolicy.choose(request(100_000, LONG)).orElseThrow();
+            assertThat(placement.isBorrowed()).isTrue();
+        }
+
+        @Test
+        void shouldKeepLongPromptsOffTheClosedHalfOfAnotherLaneInUse() {
+            mCandidates.forEach(each -> each.view().begin("in use", 0, 100, 0));
+            lane(LONG).forEach(each -> each.view().begin("busy", 150_000, 0, 0));
+            EngineLanes lanes =
+                    EngineLanes.assign(
+                            TestDocuments.MODEL,
+                            mCandidates,
+                            TestDocuments.document().lengthClasses());
+            for (int i = 0; i < 30; i++) {
+                String chosen =
+                        mPolicy.choose(request(100_000, LONG)).orElseThrow().target().id().name();
+                assertThat(lanes.isOpen(chosen)).isTrue();
+            }
+        }
+
         @Test
         void shouldSpreadOverEquallyGoodEngines() {
             Set<TargetId> chosen = new HashSet<>();
--- a/standins/src/test/java/org/rattanport/standins/fleet/FleetTest.java
+++ b/standins/src/test/java/org/rattanport/standins/fleet/FleetTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import okhttp3.Request;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Nested;
@@ -54,6 +55,28 @@
             assertThat(sFleet.ledger().runs("booking-1")).isEqualTo(1);
         }
 
+        @Test
+        void shouldTellTheOutcomeAtAnyInstance() {
+            book("booking-2");
+            ActionOutcome known = outcome("booking-2");
+            assertThat(known.status()).isEqualTo(200);
+            assertThat(known.body()).contains("\"verdict\":\"ran\"");
+            assertThat(outcome("never-sent").code()).isEqualTo("not_found");
+            assertThat(sFleet.ledger().runs("booking-2")).isEqualTo(1);
+        }
+
+        private ActionOutcome outcome(String key) {
+            return sFleet.client()
+                    .send(
+                            new Request.Builder()
+                                    .url(
+                                            "http://"
+                                                    + sFleet.address(2)
+                                                    + "/v1/idempotency-keys/"
+                                                    + key)
+                                    .header("Authorization", "Bearer " + FleetDocument.key(0)));
+        }
+
         private ActionOutcome book(String key) {
             return sFleet.client()
                     .call(
