Keep the packages named target under version control

Cause: the ignore rule for build folders, target/, also matched the source packages kernel.target, decisions.target and connectors.target, so a fresh clone did not compile; the work tree hid it.

--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/target/HttpServiceClient.java
@@ -0,0 +1,78 @@
+package org.rattanport.connectors.target;
+
+import java.nio.charset.StandardCharsets;
+import okhttp3.HttpUrl;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.rattanport.connectors.http.HttpAnswer;
+import org.rattanport.connectors.http.HttpCaller;
+import org.rattanport.connectors.http.HttpFailure;
+import org.rattanport.kernel.environment.Operation;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.model.Target;
+import org.rattanport.kernel.request.ActionRequest;
+import org.rattanport.kernel.request.ActionResult;
+import org.rattanport.kernel.target.ServiceClient;
+
+/** Calls plain services by POST to the path of the operation. */
+public final class HttpServiceClient implements ServiceClient {
+    private static final String FENCING_NUMBER = "Fencing-Number";
+    private static final String IDEMPOTENCY_KEY = "Idempotency-Key";
+    private static final int SERVER_ERROR = 500;
+
+    private final HttpCaller mHttp;
+
+    public HttpServiceClient(HttpCaller http) {
+        mHttp = http;
+    }
+
+    @Override
+    public ActionResult call(
+            Target target, Operation operation, ActionRequest request, long fencingNumber) {
+        HttpUrl url =
+                HttpUrl.get("http://" + target.address())
+                        .newBuilder()
+                        .addPathSegment(operation.name())
+                        .build();
+        byte[] body = request.body().getBytes(StandardCharsets.UTF_8);
+        Request.Builder call =
+                new Request.Builder()
+                        .url(url)
+                        .header("Rattanport-Account", request.account().value())
+                        .post(RequestBody.create(body, HttpCaller.JSON));
+        if (fencingNumber > 0) {
+            call.header(FENCING_NUMBER, Long.toString(fencingNumber));
+        }
+        request.idempotencyKey().ifPresent(key -> call.header(IDEMPOTENCY_KEY, key));
+        try {
+            return result(target, operation, mHttp.exchange(call, request.deadline()));
+        } catch (HttpFailure e) {
+            throw TargetErrors.noAnswer(target, e);
+        }
+    }
+
+    /** Statuses below 500 are answers of the service; others may come from a crash midway. */
+    private static ActionResult result(Target target, Operation operation, HttpAnswer answer) {
+        if (operation.notRunStatuses().contains(answer.status())) {
+            ErrorCode code =
+                    answer.errorCode().equals("leaving")
+                            ? ErrorCode.TARGET_LEAVING
+                            : ErrorCode.TARGET_REFUSED;
+            throw RattanportException.builder(
+                            code,
+                            "target " + target.id() + " refused with status " + answer.status())
+                    .verdict(Verdict.NOT_RUN)
+                    .build();
+        }
+        if (answer.status() >= SERVER_ERROR) {
+            throw RattanportException.builder(
+                            ErrorCode.TARGET_FAILED,
+                            "target " + target.id() + " answered with status " + answer.status())
+                    .verdict(Verdict.MAY_HAVE_RUN)
+                    .build();
+        }
+        return new ActionResult(answer.status(), answer.text(), false);
+    }
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/target/TargetClientPlugin.java
@@ -0,0 +1,40 @@
+package org.rattanport.connectors.target;
+
+import java.util.Optional;
+import java.util.Set;
+import org.rattanport.connectors.http.HttpCaller;
+import org.rattanport.kernel.plugin.Plugin;
+import org.rattanport.kernel.plugin.PluginContext;
+import org.rattanport.kernel.request.RequestJournal;
+import org.rattanport.kernel.target.EngineClient;
+import org.rattanport.kernel.target.ServiceClient;
+import org.rattanport.kernel.time.Deadline;
+
+/** Provides the clients of engines and plain services. */
+public final class TargetClientPlugin implements Plugin {
+    private Optional<HttpCaller> mHttp = Optional.empty();
+
+    @Override
+    public String name() {
+        return "target-clients";
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of(EngineClient.class, ServiceClient.class, RequestJournal.class);
+    }
+
+    @Override
+    public void start(PluginContext context) {
+        HttpCaller http = new HttpCaller(context.time());
+        mHttp = Optional.of(http);
+        context.provide(EngineClient.class, new HttpEngineClient(http, context.time()));
+        context.provide(ServiceClient.class, new HttpServiceClient(http));
+        context.provide(RequestJournal.class, new RequestJournal(context.time()));
+    }
+
+    @Override
+    public void stop(Deadline deadline) {
+        mHttp.ifPresent(HttpCaller::close);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/target/TargetHealth.java
@@ -0,0 +1,55 @@
+package org.rattanport.decisions.target;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.rattanport.kernel.model.TargetId;
+import org.rattanport.kernel.time.TimeSource;
+
+/**
+ * Ejects targets that fail again and again, for a time that doubles with each further failure, and
+ * lets them return by one success.
+ */
+public final class TargetHealth {
+    private static final int FAILURES_BEFORE_EJECTION = 2;
+    private static final Duration FIRST_EJECTION = Duration.ofSeconds(1);
+    private static final int LONGEST_EJECTION_DOUBLINGS = 5;
+
+    private final TimeSource mTime;
+    private final Map<TargetId, Record> mRecords = new HashMap<>();
+
+    public TargetHealth(TimeSource time) {
+        mTime = time;
+    }
+
+    public synchronized void succeeded(TargetId target) {
+        mRecords.remove(target);
+    }
+
+    /** Counts a failure that speaks against the target, such as a refused connection. */
+    public synchronized void failed(TargetId target) {
+        Record record = mRecords.computeIfAbsent(target, ignored -> new Record());
+        record.mFailures++;
+        int over = record.mFailures - FAILURES_BEFORE_EJECTION;
+        if (over >= 0) {
+            int doublings = Math.min(over, LONGEST_EJECTION_DOUBLINGS);
+            record.mEjectedUntilNanos =
+                    mTime.nanoTime() + FIRST_EJECTION.multipliedBy(1L << doublings).toNanos();
+            record.mIsEjected = true;
+        }
+    }
+
+    /** Whether the target may get work; after an ejection it is tried again. */
+    public synchronized boolean isUsable(TargetId target) {
+        Record record = mRecords.get(target);
+        return record == null
+                || !record.mIsEjected
+                || mTime.nanoTime() - record.mEjectedUntilNanos >= 0;
+    }
+
+    private static final class Record {
+        private int mFailures;
+        private boolean mIsEjected;
+        private long mEjectedUntilNanos;
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/target/TargetPlugin.java
@@ -0,0 +1,106 @@
+package org.rattanport.decisions.target;
+
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import org.jboss.logging.Logger;
+import org.rattanport.decisions.membership.RumorHub;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.peer.Rumor.TargetLeaving;
+import org.rattanport.kernel.platform.InstanceList;
+import org.rattanport.kernel.plugin.Plugin;
+import org.rattanport.kernel.plugin.PluginContext;
+import org.rattanport.kernel.plugin.TaskGroup;
+import org.rattanport.kernel.settings.InstanceSettings;
+import org.rattanport.kernel.target.EngineClient;
+import org.rattanport.kernel.time.Deadline;
+
+/** Provides the targets and the load of engines. */
+public final class TargetPlugin implements Plugin {
+    private static final Logger LOGGER = Logger.getLogger(TargetPlugin.class);
+    private static final Duration LIST_TIMEOUT = Duration.ofSeconds(2);
+
+    private final CompositeDisposable mWatches = new CompositeDisposable();
+    private Optional<TaskGroup> mTasks = Optional.empty();
+    private Optional<TargetWatcher> mWatcher = Optional.empty();
+
+    @Override
+    public String name() {
+        return "targets";
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(
+                InstanceSettings.class,
+                InstanceId.class,
+                InstanceList.class,
+                EngineClient.class,
+                RumorHub.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of(TargetDirectory.class, EngineBoard.class, TargetSubset.class);
+    }
+
+    @Override
+    public void start(PluginContext context) {
+        InstanceSettings settings = context.require(InstanceSettings.class);
+        RumorHub hub = context.require(RumorHub.class);
+        TargetDirectory directory =
+                new TargetDirectory(
+                        new TargetHealth(context.time()), context.events(), hub::spread);
+        EngineBoard board = new EngineBoard(context.events(), context.time());
+        TargetSubset subset =
+                new TargetSubset(settings.instanceName(), TargetSubset.ENGINES_PER_POOL);
+        TargetWatcher watcher =
+                new TargetWatcher(
+                        directory,
+                        board,
+                        context.require(EngineClient.class),
+                        subset,
+                        context.time(),
+                        settings.timings().loadPeriod());
+        context.provide(TargetDirectory.class, directory);
+        context.provide(EngineBoard.class, board);
+        context.provide(TargetSubset.class, subset);
+        hub.listen(
+                rumor -> {
+                    if (rumor instanceof TargetLeaving leaving) {
+                        directory.markLeaving(leaving.target());
+                    }
+                });
+        mWatches.add(
+                context.events()
+                        .watch(TargetDirectory.TargetsChanged.class)
+                        .subscribe(ignored -> watcher.adjust()));
+        mWatcher = Optional.of(watcher);
+        InstanceList list = context.require(InstanceList.class);
+        Runnable readList =
+                () ->
+                        directory.listed(
+                                list.read(Deadline.after(context.time(), LIST_TIMEOUT)).targets());
+        tryOnce(readList);
+        TaskGroup tasks = new TaskGroup(context.time());
+        tasks.every("read-instance-list", settings.timings().listPeriod(), readList);
+        mTasks = Optional.of(tasks);
+    }
+
+    private static void tryOnce(Runnable readList) {
+        try {
+            readList.run();
+        } catch (RattanportException e) {
+            LOGGER.warnf("the instance list cannot be read: %s", e.getMessage());
+        }
+    }
+
+    @Override
+    public void stop(Deadline deadline) {
+        mWatches.dispose();
+        mTasks.ifPresent(TaskGroup::close);
+        mWatcher.ifPresent(TargetWatcher::close);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/target/TargetWatcher.java
@@ -0,0 +1,115 @@
+package org.rattanport.decisions.target;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.jboss.logging.Logger;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.model.Target;
+import org.rattanport.kernel.model.TargetId;
+import org.rattanport.kernel.model.TargetKind;
+import org.rattanport.kernel.model.TargetLoad;
+import org.rattanport.kernel.target.EngineClient;
+import org.rattanport.kernel.task.PeriodicTask;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.TimeSource;
+
+/**
+ * Keeps one task for each watched engine, which reads its load when nothing else has brought it.
+ */
+public final class TargetWatcher implements AutoCloseable {
+    private static final Logger LOGGER = Logger.getLogger(TargetWatcher.class);
+    private static final int IDLE_PERIODS = 10;
+    private static final Duration LOAD_TIMEOUT = Duration.ofSeconds(1);
+
+    private final TargetDirectory mDirectory;
+    private final EngineBoard mBoard;
+    private final EngineClient mEngines;
+    private final TargetSubset mSubset;
+    private final TimeSource mTime;
+    private final Duration mPeriod;
+    private final Map<String, PeriodicTask> mTasks = new HashMap<>();
+
+    public TargetWatcher(
+            TargetDirectory directory,
+            EngineBoard board,
+            EngineClient engines,
+            TargetSubset subset,
+            TimeSource time,
+            Duration period) {
+        mDirectory = directory;
+        mBoard = board;
+        mEngines = engines;
+        mSubset = subset;
+        mTime = time;
+        mPeriod = period;
+    }
+
+    /** Starts and ends tasks so that they match the engines that this instance uses. */
+    public synchronized void adjust() {
+        List<Target> all = mDirectory.all(TargetKind.ENGINE);
+        List<String> names = mSubset.select(all).stream().map(each -> each.id().name()).toList();
+        mTasks.entrySet()
+                .removeIf(
+                        entry -> {
+                            boolean isGone = !names.contains(entry.getKey());
+                            if (isGone) {
+                                entry.getValue().close();
+                            }
+                            return isGone;
+                        });
+        names.forEach(name -> mTasks.computeIfAbsent(name, this::startTask));
+        mBoard.retain(all);
+    }
+
+    private PeriodicTask startTask(String name) {
+        return new PeriodicTask("target-" + name, mTime, mPeriod, () -> readLoad(name));
+    }
+
+    private void readLoad(String name) {
+        mDirectory.all(TargetKind.ENGINE).stream()
+                .filter(each -> each.id().name().equals(name))
+                .findFirst()
+                .filter(this::isDue)
+                .ifPresent(this::readLoad);
+    }
+
+    /**
+     * Answers bring load reports along, so an engine in use is seldom read; one that this instance
+     * does not use is read only now and then.
+     */
+    private boolean isDue(Target target) {
+        long now = mTime.nanoTime();
+        return mBoard.view(target.id())
+                .map(
+                        view -> {
+                            boolean isUnused =
+                                    view.unusedFor(now)
+                                                    .compareTo(mPeriod.multipliedBy(IDLE_PERIODS))
+                                            > 0;
+                            Duration due = isUnused ? mPeriod.multipliedBy(IDLE_PERIODS) : mPeriod;
+                            return view.reportAge(now).compareTo(due) >= 0;
+                        })
+                .orElse(true);
+    }
+
+    private void readLoad(Target target) {
+        TargetId id = target.id();
+        try {
+            TargetLoad load = mEngines.load(target, Deadline.after(mTime, LOAD_TIMEOUT));
+            mDirectory.reported(load);
+            mBoard.reported(load);
+            mDirectory.health().succeeded(id);
+        } catch (RattanportException e) {
+            LOGGER.debugf("no load report of %s: %s", id, e.getMessage());
+            mDirectory.health().failed(id);
+        }
+    }
+
+    @Override
+    public synchronized void close() {
+        mTasks.values().forEach(PeriodicTask::close);
+        mTasks.clear();
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/target/TargetTests.java
@@ -0,0 +1,197 @@
+package org.rattanport.decisions.target;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.model.Target;
+import org.rattanport.kernel.model.TargetId;
+import org.rattanport.kernel.model.TargetKind;
+import org.rattanport.kernel.model.TargetLoad;
+import org.rattanport.kernel.peer.Rumor;
+import org.rattanport.kernel.time.ManualTimeSource;
+
+/** What this instance knows of targets, against a list that lags. */
+final class TargetTests {
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final List<Rumor> mRumors = new ArrayList<>();
+    private final TargetDirectory mDirectory =
+            new TargetDirectory(new TargetHealth(mTime), new EventStreams(), mRumors::add);
+
+    @Nested
+    final class Leaving {
+        @Test
+        void shouldGetNothingAlthoughTheListStillHasIt() {
+            mDirectory.listed(List.of(engine(1)));
+            mDirectory.markLeaving(new TargetId("engine", 1));
+            mDirectory.listed(List.of(engine(1)));
+            assertThat(serving()).isEmpty();
+        }
+
+        @Test
+        void shouldTellPeersOnce() {
+            mDirectory.listed(List.of(engine(1)));
+            mDirectory.markLeaving(new TargetId("engine", 1));
+            mDirectory.markLeaving(new TargetId("engine", 1));
+            assertThat(mRumors).containsExactly(new Rumor.TargetLeaving(new TargetId("engine", 1)));
+        }
+
+        @Test
+        void shouldNotTouchANewIncarnation() {
+            mDirectory.listed(List.of(engine(2)));
+            mDirectory.markLeaving(new TargetId("engine", 1));
+            assertThat(serving()).hasSize(1);
+        }
+    }
+
+    @Nested
+    final class Returning {
+        @Test
+        void shouldBeKnownByItsReportBeforeTheList() {
+            mDirectory.listed(List.of(engine(1)));
+            mDirectory.markLeaving(new TargetId("engine", 1));
+            mDirectory.reported(report(2, 1, 0, 0));
+            assertThat(serving().getFirst().id()).isEqualTo(new TargetId("engine", 2));
+        }
+
+        @Test
+        void shouldNotBeUndoneByAStaleList() {
+            mDirectory.listed(List.of(engine(1)));
+            mDirectory.reported(report(2, 1, 0, 0));
+            mDirectory.listed(List.of(engine(1).leaving()));
+            assertThat(serving().getFirst().id().incarnation()).isEqualTo(2);
+        }
+    }
+
+    @Nested
+    final class Ejection {
+        @Test
+        void shouldFollowRepeatedFailuresAndEndInTime() {
+            mDirectory.listed(List.of(engine(1), named("second"), named("third")));
+            TargetId id = new TargetId("engine", 1);
+            mDirectory.health().failed(id);
+            assertThat(serving()).hasSize(3);
+            mDirectory.health().failed(id);
+            assertThat(serving()).hasSize(2);
+            mTime.advance(Duration.ofMillis(1100));
+            assertThat(serving()).hasSize(3);
+            mDirectory.health().failed(id);
+            mTime.advance(Duration.ofMillis(1100));
+            assertThat(serving()).hasSize(2);
+            mDirectory.health().succeeded(id);
+            assertThat(serving()).hasSize(3);
+        }
+
+        @Test
+        void shouldNotLeaveAPoolWithoutTargets() {
+            mDirectory.listed(List.of(engine(1), named("second"), named("third")));
+            eject(new TargetId("engine", 1));
+            assertThat(serving()).hasSize(2);
+            eject(new TargetId("second", 1));
+            assertThat(serving()).hasSize(3);
+        }
+
+        private void eject(TargetId id) {
+            mDirectory.health().failed(id);
+            mDirectory.health().failed(id);
+        }
+
+        private Target named(String name) {
+            return new Target(
+                    new TargetId(name, 1),
+                    TargetKind.ENGINE,
+                    "assistant",
+                    "127.0.0.1:1",
+                    "dc",
+                    false);
+        }
+    }
+
+    @Nested
+    final class Load {
+        private final EngineView mView = new EngineView(report(1, 1, 0, 0), mTime.nanoTime());
+
+        @Test
+        void shouldCountWhatWasSentSinceTheReport() {
+            mView.begin("a", 1_000, 1_200, mTime.nanoTime());
+            assertThat(mView.backlogTokens()).isEqualTo(1_000);
+            assertThat(mView.freeMemoryTokens()).isEqualTo(100_000 - 1_200);
+        }
+
+        @Test
+        void shouldNotCountTwiceWhatAReportHolds() {
+            mView.begin("a", 1_000, 1_200, mTime.nanoTime());
+            mTime.advance(Duration.ofSeconds(1));
+            mView.reported(report(1, 2, 1_000, 1_200), mTime.nanoTime());
+            assertThat(mView.backlogTokens()).isEqualTo(1_000);
+            assertThat(mView.freeMemoryTokens()).isEqualTo(100_000 - 1_200);
+        }
+
+        @Test
+        void shouldKeepOwnWaitingPromptsWhenAReportForgetsThem() {
+            mView.begin("a", 1_000, 1_200, mTime.nanoTime());
+            mTime.advance(Duration.ofSeconds(1));
+            mView.reported(report(1, 2, 0, 0), mTime.nanoTime());
+            assertThat(mView.backlogTokens()).isEqualTo(1_000);
+            mView.firstToken("a");
+            assertThat(mView.backlogTokens()).isEqualTo(0);
+        }
+
+        @Test
+        void shouldDropAnOlderReport() {
+            mView.reported(report(1, 5, 700, 0), mTime.nanoTime());
+            mView.reported(report(1, 4, 9_000, 0), mTime.nanoTime());
+            assertThat(mView.backlogTokens()).isEqualTo(700);
+        }
+
+        @Test
+        void shouldForgetAnEndedAttemptWhole() {
+            mView.begin("a", 1_000, 1_200, mTime.nanoTime());
+            mView.end("a");
+            mView.end("a");
+            assertThat(mView.backlogTokens()).isEqualTo(0);
+            assertThat(mView.freeMemoryTokens()).isEqualTo(100_000);
+            assertThat(mView.outstanding()).isEqualTo(0);
+        }
+
+        @Test
+        void shouldLimitBorrowing() {
+            assertThat(mView.mayBorrow(100, mTime.nanoTime())).isTrue();
+            mView.borrow(500);
+            assertThat(mView.mayBorrow(100, mTime.nanoTime())).isFalse();
+            mTime.advance(Duration.ofSeconds(6));
+            assertThat(mView.mayBorrow(100, mTime.nanoTime())).isTrue();
+        }
+    }
+
+    private List<Target> serving() {
+        return mDirectory.serving(TargetKind.ENGINE, "assistant");
+    }
+
+    private static Target engine(long incarnation) {
+        return new Target(
+                new TargetId("engine", incarnation),
+                TargetKind.ENGINE,
+                "assistant",
+                "127.0.0.1:1",
+                "dc",
+                false);
+    }
+
+    private static TargetLoad report(long incarnation, long sequence, long waiting, long used) {
+        return new TargetLoad(
+                new TargetId("engine", incarnation),
+                sequence,
+                waiting,
+                0,
+                used,
+                100_000,
+                10_000,
+                0.02,
+                false);
+    }
+}
