Test that a revoked key is refused

Cause: the case had no test. Change: a key is taken out of the document in force, and its next request is refused as not run.

--- a/standins/src/test/java/org/rattanport/standins/fleet/BadInputTest.java
+++ b/standins/src/test/java/org/rattanport/standins/fleet/BadInputTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.rattanport.connectors.http.HttpCaller;
+import org.rattanport.kernel.environment.Stage;
 
 /** What callers send wrongly: a clear error, nothing runs, and the instance keeps serving. */
 final class BadInputTest {
@@ -76,6 +77,15 @@
             assertRefused(send(key, PROMPT, "10"), 401, "unauthenticated");
         }
 
+        @Test
+        void shouldBeRefusedOnceTheKeyIsRevoked() {
+            String revoked = FleetDocument.key(3);
+            assertThat(send(revoked, PROMPT, "10").status()).isEqualTo(200);
+            sFleet.put(Stage.PRODUCTION, FleetDocument.of(3));
+            assertRefused(send(revoked, PROMPT, "10"), 401, "unauthenticated");
+            sFleet.put(Stage.PRODUCTION, FleetDocument.of(4));
+        }
+
         @Test
         void shouldBeRefusedBeyondTheReachOfTheFleet() {
             String text = "x".repeat(5_200_000);
