Make the stale reads of the table stand-in stale; take out dead code

Cause: the stand-in copied its rows when the fault was switched on, after the change, so stale reads returned the newest state: the demo's check and the stale row of measure documents could not fail. Change: keepForStaleReads() copies the rows before the change; both callers use it. Taken out: a method of QuotaOwner and a list in OrderingTest that nothing read, and a condition with two equal ends.

--- a/benchmark/src/main/java/org/rattanport/benchmark/demo/BookingScenario.java
+++ b/benchmark/src/main/java/org/rattanport/benchmark/demo/BookingScenario.java
@@ -70,7 +70,7 @@
                 .client()
                 .call(
                         context.fleet().address(instance),
-                        FleetDocument.key(instance % 2 == 0 ? 0 : 0),
+                        FleetDocument.key(0),
                         FleetDocument.SERVICE + "/book",
                         key,
                         "{\"shop\": \"Valle Central\"}");
--- a/benchmark/src/main/java/org/rattanport/benchmark/demo/DocumentScenario.java
+++ b/benchmark/src/main/java/org/rattanport/benchmark/demo/DocumentScenario.java
@@ -78,8 +78,7 @@
     }
 
     private static void staleReads(DemoContext context) {
-        context.fleet().table().fault(TableFault.STALE_READ, 1);
-        context.fleet().table().fault(TableFault.NONE, 0);
+        context.fleet().table().keepForStaleReads();
         long version = context.fleet().put(Stage.PRODUCTION, document(599));
         checkInForce(context, Stage.PRODUCTION, version);
         context.fleet().table().fault(TableFault.STALE_READ, 0.7);
--- a/benchmark/src/main/java/org/rattanport/benchmark/measure/MeasureDocumentsCommand.java
+++ b/benchmark/src/main/java/org/rattanport/benchmark/measure/MeasureDocumentsCommand.java
@@ -87,6 +87,7 @@
         int reversals = 0;
         for (int i = 0; i < mOptions.mChanges; i++) {
             FleetDocument document = FleetDocument.of(10).timeLimitSeconds(300 + i);
+            fleet.table().keepForStaleReads();
             long version = fleet.put(Stage.PRODUCTION, document);
             long accepted = System.nanoTime();
             fleet.table().fault(fault, 1);
--- a/decisions/src/main/java/org/rattanport/decisions/quota/QuotaOwner.java
+++ b/decisions/src/main/java/org/rattanport/decisions/quota/QuotaOwner.java
@@ -44,15 +44,6 @@
         return granted;
     }
 
-    /** Seconds until the account's bucket is above zero again. */
-    public synchronized double secondsUntilGrant(ClientAccount account) {
-        Bucket bucket = mBuckets.get(account.id());
-        if (bucket == null || bucket.mTokens > 0) {
-            return 0;
-        }
-        return -bucket.mTokens / Math.max(1, account.tokensPerSecond());
-    }
-
     private static final class Bucket {
         private double mTokens;
         private long mRefilledNanos;
--- a/decisions/src/test/java/org/rattanport/decisions/ordering/OrderingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/ordering/OrderingTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -98,7 +97,6 @@
                         "127.0.0.1:1",
                         "dc",
                         false);
-        private final List<String> mRefusedModels = new ArrayList<>();
         private boolean mHasRoom = true;
         private final Dispatcher mDispatcher =
                 new Dispatcher(
@@ -174,7 +172,6 @@
 
             @Override
             public Optional<Placement> choose(PlacementRequest request) {
-                mRefusedModels.add(request.request().model());
                 return mHasRoom
                         ? Optional.of(new Placement(mEngine, 0, false, 0))
                         : Optional.empty();
--- a/standins/src/main/java/org/rattanport/standins/TableStandIn.java
+++ b/standins/src/main/java/org/rattanport/standins/TableStandIn.java
@@ -52,6 +52,10 @@
     public synchronized void fault(TableFault fault, double share) {
         mFault = fault;
         mFaultShare = share;
+    }
+
+    /** Keeps the present state; stale reads return it until the next call. */
+    public synchronized void keepForStaleReads() {
         mStaleRows.clear();
         mStaleRows.putAll(mRows);
     }
@@ -74,6 +78,7 @@
 
     private void setFault(ServerRequest request, ServerResponse response) {
         var body = StandInHttp.json(request);
+        keepForStaleReads();
         fault(
                 TableFault.valueOf(body.path("fault").asText("NONE")),
                 body.path("share").asDouble(1.0));
