Draft the gateway: routes, back ends, forwarding and a platform adapter

Cause: the product has to run on its users' platform, in front of back ends whose requests pass through unchanged. What exists serves the project's own interface only.

--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
@@ -0,0 +1,224 @@
+package org.rattanport.connectors.gateway;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.function.BooleanSupplier;
+import org.jboss.logging.Logger;
+import org.rattanport.connectors.gateway.HttpMessagePart.Closed;
+import org.rattanport.connectors.gateway.HttpMessagePart.End;
+import org.rattanport.connectors.gateway.HttpMessagePart.Head;
+import org.rattanport.connectors.gateway.HttpMessagePart.Piece;
+import org.rattanport.decisions.gateway.GatewayService;
+import org.rattanport.decisions.gateway.RoutingInForce;
+import org.rattanport.decisions.lifecycle.InFlight;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.gateway.AnswerHead;
+import org.rattanport.kernel.gateway.CallerLimits;
+import org.rattanport.kernel.gateway.CallerRequest;
+import org.rattanport.kernel.gateway.Header;
+
+/** The task of one caller's connection: reads a request, answers it, and goes on. */
+final class CallerConnection {
+    private static final Logger LOGGER = Logger.getLogger(CallerConnection.class);
+
+    /**
+     * Time in which a caller that was told of the end may still send before the connection goes.
+     */
+    private static final Duration LINGER = Duration.ofMillis(500);
+
+    private final HttpChannel mChannel;
+    private final GatewayDialect mDialect;
+    private final GatewayService mService;
+    private final RoutingInForce mRouting;
+    private final InFlight mInFlight;
+    private final BooleanSupplier mIsLeaving;
+
+    CallerConnection(
+            HttpChannel channel,
+            GatewayDialect dialect,
+            GatewayService service,
+            RoutingInForce routing,
+            InFlight inFlight,
+            BooleanSupplier isLeaving) {
+        mChannel = channel;
+        mDialect = dialect;
+        mService = service;
+        mRouting = routing;
+        mInFlight = inFlight;
+        mIsLeaving = isLeaving;
+    }
+
+    /** Serves the connection to its end. */
+    void run() {
+        try {
+            boolean goesOn = true;
+            while (goesOn) {
+                Optional<HttpMessagePart> part = mChannel.take(mRouting.limits().idleTimeout());
+                if (part.isEmpty() || part.get() instanceof Closed) {
+                    return;
+                }
+                goesOn =
+                        !(part.get() instanceof Head head)
+                                || !(head.message() instanceof HttpRequest request)
+                                || serve(request);
+            }
+            linger();
+        } catch (RattanportException e) {
+            LOGGER.debugf("caller connection ended: %s", e.getMessage());
+        } finally {
+            mChannel.close();
+        }
+    }
+
+    /** Closes the sending side first, so that what the caller still sends does not reset it. */
+    private void linger() {
+        if (mChannel.channel() instanceof io.netty.channel.socket.SocketChannel socket
+                && socket.isActive()) {
+            socket.shutdownOutput();
+            Optional<HttpMessagePart> part = mChannel.take(LINGER);
+            while (part.isPresent() && !(part.get() instanceof Closed)) {
+                part = mChannel.take(LINGER);
+            }
+        }
+    }
+
+    /** Answers one request; returns whether the connection goes on. */
+    private boolean serve(HttpRequest head) {
+        boolean isLast = !HttpUtil.isKeepAlive(head) || mIsLeaving.getAsBoolean();
+        NettyCallerExchange exchange =
+                new NettyCallerExchange(
+                        mChannel,
+                        isLast,
+                        head.method().equals(HttpMethod.HEAD),
+                        head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
+        if (head.decoderResult().isFailure()) {
+            refuse(exchange, Optional.empty(), malformed(head));
+            return false;
+        }
+        CallerRequest request;
+        try {
+            request = mDialect.request(head, body(head));
+        } catch (RattanportException e) {
+            if (e.code() == ErrorCode.CANCELLED) {
+                throw e;
+            }
+            refuse(exchange, Optional.empty(), e);
+            return false;
+        }
+        try (AutoCloseable flight = mInFlight.enter()) {
+            mService.serve(request, exchange);
+        } catch (RattanportException e) {
+            if (mChannel.closing().isCancelled() || e.code() == ErrorCode.CANCELLED) {
+                return false;
+            }
+            refuse(exchange, Optional.of(request), e);
+        } catch (Exception e) {
+            LOGGER.errorf(e, "request %s failed inside this instance", request.attemptId());
+            return false;
+        }
+        return !exchange.isLast();
+    }
+
+    private static RattanportException malformed(HttpRequest head) {
+        return new RattanportException(
+                ErrorCode.INVALID_REQUEST,
+                "the request is malformed: " + head.decoderResult().cause().getMessage());
+    }
+
+    private byte[] body(HttpRequest head) {
+        CallerLimits limits = mRouting.limits();
+        if (HttpUtil.is100ContinueExpected(head)) {
+            mChannel.writeLast(
+                    new io.netty.handler.codec.http.DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+        }
+        if (HttpUtil.getContentLength(head, 0L) > limits.bodyBytes()) {
+            throw tooLarge(limits);
+        }
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        while (true) {
+            HttpMessagePart part =
+                    mChannel.take(limits.idleTimeout())
+                            .orElseThrow(
+                                    () ->
+                                            new RattanportException(
+                                                    ErrorCode.INVALID_REQUEST,
+                                                    "the body did not come in time"));
+            switch (part) {
+                case Piece piece -> body.writeBytes(piece.bytes());
+                case End end -> {
+                    return body.toByteArray();
+                }
+                case Closed closed ->
+                        throw new RattanportException(
+                                ErrorCode.CANCELLED, "the caller left inside its request");
+                case Head other ->
+                        throw new RattanportException(
+                                ErrorCode.INVALID_REQUEST, "a request began inside a request");
+            }
+            if (body.size() > limits.bodyBytes()) {
+                throw tooLarge(limits);
+            }
+        }
+    }
+
+    private static RattanportException tooLarge(CallerLimits limits) {
+        return new RattanportException(
+                ErrorCode.BODY_TOO_LARGE, "a body may have " + limits.bodyBytes() + " bytes");
+    }
+
+    private void refuse(
+            NettyCallerExchange exchange, Optional<CallerRequest> request, RattanportException e) {
+        byte[] text =
+                (e.code().text() + ": " + e.getMessage() + "\n").getBytes(StandardCharsets.UTF_8);
+        List<Header> headers = new ArrayList<>();
+        headers.add(new Header(HttpHeaderNames.CONTENT_TYPE.toString(), "text/plain"));
+        request.ifPresent(each -> headers.addAll(mDialect.refusalHeaders(each, e)));
+        int status = status(e);
+        LOGGER.infof(
+                "request %s refused: %d %s, %s",
+                request.map(CallerRequest::attemptId).orElse("-"),
+                status,
+                e.verdict().text(),
+                e.getMessage());
+        exchange.start(
+                new AnswerHead(
+                        status,
+                        headers,
+                        Optional.empty(),
+                        false,
+                        false,
+                        false,
+                        Optional.empty(),
+                        Optional.empty()),
+                OptionalInt.of(text.length));
+        exchange.write(text);
+        exchange.finish();
+    }
+
+    /** A status that promises that nothing ran is kept for requests that did not run. */
+    private static int status(RattanportException error) {
+        int status = error.code().httpStatus();
+        boolean isPromise = status == 429 || status == 503 || status == 408 || status == 421;
+        if (error.verdict() != Verdict.NOT_RUN && isPromise) {
+            return 502;
+        }
+        if (error.verdict() == Verdict.NOT_RUN && status == 502) {
+            return 503;
+        }
+        return status;
+    }
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/GatewayFrontPlugin.java
@@ -0,0 +1,58 @@
+package org.rattanport.connectors.gateway;
+
+import java.util.Set;
+import org.rattanport.decisions.gateway.GatewayService;
+import org.rattanport.decisions.gateway.RoutingInForce;
+import org.rattanport.decisions.lifecycle.Drain;
+import org.rattanport.decisions.lifecycle.InFlight;
+import org.rattanport.kernel.plugin.Edition;
+import org.rattanport.kernel.plugin.Plugin;
+import org.rattanport.kernel.plugin.PluginContext;
+import org.rattanport.kernel.settings.LocalEndpoints;
+
+/** Accepts the connections of callers. */
+public final class GatewayFrontPlugin implements Plugin {
+    @Override
+    public String name() {
+        return "gateway-front";
+    }
+
+    @Override
+    public Set<Edition> editions() {
+        return Set.of(Edition.GATEWAY);
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(
+                HttpTransport.class,
+                GatewayDialect.class,
+                GatewayService.class,
+                RoutingInForce.class,
+                InFlight.class,
+                Drain.class,
+                LocalEndpoints.class);
+    }
+
+    @Override
+    public void start(PluginContext context) {
+        GatewayDialect dialect = context.require(GatewayDialect.class);
+        GatewayService service = context.require(GatewayService.class);
+        RoutingInForce routing = context.require(RoutingInForce.class);
+        InFlight inFlight = context.require(InFlight.class);
+        Drain drain = context.require(Drain.class);
+        context.require(HttpTransport.class)
+                .listen(
+                        context.require(LocalEndpoints.class).callerAddress(),
+                        () -> routing.limits().headerBytes(),
+                        channel ->
+                                new CallerConnection(
+                                                channel,
+                                                dialect,
+                                                service,
+                                                routing,
+                                                inFlight,
+                                                drain::isDraining)
+                                        .run());
+    }
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/HttpMessagePart.java
@@ -0,0 +1,18 @@
+package org.rattanport.connectors.gateway;
+
+import io.netty.handler.codec.http.HttpMessage;
+
+/** What arrives on a connection, in order. */
+sealed interface HttpMessagePart {
+    /** First line and headers. */
+    record Head(HttpMessage message) implements HttpMessagePart {}
+
+    /** A piece of a body. */
+    record Piece(byte[] bytes) implements HttpMessagePart {}
+
+    /** The complete end of a message. */
+    record End() implements HttpMessagePart {}
+
+    /** The connection is over; a broken one leaves no message complete. */
+    record Closed(boolean isBroken, String reason) implements HttpMessagePart {}
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/HttpTransport.java
@@ -0,0 +1,145 @@
+package org.rattanport.connectors.gateway;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+import jdk.net.ExtendedSocketOptions;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.task.Tasks;
+
+/** Opens and accepts connections; one event loop serves all, one task reads each. */
+public final class HttpTransport implements AutoCloseable {
+    private static final int BACKLOG = 1_024;
+
+    /** Headers of answers; back ends send a few hundred bytes. */
+    private static final int ANSWER_HEADER_BYTES = 65_536;
+
+    /** A silent connection is asked after this many seconds whether it still works. */
+    private static final int KEEP_ALIVE_SECONDS = 1;
+
+    private static final int KEEP_ALIVE_PROBES = 3;
+
+    private final EventLoopGroup mEventLoop =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final UnpooledByteBufAllocator mAllocator = new UnpooledByteBufAllocator(false, true);
+
+    /** Accepts connections at the address and starts the task of each. */
+    Channel listen(String address, IntSupplier headerBytes, Consumer<HttpChannel> task) {
+        ServerBootstrap server =
+                new ServerBootstrap()
+                        .group(mEventLoop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.ALLOCATOR, mAllocator)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<NioSocketChannel>() {
+                                    @Override
+                                    protected void initChannel(NioSocketChannel channel) {
+                                        accept(channel, headerBytes.getAsInt(), task);
+                                    }
+                                });
+        var bound = server.bind(socketAddress(address)).awaitUninterruptibly();
+        if (!bound.isSuccess()) {
+            throw RattanportException.builder(
+                            ErrorCode.INVALID_SETTINGS,
+                            "cannot listen at " + address + ": " + bound.cause().getMessage())
+                    .build();
+        }
+        return bound.channel();
+    }
+
+    private static void accept(
+            NioSocketChannel channel, int headerBytes, Consumer<HttpChannel> task) {
+        HttpChannel accepted = new HttpChannel(channel);
+        HttpDecoderConfig config =
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(headerBytes)
+                        .setMaxHeaderSize(headerBytes)
+                        .setValidateHeaders(true);
+        channel.pipeline().addLast(new HttpServerCodec(config), accepted);
+        Tasks.start("caller-connection", () -> task.accept(accepted));
+    }
+
+    /** Opens a connection. */
+    HttpChannel connect(String address, Duration longest) {
+        HttpChannel[] opened = new HttpChannel[1];
+        Bootstrap client =
+                new Bootstrap()
+                        .group(mEventLoop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.ALLOCATOR, mAllocator)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.SO_KEEPALIVE, true)
+                        .option(
+                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
+                                KEEP_ALIVE_SECONDS)
+                        .option(
+                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL),
+                                KEEP_ALIVE_SECONDS)
+                        .option(
+                                NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT),
+                                KEEP_ALIVE_PROBES)
+                        .option(
+                                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                                (int) Math.max(1, longest.toMillis()))
+                        .handler(
+                                new ChannelInitializer<NioSocketChannel>() {
+                                    @Override
+                                    protected void initChannel(NioSocketChannel channel) {
+                                        opened[0] = new HttpChannel(channel);
+                                        channel.pipeline().addLast(clientCodec(), opened[0]);
+                                    }
+                                });
+        var connecting = client.connect(socketAddress(address));
+        boolean isDone = connecting.awaitUninterruptibly(longest.toNanos(), TimeUnit.NANOSECONDS);
+        if (!isDone || !connecting.isSuccess()) {
+            connecting.channel().close();
+            throw RattanportException.builder(
+                            ErrorCode.TARGET_FAILED, "cannot connect to " + address)
+                    .verdict(Verdict.NOT_RUN)
+                    .build();
+        }
+        return opened[0];
+    }
+
+    private static HttpClientCodec clientCodec() {
+        HttpDecoderConfig config =
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(ANSWER_HEADER_BYTES)
+                        .setMaxHeaderSize(ANSWER_HEADER_BYTES)
+                        .setValidateHeaders(false);
+        return new HttpClientCodec(config, false, false);
+    }
+
+    static InetSocketAddress socketAddress(String address) {
+        int colon = address.lastIndexOf(':');
+        return new InetSocketAddress(
+                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    }
+
+    @Override
+    public void close() {
+        mEventLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
--- a/connectors/src/main/java/org/rattanport/connectors/peer/PeerPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PeerPlugin.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.rattanport.kernel.peer.PeerNetwork;
+import org.rattanport.kernel.plugin.Edition;
 import org.rattanport.kernel.plugin.Plugin;
 import org.rattanport.kernel.plugin.PluginContext;
 import org.rattanport.kernel.settings.InstanceSettings;
@@ -17,6 +18,11 @@
         return "peers";
     }
 
+    @Override
+    public Set<Edition> editions() {
+        return Set.of(Edition.PROMPTS, Edition.GATEWAY);
+    }
+
     @Override
     public Set<Class<?>> requires() {
         return Set.of(InstanceSettings.class);
--- a/daemon/src/main/java/org/rattanport/daemon/Instance.java
+++ b/daemon/src/main/java/org/rattanport/daemon/Instance.java
@@ -1,11 +1,15 @@
 package org.rattanport.daemon;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.rattanport.decisions.lifecycle.Drain;
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.plugin.Edition;
 import org.rattanport.kernel.plugin.Kernel;
 import org.rattanport.kernel.plugin.PluginContext;
 import org.rattanport.kernel.settings.InstanceSettings;
@@ -65,7 +69,9 @@
     public static final class Builder {
         private final InstanceSettings mSettings;
         private final TimeSource mTime = new SystemTimeSource();
+        private final List<Consumer<PluginContext>> mProvided = new ArrayList<>();
         private Optional<PolicyChoice> mPolicy = Optional.empty();
+        private Edition mEdition = Edition.PROMPTS;
 
         private Builder(InstanceSettings settings) {
             mSettings = settings;
@@ -77,16 +83,32 @@
             return this;
         }
 
-        /** Starts every registered plug-in; what had started is stopped again when one fails. */
+        /** Chooses another kind of instance than the one with the project's own interface. */
+        public Builder edition(Edition edition) {
+            mEdition = edition;
+            return this;
+        }
+
+        /** Provides something to the plug-ins from the start. */
+        public <T> Builder provide(Class<T> type, T service) {
+            mProvided.add(context -> context.provide(type, service));
+            return this;
+        }
+
+        /**
+         * Starts every registered plug-in of the edition; what had started is stopped again when
+         * one fails.
+         */
         public Instance start() {
             PluginContext context = new PluginContext(new EventStreams(), mTime);
             context.provide(InstanceSettings.class, mSettings);
             context.provide(
                     InstanceId.class, new InstanceId(mSettings.instanceName(), mTime.wallMillis()));
             mPolicy.ifPresent(policy -> context.provide(PolicyChoice.class, policy));
+            mProvided.forEach(each -> each.accept(context));
             Kernel kernel = new Kernel(context);
             try {
-                kernel.start(Kernel.registeredPlugins());
+                kernel.start(Kernel.registeredPlugins(mEdition));
             } catch (RuntimeException e) {
                 kernel.stop(Deadline.after(mTime, STOP_LIMIT));
                 throw e;
--- a/daemon/src/main/java/org/rattanport/daemon/command/Files.java
+++ b/daemon/src/main/java/org/rattanport/daemon/command/Files.java
@@ -6,10 +6,10 @@
 import org.rattanport.kernel.error.RattanportException;
 
 /** Reads the files that commands name. */
-final class Files {
+public final class Files {
     private Files() {}
 
-    static String read(Path file, ErrorCode code) {
+    public static String read(Path file, ErrorCode code) {
         try {
             return java.nio.file.Files.readString(file);
         } catch (IOException e) {
@@ -18,7 +18,7 @@
     }
 
     /** Runs a check whose error lines get the name of the file in front. */
-    static <T> T parse(Path file, ErrorCode code, java.util.function.Function<String, T> parser) {
+    public static <T> T parse(Path file, ErrorCode code, java.util.function.Function<String, T> parser) {
         String text = read(file, code);
         try {
             return parser.apply(text);
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayMembershipPlugin.java
@@ -0,0 +1,140 @@
+package org.rattanport.decisions.gateway;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.jboss.logging.Logger;
+import org.rattanport.decisions.membership.Gossip;
+import org.rattanport.decisions.membership.MemberTable;
+import org.rattanport.decisions.membership.ProbeSettings;
+import org.rattanport.decisions.membership.Prober;
+import org.rattanport.decisions.membership.RumorHub;
+import org.rattanport.decisions.membership.RumorQueue;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.gateway.GatewaySettings;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.peer.MemberState;
+import org.rattanport.kernel.peer.Membership;
+import org.rattanport.kernel.peer.PeerNetwork;
+import org.rattanport.kernel.plugin.Edition;
+import org.rattanport.kernel.plugin.Plugin;
+import org.rattanport.kernel.plugin.PluginContext;
+import org.rattanport.kernel.plugin.TaskGroup;
+import org.rattanport.kernel.settings.InstanceSettings;
+import org.rattanport.kernel.settings.InstanceSettings.Timings;
+import org.rattanport.kernel.settings.LocalEndpoints;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.TimeSource;
+
+/** Provides the membership of gateway instances, which find each other through seeds. */
+public final class GatewayMembershipPlugin implements Plugin {
+    private static final Logger LOGGER = Logger.getLogger(GatewayMembershipPlugin.class);
+    private static final int INDIRECT_PROBES = 2;
+    private static final int REJOIN_ROUNDS = 5;
+    private static final Duration JOIN_TIMEOUT = Duration.ofMillis(800);
+
+    private Optional<TaskGroup> mTasks = Optional.empty();
+
+    @Override
+    public String name() {
+        return "gateway-membership";
+    }
+
+    @Override
+    public Set<Edition> editions() {
+        return Set.of(Edition.GATEWAY);
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(
+                InstanceSettings.class,
+                GatewaySettings.class,
+                InstanceId.class,
+                LocalEndpoints.class,
+                PeerNetwork.class);
+    }
+
+    @Override
+    public Set<Class<?>> provides() {
+        return Set.of(Membership.class, MemberTable.class, RumorHub.class, RoutingInForce.class);
+    }
+
+    @Override
+    public void start(PluginContext context) {
+        Timings timings = context.require(InstanceSettings.class).timings();
+        TimeSource time = context.time();
+        PeerNetwork peers = context.require(PeerNetwork.class);
+        RoutingInForce routing = new RoutingInForce(context.events());
+        RumorQueue rumors = new RumorQueue();
+        MemberTable table = new MemberTable(self(context), rumors, context.events());
+        RumorHub hub = new RumorHub(rumors);
+        Gossip gossip =
+                new Gossip(
+                        table,
+                        rumors,
+                        peers,
+                        new RoutingVersions(routing),
+                        (peer, stage, version) -> {},
+                        hub::heard);
+        gossip.register(timings.probeTimeout(), time);
+        context.provide(RoutingInForce.class, routing);
+        context.provide(Membership.class, table);
+        context.provide(MemberTable.class, table);
+        context.provide(RumorHub.class, hub);
+        int suspicionRounds = (int) timings.suspicionTimeout().dividedBy(timings.probePeriod());
+        Prober prober =
+                new Prober(
+                        table,
+                        gossip,
+                        peers,
+                        new ProbeSettings(
+                                timings.probeTimeout(),
+                                INDIRECT_PROBES,
+                                suspicionRounds,
+                                REJOIN_ROUNDS),
+                        time,
+                        new Random());
+        List<String> seeds = context.require(GatewaySettings.class).memberSeeds();
+        TaskGroup tasks = new TaskGroup(time);
+        tasks.every("probe-members", timings.probePeriod(), prober::round);
+        tasks.every("join-members", timings.listPeriod(), () -> join(seeds, table, gossip, time));
+        mTasks = Optional.of(tasks);
+    }
+
+    private static Member self(PluginContext context) {
+        LocalEndpoints endpoints = context.require(LocalEndpoints.class);
+        return new Member(
+                context.require(InstanceId.class),
+                endpoints.callerAddress(),
+                endpoints.peerAddress(),
+                context.require(InstanceSettings.class).dataCentre(),
+                MemberState.ALIVE,
+                0);
+    }
+
+    /** Asks every seed that is not known as a member yet. */
+    private static void join(
+            List<String> seeds, MemberTable table, Gossip gossip, TimeSource time) {
+        List<String> known = table.aliveMembers().stream().map(Member::peerAddress).toList();
+        seeds.stream()
+                .filter(each -> !known.contains(each))
+                .forEach(each -> tryJoin(each, gossip, Deadline.after(time, JOIN_TIMEOUT)));
+    }
+
+    private static void tryJoin(String address, Gossip gossip, Deadline deadline) {
+        try {
+            gossip.join(address, deadline);
+        } catch (RattanportException e) {
+            LOGGER.debugf("cannot join through %s: %s", address, e.getMessage());
+        }
+    }
+
+    @Override
+    public void stop(Deadline deadline) {
+        mTasks.ifPresent(TaskGroup::close);
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayParts.java
@@ -0,0 +1,17 @@
+package org.rattanport.decisions.gateway;
+
+import org.rattanport.kernel.gateway.BackEndClient;
+import org.rattanport.kernel.time.TimeSource;
+
+/** What forwarding a request needs of its instance. */
+record GatewayParts(
+        RoutingInForce routing,
+        BackEndRegister register,
+        BackEndPlacement prompts,
+        BackEndPlacement calls,
+        BackEndClient client,
+        BackEndHealth health,
+        LoadBoard loads,
+        WorkNews news,
+        RepeatAllowance allowance,
+        TimeSource time) {}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayService.java
@@ -0,0 +1,80 @@
+package org.rattanport.decisions.gateway;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.gateway.BackEndService;
+import org.rattanport.kernel.gateway.CallerExchange;
+import org.rattanport.kernel.gateway.CallerRequest;
+import org.rattanport.kernel.gateway.GatewayAccount;
+import org.rattanport.kernel.gateway.Route;
+import org.rattanport.kernel.gateway.WeightedService;
+import org.rattanport.kernel.time.Deadline;
+
+/** Forwards callers' requests to the back ends of their routes. */
+public final class GatewayService {
+    /** Time that a caller waits when it does not say. */
+    private static final Duration USUAL_PATIENCE = Duration.ofSeconds(30);
+
+    private final GatewayParts mParts;
+    private final Random mRandom;
+
+    GatewayService(GatewayParts parts, Random random) {
+        mParts = parts;
+        mRandom = random;
+    }
+
+    /**
+     * Answers the request, on the task of the caller's connection.
+     *
+     * @throws RattanportException when nothing was sent to the caller; its verdict says whether the
+     *     request may have run
+     */
+    public void serve(CallerRequest request, CallerExchange caller) {
+        RouteTable table = mParts.routing().require();
+        Route route =
+                table.route(request.host(), request.path())
+                        .orElseThrow(
+                                () ->
+                                        new RattanportException(
+                                                ErrorCode.NOT_FOUND, "no route for this path"));
+        Optional<GatewayAccount> account = authenticate(table, route, request);
+        String service = pick(route.services());
+        BackEndService target =
+                table.service(service)
+                        .orElseThrow(
+                                () ->
+                                        new RattanportException(
+                                                ErrorCode.NO_TARGET,
+                                                "the document does not describe " + service));
+        Duration patience = request.patience().orElse(USUAL_PATIENCE);
+        Deadline deadline =
+                Deadline.after(mParts.time(), patience).within(mParts.time(), route.timeout());
+        mParts.allowance().first(service);
+        new Forwarding(mParts, request, caller, route, target, account, deadline).run();
+    }
+
+    private static Optional<GatewayAccount> authenticate(
+            RouteTable table, Route route, CallerRequest request) {
+        Optional<GatewayAccount> account = request.key().flatMap(table::account);
+        if (account.isEmpty() && table.hasAccounts() && !route.isPublic()) {
+            throw new RattanportException(ErrorCode.UNAUTHENTICATED, "the key is not known");
+        }
+        return account;
+    }
+
+    private String pick(List<WeightedService> services) {
+        double total = services.stream().mapToDouble(WeightedService::weight).sum();
+        double drawn = mRandom.nextDouble() * total;
+        for (WeightedService each : services) {
+            drawn -= each.weight();
+            if (drawn < 0) {
+                return each.service();
+            }
+        }
+        return services.getLast().service();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RoutingInForce.java
@@ -0,0 +1,56 @@
+package org.rattanport.decisions.gateway;
+
+import java.util.Optional;
+import org.jboss.logging.Logger;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.gateway.CallerLimits;
+import org.rattanport.kernel.gateway.RoutingDocument;
+
+/** The routing document that this instance acts on; its version only rises. */
+public final class RoutingInForce {
+    private static final Logger LOGGER = Logger.getLogger(RoutingInForce.class);
+
+    private final EventStreams mEvents;
+    private volatile Optional<RouteTable> mCurrent = Optional.empty();
+
+    public RoutingInForce(EventStreams events) {
+        mEvents = events;
+    }
+
+    /** Takes the document when it is newer than the one in force; returns whether it did. */
+    public synchronized boolean offer(RoutingDocument document) {
+        if (document.version() <= version()) {
+            return false;
+        }
+        mCurrent = Optional.of(new RouteTable(document));
+        LOGGER.infof(
+                "document in force: version %d, %d routes, %d accounts",
+                document.version(), document.routes().size(), document.accounts().size());
+        mEvents.publish(document);
+        return true;
+    }
+
+    public Optional<RouteTable> current() {
+        return mCurrent;
+    }
+
+    /** Version in force, or zero when none is known. */
+    public long version() {
+        return mCurrent.map(table -> table.document().version()).orElse(0L);
+    }
+
+    public CallerLimits limits() {
+        return mCurrent.map(table -> table.document().limits()).orElse(CallerLimits.DEFAULTS);
+    }
+
+    /** Returns the table in force, or refuses the request as not run. */
+    public RouteTable require() {
+        return mCurrent.orElseThrow(
+                () ->
+                        new RattanportException(
+                                ErrorCode.ENVIRONMENT_UNAVAILABLE,
+                                "this instance has no routing document yet"));
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RoutingVersions.java
@@ -0,0 +1,37 @@
+package org.rattanport.decisions.gateway;
+
+import io.reactivex.rxjava3.core.Flowable;
+import java.util.Optional;
+import org.rattanport.kernel.environment.ActiveEnvironment;
+import org.rattanport.kernel.environment.DocumentVersion;
+import org.rattanport.kernel.environment.EnvironmentInForce;
+import org.rattanport.kernel.environment.Stage;
+
+/** Lets gossip tell the version of the routing document; the document itself is in the store. */
+final class RoutingVersions implements EnvironmentInForce {
+    private final RoutingInForce mRouting;
+
+    RoutingVersions(RoutingInForce routing) {
+        mRouting = routing;
+    }
+
+    @Override
+    public Optional<ActiveEnvironment> current(Stage stage) {
+        return Optional.empty();
+    }
+
+    @Override
+    public long version(Stage stage) {
+        return stage == Stage.PRODUCTION ? mRouting.version() : 0;
+    }
+
+    @Override
+    public boolean offer(DocumentVersion version) {
+        return false;
+    }
+
+    @Override
+    public Flowable<ActiveEnvironment> changes() {
+        return Flowable.never();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/WorkBook.java
@@ -0,0 +1,135 @@
+package org.rattanport.decisions.gateway;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.rattanport.kernel.time.TimeSource;
+
+/**
+ * The requests that are known to be at engines: those of this instance and those that other
+ * instances told of. Progress between two pieces of news is predicted.
+ */
+public final class WorkBook {
+    /** A request is forgotten when its end was not heard of in this many predicted durations. */
+    private static final double FORGET_FACTOR = 3;
+
+    /** And at the earliest after this time. */
+    private static final double FORGET_MILLIS = 3_000;
+
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    private static final class Entry {
+        private final Work mWork;
+        private final long mPlacedNanos;
+        private boolean mIsWriting;
+
+        private Entry(Work work, long placedNanos) {
+            mWork = work;
+            mPlacedNanos = placedNanos;
+        }
+    }
+
+    private final TimeSource mTime;
+    private final Map<String, Entry> mEntries = new LinkedHashMap<>();
+    private final Map<String, Map<String, Share>> mByEngine = new HashMap<>();
+
+    public WorkBook(TimeSource time) {
+        mTime = time;
+    }
+
+    /** Records a request that was placed now. */
+    public synchronized void placed(Work work) {
+        ended(work.id());
+        mEntries.put(work.id(), new Entry(work, mTime.nanoTime()));
+        work.shares()
+                .forEach(
+                        share ->
+                                mByEngine
+                                        .computeIfAbsent(
+                                                share.engine(), id -> new LinkedHashMap<>())
+                                        .put(work.id(), share));
+    }
+
+    /** Records that the request has its first event. */
+    public synchronized void writes(String id) {
+        Entry entry = mEntries.get(id);
+        if (entry != null) {
+            entry.mIsWriting = true;
+        }
+    }
+
+    /** Records that the request has left its engines. */
+    public synchronized void ended(String id) {
+        Entry entry = mEntries.remove(id);
+        if (entry == null) {
+            return;
+        }
+        for (Share share : entry.mWork.shares()) {
+            Map<String, Share> shares = mByEngine.get(share.engine());
+            if (shares != null && shares.remove(id) != null && shares.isEmpty()) {
+                mByEngine.remove(share.engine());
+            }
+        }
+    }
+
+    /** Forgets requests whose end was not heard of. */
+    public synchronized void forgetOld() {
+        long now = mTime.nanoTime();
+        mEntries.values().stream()
+                .filter(each -> isOld(each, now))
+                .map(each -> each.mWork.id())
+                .toList()
+                .forEach(this::ended);
+    }
+
+    private static boolean isOld(Entry entry, long now) {
+        double age = (now - entry.mPlacedNanos) / NANOS_PER_MILLI;
+        double expected = entry.mWork.firstEventMillis() + entry.mWork.answerMillis();
+        return age > Math.max(FORGET_MILLIS, FORGET_FACTOR * expected);
+    }
+
+    /** Returns what is known of the engine now. */
+    public synchronized EnginePicture picture(String engine) {
+        Map<String, Share> shares = mByEngine.get(engine);
+        if (shares == null) {
+            return EnginePicture.IDLE;
+        }
+        long now = mTime.nanoTime();
+        int writers = 0;
+        int writersNow = 0;
+        long context = 0;
+        long held = 0;
+        double unreadTokens = 0;
+        double unreadMillis = 0;
+        int waitingReads = 0;
+        for (Map.Entry<String, Share> each : shares.entrySet()) {
+            Entry entry = mEntries.get(each.getKey());
+            Share share = each.getValue();
+            double left = unreadShare(entry, now);
+            unreadTokens += left * share.readTokens();
+            unreadMillis += left * share.readMillis();
+            waitingReads += left > 0 ? 1 : 0;
+            held += share.heldTokens();
+            if (share.isWriter()) {
+                writers++;
+                writersNow += left > 0 ? 0 : 1;
+                context += left > 0 ? 0 : share.heldTokens();
+            }
+        }
+        return new EnginePicture(
+                writers, writersNow, context, held, unreadTokens, unreadMillis, waitingReads);
+    }
+
+    private static double unreadShare(Entry entry, long now) {
+        if (entry.mIsWriting || entry.mWork.firstEventMillis() <= 0) {
+            return 0;
+        }
+        double age = (now - entry.mPlacedNanos) / NANOS_PER_MILLI;
+        return Math.max(0, 1 - age / entry.mWork.firstEventMillis());
+    }
+
+    /** Requests that are known now. */
+    public synchronized int size() {
+        return mEntries.size();
+    }
+}
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/WorkNews.java
@@ -0,0 +1,13 @@
+package org.rattanport.decisions.gateway;
+
+/** Takes what this instance does at engines, for itself and for the other instances. */
+public interface WorkNews {
+    /** A request was placed. */
+    void placed(Work work);
+
+    /** The request has its first event. */
+    void writes(String id);
+
+    /** The request has left its engines. */
+    void ended(String id);
+}
--- a/decisions/src/main/java/org/rattanport/decisions/lifecycle/AddressBook.java
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/AddressBook.java
@@ -9,13 +9,25 @@
 
 /** Tells callers which instances to use: alive ones, in random order, those nearby first. */
 public final class AddressBook {
-    private static final int ADDRESSES_PER_ANSWER = 4;
+    /**
+     * How many addresses an answer holds.
+     *
+     * @param near most addresses in the caller's data centre
+     * @param far addresses elsewhere, so that callers survive the loss of a data centre
+     * @param fewest addresses below which more of other data centres are added
+     */
+    public record Spread(int near, int far, int fewest) {
+        /** Few addresses, which callers try in turn. */
+        public static final Spread DEFAULTS = new Spread(3, 1, 4);
+    }
 
     private final Membership mMembership;
+    private final Spread mSpread;
     private final Random mRandom;
 
-    public AddressBook(Membership membership, Random random) {
+    public AddressBook(Membership membership, Spread spread, Random random) {
         mMembership = membership;
+        mSpread = spread;
         mRandom = random;
     }
 
@@ -26,13 +38,10 @@
         List<Member> chosen = new ArrayList<>();
         alive.stream()
                 .filter(each -> each.dataCentre().equals(dataCentre))
-                .limit(ADDRESSES_PER_ANSWER - 1)
-                .forEach(chosen::add);
-        // The last address lies elsewhere, so that callers survive the loss of a data centre.
-        alive.stream()
-                .filter(each -> !chosen.contains(each))
-                .limit(ADDRESSES_PER_ANSWER - chosen.size())
+                .limit(mSpread.near())
                 .forEach(chosen::add);
+        int others = Math.max(mSpread.far(), mSpread.fewest() - chosen.size());
+        alive.stream().filter(each -> !chosen.contains(each)).limit(others).forEach(chosen::add);
         return chosen.stream().map(Member::callerAddress).toList();
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/lifecycle/LifecyclePlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/LifecyclePlugin.java
@@ -3,6 +3,7 @@
 import java.util.Random;
 import java.util.Set;
 import org.rattanport.decisions.membership.MemberTable;
+import org.rattanport.kernel.plugin.Edition;
 import org.rattanport.kernel.plugin.Plugin;
 import org.rattanport.kernel.plugin.PluginContext;
 import org.rattanport.kernel.settings.InstanceSettings;
@@ -14,6 +15,11 @@
         return "lifecycle";
     }
 
+    @Override
+    public Set<Edition> editions() {
+        return Set.of(Edition.PROMPTS, Edition.GATEWAY);
+    }
+
     @Override
     public Set<Class<?>> requires() {
         return Set.of(InstanceSettings.class, MemberTable.class);
@@ -24,11 +30,15 @@
         return Set.of(AddressBook.class, InFlight.class, Drain.class);
     }
 
+    private static AddressBook.Spread spread(PluginContext context) {
+        return context.find(AddressBook.Spread.class).orElse(AddressBook.Spread.DEFAULTS);
+    }
+
     @Override
     public void start(PluginContext context) {
         MemberTable members = context.require(MemberTable.class);
         InFlight inFlight = new InFlight(context.time());
-        context.provide(AddressBook.class, new AddressBook(members, new Random()));
+        context.provide(AddressBook.class, new AddressBook(members, spread(context), new Random()));
         context.provide(InFlight.class, inFlight);
         context.provide(
                 Drain.class,
--- a/decisions/src/main/java/org/rattanport/decisions/membership/RumorHub.java
+++ b/decisions/src/main/java/org/rattanport/decisions/membership/RumorHub.java
@@ -24,7 +24,7 @@
         mListeners.add(listener);
     }
 
-    void heard(Rumor rumor) {
+    public void heard(Rumor rumor) {
         mListeners.forEach(listener -> listener.accept(rumor));
     }
 }
--- a/kernel/src/main/java/org/rattanport/kernel/plugin/Kernel.java
+++ b/kernel/src/main/java/org/rattanport/kernel/plugin/Kernel.java
@@ -36,6 +36,13 @@
                 .toList();
     }
 
+    /** Loads the registered plug-ins of one kind of instance. */
+    public static List<Plugin> registeredPlugins(Edition edition) {
+        return registeredPlugins().stream()
+                .filter(plugin -> plugin.editions().contains(edition))
+                .toList();
+    }
+
     /**
      * Starts the plug-ins, each after the providers of what it requires.
      *
--- a/kernel/src/main/java/org/rattanport/kernel/plugin/Plugin.java
+++ b/kernel/src/main/java/org/rattanport/kernel/plugin/Plugin.java
@@ -11,6 +11,11 @@
     /** Name shown in logs and errors; unique among the plug-ins of a process. */
     String name();
 
+    /** Kinds of instance that this plug-in is a part of. */
+    default Set<Edition> editions() {
+        return Set.of(Edition.PROMPTS);
+    }
+
     /** Service types that must be provided before this plug-in starts. */
     default Set<Class<?>> requires() {
         return Set.of();
