Shorten the start of a gateway: class archive, own runtime, log lines from a task of their own

Cause: a process took about a second of processor time to start; 233 classes of the log back end, and eight HTTP clients that the command line built only to list its commands. Ruled out: signed jars (none). Change: a class archive recorded at build time over a stand-in of the platform, a runtime of five modules, java.util.logging behind JBoss Logging with a bounded writer that never blocks, lazy clients.

--- a/daemon/src/main/java/org/rattanport/daemon/Main.java
+++ b/daemon/src/main/java/org/rattanport/daemon/Main.java
@@ -9,7 +9,7 @@
     private Main() {}
 
     public static void main(String[] arguments) {
-        Logging.configure(false, "WARN");
+        Logging.configure(System.err, "WARN");
         int code =
                 CommandLine.registered()
                         .run(List.of(arguments), new CommandOutput(System.out, System.err));
--- a/daemon/src/main/java/org/rattanport/daemon/command/ClientOptions.java
+++ b/daemon/src/main/java/org/rattanport/daemon/command/ClientOptions.java
@@ -22,7 +22,6 @@
     private int mTimeoutSeconds = 60;
 
     private final TimeSource mTime = new SystemTimeSource();
-    private final HttpCaller mHttp = new HttpCaller(mTime);
 
     /** URL of a path at the instance. */
     HttpUrl.Builder url(String path) {
@@ -37,8 +36,9 @@
                 .header("Rattanport-Operator", System.getProperty("user.name", "unknown"));
     }
 
+    /** Made when a call needs it, since every command is made to list them. */
     HttpCaller http() {
-        return mHttp;
+        return new HttpCaller(mTime);
     }
 
     Deadline deadline() {
@@ -51,7 +51,7 @@
 
     /** Makes a call, prints its answer and returns the exit code. */
     int print(Request.Builder request, CommandOutput output) {
-        HttpAnswer answer = mHttp.exchange(request, deadline());
+        HttpAnswer answer = http().exchange(request, deadline());
         (answer.isSuccess() ? output.results() : output.errors()).println(answer.text());
         return answer.isSuccess() ? ExitCode.SUCCESS : ExitCode.FAILED;
     }
--- a/daemon/src/main/java/org/rattanport/daemon/command/ServeCommand.java
+++ b/daemon/src/main/java/org/rattanport/daemon/command/ServeCommand.java
@@ -13,9 +13,6 @@
         @Parameter(names = "--settings", required = true, description = "settings file")
         private String mSettings = "";
 
-        @Parameter(names = "--json-logs", description = "write log lines as JSON")
-        private boolean mHasJsonLogs;
-
         @Parameter(names = "--log-level", description = "DEBUG, INFO, WARN or ERROR")
         private String mLogLevel = "INFO";
     }
@@ -39,7 +36,7 @@
 
     @Override
     public int run(CommandOutput output) {
-        Logging.configure(mOptions.mHasJsonLogs, mOptions.mLogLevel);
+        Logging.configure(System.out, mOptions.mLogLevel);
         Instance instance =
                 Instance.builder(
                                 Files.parse(
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,12 +1,29 @@
 #!/usr/bin/env bash
-# Builds the gateway into target/: the jars, and a runtime of its own that holds just the modules it needs.
+# Builds the gateway into target/: the jars, a runtime that holds just the modules it needs, and an
+# archive of the classes that serving loads, recorded while a stand-in sends requests on loopback.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . config/java-home.sh
 mvn -B -ntp -q -DskipTests -pl platform -am package
-rm -rf target/lib target/jre
+rm -rf target/lib target/jre target/gateway.jsa
 mkdir -p target/lib
-cp platform/target/lib/*.jar platform/target/platform-*.jar target/lib/
+cp platform/target/lib/*.jar target/lib/
+cp platform/target/platform-0.1.0-SNAPSHOT.jar target/lib/platform.jar
 "$JAVA_HOME/bin/jlink" --output target/jre --strip-debug --no-header-files --no-man-pages \
-    --add-modules java.base,java.logging,java.naming,java.management,java.xml,java.desktop,jdk.unsupported,jdk.net
-target/jre/bin/java -XX:+UseSerialGC -XX:+UseCompactObjectHeaders -Xshare:dump >/dev/null 2>&1
+    --add-modules java.base,java.logging,java.management,jdk.unsupported,jdk.net
+options="$(sed -n 's/^run = "[^ ]* \(.*\) -jar .*/\1/p' deploy/system.toml | sed 's/-XX:SharedArchiveFile=[^ ]*//')"
+target/jre/bin/java $options -Xshare:dump >/dev/null 2>&1
+
+# The archive only shortens the start; a gateway without it serves as well.
+settings="$PWD/target/training.conf"
+rm -f "$settings"
+"$JAVA_HOME/bin/java" -cp "target/lib/*:platform/target/test-classes" \
+    org.rattanport.platform.standin.TrainingLoad "$settings" &
+load=$!
+for _ in $(seq 100); do [ -s "$settings" ] && break; sleep 0.1; done
+target/jre/bin/java $options -XX:ArchiveClassesAtExit=target/gateway.jsa \
+    -jar target/lib/platform.jar gateway --settings "$settings" >target/training.log 2>&1 &
+gateway=$!
+wait "$load" || echo "the training load failed, see target/training.log" >&2
+kill -TERM "$gateway" 2>/dev/null || true
+wait "$gateway" || true
--- a/standins/src/main/java/org/rattanport/standins/fleet/Fleet.java
+++ b/standins/src/main/java/org/rattanport/standins/fleet/Fleet.java
@@ -325,7 +325,7 @@
 
         /** Starts everything, puts the document and waits until all instances are ready. */
         public Fleet start() {
-            Logging.configure(false, System.getProperty("rattanport.log", "ERROR"));
+            Logging.configure(System.err, System.getProperty("rattanport.log", "ERROR"));
             Fleet fleet = new Fleet(this);
             for (int i = 0; i < mInstanceCount; i++) {
                 fleet.startInstance();
