--- a/daemon/src/main/java/org/rattanport/daemon/LogWriter.java
+++ b/daemon/src/main/java/org/rattanport/daemon/LogWriter.java
@@ -7,7 +7,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -21,7 +20,8 @@
     /** Lines that wait for the reader; some hundred kilobytes at most. */
     private static final int MOST_WAITING = 2_048;
 
-    private static final long FLUSH_MILLIS = 500;
+    /** Time to write what waits when the process ends. */
+    private static final long CLOSE_MILLIS = 1_000;
 
     private final BlockingQueue<String> mLines = new ArrayBlockingQueue<>(MOST_WAITING);
     private final AtomicLong mDropped = new AtomicLong();
@@ -75,8 +75,8 @@
     private void run() {
         try {
             while (!mIsClosed || !mLines.isEmpty()) {
-                String line = mLines.poll(FLUSH_MILLIS, TimeUnit.MILLISECONDS);
-                if (line != null) {
+                String line = mLines.take();
+                if (!line.isEmpty()) {
                     write(line);
                 }
             }
@@ -90,7 +90,8 @@
 
     private void write(String line) throws IOException {
         long dropped = mDropped.getAndSet(0);
-        String text = dropped == 0 ? line : "event=log-lines-dropped count=" + dropped + '\n' + line;
+        String text =
+                dropped == 0 ? line : "event=log-lines-dropped count=" + dropped + '\n' + line;
         mStream.write(text.getBytes(StandardCharsets.UTF_8));
         mStream.flush();
     }
@@ -108,8 +109,10 @@
     @Override
     public void close() {
         mIsClosed = true;
+        // Wakes the task where no line waits; where some do, it does not wait itself.
+        mLines.offer("");
         try {
-            mThread.join(FLUSH_MILLIS * 2);
+            mThread.join(CLOSE_MILLIS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/daemon/src/main/java/org/rattanport/daemon/Logging.java
+++ b/daemon/src/main/java/org/rattanport/daemon/Logging.java
@@ -6,7 +6,9 @@
 import java.util.logging.LogManager;
 import java.util.logging.Logger;
 
-/** Sets up the logs of a process: lines of names and values that never hold back who writes them. */
+/**
+ * Sets up the logs of a process: lines of names and values that never hold back who writes them.
+ */
 public final class Logging {
     private static final String PRODUCT = "org.rattanport";
 
--- a/daemon/src/main/java/org/rattanport/daemon/command/Files.java
+++ b/daemon/src/main/java/org/rattanport/daemon/command/Files.java
@@ -18,7 +18,8 @@
     }
 
     /** Runs a check whose error lines get the name of the file in front. */
-    public static <T> T parse(Path file, ErrorCode code, java.util.function.Function<String, T> parser) {
+    public static <T> T parse(
+            Path file, ErrorCode code, java.util.function.Function<String, T> parser) {
         String text = read(file, code);
         try {
             return parser.apply(text);
--- a/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
@@ -39,21 +39,26 @@
         void shouldNeverNameTheLeavingOrTheUnwell() {
             Set<String> named = new HashSet<>();
             for (int seed = 0; seed < 50; seed++) {
-                named.addAll(new AddressBook(mMembership, AddressBook.Spread.DEFAULTS, new Random(seed)).addresses("near"));
+                named.addAll(
+                        new AddressBook(mMembership, AddressBook.Spread.DEFAULTS, new Random(seed))
+                                .addresses("near"));
             }
             assertThat(named).containsExactly("a:caller", "b:caller", "e:caller", "f:caller");
         }
 
         @Test
         void shouldPutNearbyInstancesFirst() {
-            List<String> addresses = new AddressBook(mMembership, AddressBook.Spread.DEFAULTS, new Random(1)).addresses("near");
+            List<String> addresses =
+                    new AddressBook(mMembership, AddressBook.Spread.DEFAULTS, new Random(1))
+                            .addresses("near");
             assertThat(addresses.subList(0, 2)).containsExactly("a:caller", "b:caller");
         }
 
         @Test
         void shouldSpreadCallers() {
             Set<String> firsts = new HashSet<>();
-            AddressBook book = new AddressBook(mMembership, AddressBook.Spread.DEFAULTS, new Random(1));
+            AddressBook book =
+                    new AddressBook(mMembership, AddressBook.Spread.DEFAULTS, new Random(1));
             for (int i = 0; i < 50; i++) {
                 firsts.add(book.addresses("unknown").getFirst());
             }
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -7,8 +7,7 @@
 mvn -B -ntp -q -DskipTests -pl platform -am package
 rm -rf target/lib target/jre target/gateway.jsa
 mkdir -p target/lib
-cp platform/target/lib/*.jar target/lib/
-cp platform/target/platform-0.1.0-SNAPSHOT.jar target/lib/platform.jar
+cp platform/target/platform-*-gateway.jar target/lib/gateway.jar
 "$JAVA_HOME/bin/jlink" --output target/jre --strip-debug --no-header-files --no-man-pages \
     --add-modules java.base,java.logging,java.management,jdk.unsupported,jdk.net
 options="$(sed -n 's/^run = "[^ ]* \(.*\) -jar .*/\1/p' deploy/system.toml | sed 's/-XX:SharedArchiveFile=[^ ]*//')"
@@ -22,7 +21,7 @@
 load=$!
 for _ in $(seq 100); do [ -s "$settings" ] && break; sleep 0.1; done
 target/jre/bin/java $options -XX:ArchiveClassesAtExit=target/gateway.jsa \
-    -jar target/lib/platform.jar gateway --settings "$settings" >target/training.log 2>&1 &
+    -jar target/lib/gateway.jar gateway --settings "$settings" >target/training.log 2>&1 &
 gateway=$!
 wait "$load" || echo "the training load failed, see target/training.log" >&2
 kill -TERM "$gateway" 2>/dev/null || true
