Tell peers of requests at engines, and lease memory for prompts that fit no engine

Cause: instances placed with their own 1/18 of the picture; prompts over an engine's memory are rejected by any single engine. Change: WorkNews over the peer link, one task a peer; leases of engine memory, all or none and without waiting, renewed while used; the engine at fault is the one that a refusal names.

--- a/connectors/src/main/java/org/rattanport/connectors/peer/PeerCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PeerCodec.java
@@ -71,6 +71,10 @@
                             org.rattanport.connectors.peer.protocol.ExplainRequest.newBuilder()
                                     .setRequestId(request.requestId()));
             case PeerMessage.ExplainReply reply -> frame.setExplainReply(explanations(reply));
+            case PeerMessage.WorkNews news -> frame.setWorkNews(WorkNewsCodec.encode(news));
+            case PeerMessage.Received ignored ->
+                    frame.setReceived(
+                            org.rattanport.connectors.peer.protocol.Received.getDefaultInstance());
             case PeerMessage.Unhandled ignored ->
                     frame.setUnhandled(
                             org.rattanport.connectors.peer.protocol.Unhandled.getDefaultInstance());
@@ -125,6 +129,8 @@
                             new PeerMessage.ExplainRequest(
                                     frame.getExplainRequest().getRequestId());
                     case EXPLAIN_REPLY -> explanations(frame.getExplainReply());
+                    case WORK_NEWS -> WorkNewsCodec.decode(frame.getWorkNews());
+                    case RECEIVED -> new PeerMessage.Received();
                     case UNHANDLED -> new PeerMessage.Unhandled();
                     case HANDSHAKE, BODY_NOT_SET -> null;
                 });
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/WorkNewsCodec.java
@@ -0,0 +1,86 @@
+package org.rattanport.connectors.peer;
+
+import java.util.Optional;
+import org.rattanport.connectors.peer.protocol.WorkShare;
+import org.rattanport.kernel.gateway.Share;
+import org.rattanport.kernel.gateway.Work;
+import org.rattanport.kernel.gateway.WorkNotice;
+import org.rattanport.kernel.peer.PeerMessage;
+
+/** Translates news of requests at engines. */
+final class WorkNewsCodec {
+    private WorkNewsCodec() {}
+
+    static org.rattanport.connectors.peer.protocol.WorkNews encode(PeerMessage.WorkNews news) {
+        return org.rattanport.connectors.peer.protocol.WorkNews.newBuilder()
+                .addAllNotices(news.notices().stream().map(WorkNewsCodec::notice).toList())
+                .build();
+    }
+
+    private static org.rattanport.connectors.peer.protocol.WorkNotice notice(WorkNotice notice) {
+        var builder =
+                org.rattanport.connectors.peer.protocol.WorkNotice.newBuilder().setId(notice.id());
+        switch (notice) {
+            case WorkNotice.Placed placed ->
+                    builder.setKind(org.rattanport.connectors.peer.protocol.WorkNotice.Kind.PLACED)
+                            .addAllShares(
+                                    placed.work().shares().stream()
+                                            .map(WorkNewsCodec::share)
+                                            .toList())
+                            .setFirstEventMillis((float) placed.work().firstEventMillis())
+                            .setAnswerMillis((float) placed.work().answerMillis());
+            case WorkNotice.Writes writes ->
+                    builder.setKind(org.rattanport.connectors.peer.protocol.WorkNotice.Kind.WRITES);
+            case WorkNotice.Ended ended ->
+                    builder.setKind(org.rattanport.connectors.peer.protocol.WorkNotice.Kind.ENDED);
+        }
+        return builder.build();
+    }
+
+    private static WorkShare share(Share share) {
+        return WorkShare.newBuilder()
+                .setEngine(share.engine())
+                .setReadTokens(share.readTokens())
+                .setReadMillis((float) share.readMillis())
+                .setHeldTokens(share.heldTokens())
+                .setIsWriter(share.isWriter())
+                .build();
+    }
+
+    static PeerMessage.WorkNews decode(org.rattanport.connectors.peer.protocol.WorkNews news) {
+        return new PeerMessage.WorkNews(
+                news.getNoticesList().stream()
+                        .map(WorkNewsCodec::notice)
+                        .flatMap(Optional::stream)
+                        .toList());
+    }
+
+    /** A kind that is not known comes from a newer instance and tells this one nothing. */
+    private static Optional<WorkNotice> notice(
+            org.rattanport.connectors.peer.protocol.WorkNotice notice) {
+        return switch (notice.getKind()) {
+            case PLACED ->
+                    Optional.of(
+                            new WorkNotice.Placed(
+                                    new Work(
+                                            notice.getId(),
+                                            notice.getSharesList().stream()
+                                                    .map(WorkNewsCodec::share)
+                                                    .toList(),
+                                            notice.getFirstEventMillis(),
+                                            notice.getAnswerMillis())));
+            case WRITES -> Optional.of(new WorkNotice.Writes(notice.getId()));
+            case ENDED -> Optional.of(new WorkNotice.Ended(notice.getId()));
+            case UNRECOGNIZED -> Optional.empty();
+        };
+    }
+
+    private static Share share(WorkShare share) {
+        return new Share(
+                share.getEngine(),
+                share.getReadTokens(),
+                share.getReadMillis(),
+                share.getHeldTokens(),
+                share.getIsWriter());
+    }
+}
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegister.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegister.java
@@ -98,12 +98,12 @@
         }
     }
 
-    /** Marks a back end that said itself that it takes no requests, ahead of its entry. */
-    public synchronized void heardLeaving(BackEnd backEnd) {
+    /** Drops a back end at whose address another one answers, ahead of its entry. */
+    public synchronized void heardOther(BackEnd backEnd) {
         BackEnd known = mBackEnds.get(backEnd.id());
         if (known != null && known.isSameStart(backEnd)) {
             mBackEnds.remove(backEnd.id());
-            LOGGER.infof("back end %s answers for another one and is gone", backEnd.id());
+            LOGGER.infof("back end %s is gone, another one has its address", backEnd.id());
         }
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -138,10 +138,11 @@
         mExcluded.add(backEnd.id());
         mParts.loads().sent(backEnd.id());
         placement.work().ifPresent(mParts.news()::placed);
-        try (BackEndExchange exchange = send(placement)) {
+        try (Closing lease = lease(placement);
+                BackEndExchange exchange = send(placement)) {
             AutoCloseable departure = mCaller.departure().onCancel(exchange::abort);
             try {
-                return answer(backEnd, exchange);
+                return answer(placement, exchange);
             } finally {
                 closeQuietly(departure);
             }
@@ -153,6 +154,18 @@
         }
     }
 
+    /** Something to close without a checked exception. */
+    private interface Closing extends AutoCloseable {
+        @Override
+        void close();
+    }
+
+    private Closing lease(Placement placement) {
+        return placement.reservations().isEmpty()
+                ? () -> {}
+                : mParts.leases().acquire(placement.reservations())::close;
+    }
+
     private BackEndExchange send(Placement placement) {
         Attempt attempt =
                 new Attempt(
@@ -162,7 +175,11 @@
                         mAccount.map(GatewayAccount::name),
                         urgency(),
                         placement.readers().stream()
-                                .map(each -> new Attempt.Reader(each.address(), Optional.empty()))
+                                .map(
+                                        each ->
+                                                new Attempt.Reader(
+                                                        each.address(),
+                                                        placement.reservation(each)))
                                 .toList(),
                         mRelay.lastEventId());
         return mParts.client().send(attempt, mDeadline.within(mParts.time(), CONNECT_TIMEOUT));
@@ -176,14 +193,12 @@
         return objective <= MIDDLE_OBJECTIVE_MILLIS ? USUAL : PATIENT;
     }
 
-    private boolean answer(BackEnd backEnd, BackEndExchange exchange) {
+    private boolean answer(Placement placement, BackEndExchange exchange) {
+        BackEnd backEnd = placement.backEnd();
         AnswerHead head = exchange.head(mDeadline);
         head.load().ifPresent(load -> mParts.loads().reported(backEnd.id(), load));
-        if (head.isOtherBackEnd()) {
-            mParts.register().heardLeaving(backEnd);
-        }
         if (head.isNotRun()) {
-            mParts.health().failed(backEnd.id(), REFUSED);
+            refused(placement, head);
             mLast =
                     RattanportException.builder(ErrorCode.TARGET_REFUSED, "every back end refused")
                             .retryAfter(COME_BACK)
@@ -208,6 +223,17 @@
         return true;
     }
 
+    /** Finds who refused: the back end that was asked, or an engine that was to read for it. */
+    private void refused(Placement placement, AnswerHead head) {
+        BackEnd culprit = head.culprit().flatMap(placement::at).orElse(placement.backEnd());
+        mExcluded.remove(placement.backEnd().id());
+        mExcluded.add(culprit.id());
+        if (head.isOtherBackEnd()) {
+            mParts.register().heardOther(culprit);
+        }
+        mParts.health().failed(culprit.id(), head.culprit().isPresent() ? BROKEN : REFUSED);
+    }
+
     /** An answer to another attempt, or a success without signature, is not this caller's. */
     private void requireOwnAnswer(AnswerHead head) {
         boolean isOther =
@@ -239,6 +265,10 @@
             return true;
         }
         boolean hadConnection = error.verdict() != Verdict.NOT_RUN;
+        if (error.code() == ErrorCode.TARGET_REFUSED) {
+            mLast = error;
+            return false;
+        }
         mParts.health().failed(backEnd.id(), hadConnection ? BROKEN : NO_CONNECTION);
         if (hadConnection && mRuns == runsBefore) {
             mRuns++;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayParts.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayParts.java
@@ -10,6 +10,7 @@
         BackEndPlacement prompts,
         BackEndPlacement calls,
         BackEndClient client,
+        MemoryLeases leases,
         BackEndHealth health,
         LoadBoard loads,
         WorkNews news,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -6,7 +6,9 @@
 import org.rattanport.kernel.gateway.BackEndClient;
 import org.rattanport.kernel.gateway.FleetSource;
 import org.rattanport.kernel.gateway.GatewaySettings;
+import org.rattanport.kernel.gateway.MemoryOrders;
 import org.rattanport.kernel.peer.Membership;
+import org.rattanport.kernel.peer.PeerNetwork;
 import org.rattanport.kernel.plugin.Edition;
 import org.rattanport.kernel.plugin.Plugin;
 import org.rattanport.kernel.plugin.PluginContext;
@@ -18,6 +20,7 @@
 /** Provides the forwarding of requests and follows the store. */
 public final class GatewayPlugin implements Plugin {
     private Optional<FleetFollower> mFollower = Optional.empty();
+    private Optional<PeerNews> mNews = Optional.empty();
 
     @Override
     public String name() {
@@ -36,7 +39,9 @@
                 GatewaySettings.class,
                 FleetSource.class,
                 BackEndClient.class,
+                MemoryOrders.class,
                 RoutingInForce.class,
+                PeerNetwork.class,
                 Membership.class);
     }
 
@@ -51,24 +56,36 @@
         GatewaySettings settings = context.require(GatewaySettings.class);
         RoutingInForce routing = context.require(RoutingInForce.class);
         BackEndRegister register = new BackEndRegister(time);
+        WorkBook book = new WorkBook(time);
+        PeerNews news =
+                new PeerNews(
+                        book,
+                        context.require(Membership.class),
+                        context.require(PeerNetwork.class),
+                        time);
+        news.register();
         GatewayService service =
-                new GatewayService(parts(context, settings, register), new Random());
+                new GatewayService(parts(context, settings, register, book, news), new Random());
         FleetFollower follower =
                 new FleetFollower(context.require(FleetSource.class), routing, register, time);
         Tasks.start("follow-document", follower::followDocument);
         Tasks.start("follow-register", follower::followRegister);
         mFollower = Optional.of(follower);
+        mNews = Optional.of(news);
         context.provide(BackEndRegister.class, register);
         context.provide(GatewayService.class, service);
     }
 
     private static GatewayParts parts(
-            PluginContext context, GatewaySettings settings, BackEndRegister register) {
+            PluginContext context,
+            GatewaySettings settings,
+            BackEndRegister register,
+            WorkBook book,
+            WorkNews news) {
         TimeSource time = context.time();
         Random random = new Random();
         BackEndHealth health = new BackEndHealth(time);
         LoadBoard loads = new LoadBoard(time);
-        WorkBook book = new WorkBook(time);
         Membership membership = context.require(Membership.class);
         String zone = context.require(InstanceSettings.class).dataCentre();
         return new GatewayParts(
@@ -77,9 +94,10 @@
                 new PromptPlacement(register, health, book, PlacementTuning.DEFAULTS, random),
                 new LeastLoadedPlacement(zone, register, health, loads, random),
                 context.require(BackEndClient.class),
+                new MemoryLeases(context.require(MemoryOrders.class), time),
                 health,
                 loads,
-                new LocalNews(book),
+                news,
                 new RepeatAllowance(
                         time,
                         settings.repeatWindow(),
@@ -92,5 +110,6 @@
     @Override
     public void stop(Deadline deadline) {
         mFollower.ifPresent(FleetFollower::close);
+        mNews.ifPresent(PeerNews::close);
     }
 }
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/MemoryLeases.java
@@ -0,0 +1,130 @@
+package org.rattanport.decisions.gateway;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.jboss.logging.Logger;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.gateway.MemoryOrders;
+import org.rattanport.kernel.task.PeriodicTask;
+import org.rattanport.kernel.task.Tasks;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.TimeSource;
+
+/**
+ * Leases engine memory for one prompt: all of it or none, without waiting for any, so that two
+ * prompts never hold half each. Leases are short and renewed while they are used; those of an
+ * instance that dies run out by themselves.
+ */
+public final class MemoryLeases {
+    private static final Logger LOGGER = Logger.getLogger(MemoryLeases.class);
+
+    /** Length of a lease; below the time in which unused memory has to be free again. */
+    private static final Duration HOLD = Duration.ofMillis(3_000);
+
+    /** Two renewals may fail before a lease runs out. */
+    private static final Duration RENEWAL = Duration.ofMillis(900);
+
+    /** Time for one order; an engine answers within a round trip. */
+    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(500);
+
+    private final MemoryOrders mOrders;
+    private final TimeSource mTime;
+
+    public MemoryLeases(MemoryOrders orders, TimeSource time) {
+        mOrders = orders;
+        mTime = time;
+    }
+
+    /** Memory that is held until it is closed. */
+    public final class Lease implements AutoCloseable {
+        private final List<Reservation> mReservations;
+        private final PeriodicTask mRenewal;
+
+        private Lease(List<Reservation> reservations) {
+            mReservations = reservations;
+            mRenewal = new PeriodicTask("renew-memory", mTime, RENEWAL, this::renew);
+        }
+
+        private void renew() {
+            forAll(mReservations, each -> order(each, true));
+        }
+
+        /** Ends the renewal, then gives the memory back without holding up the caller's answer. */
+        @Override
+        public void close() {
+            mRenewal.close();
+            Tasks.start("release-memory", () -> release(mReservations));
+        }
+    }
+
+    /**
+     * Leases everything, or nothing.
+     *
+     * @throws RattanportException {@code TARGET_REFUSED}, not run, when some engine has no room
+     */
+    public Lease acquire(List<Reservation> reservations) {
+        Queue<Reservation> refused = new ConcurrentLinkedQueue<>();
+        forAll(
+                reservations,
+                each -> {
+                    if (!order(each, true)) {
+                        refused.add(each);
+                    }
+                });
+        if (refused.isEmpty()) {
+            return new Lease(reservations);
+        }
+        // An order without an answer may still have been taken, so every one is released.
+        release(reservations);
+        throw new RattanportException(
+                ErrorCode.TARGET_REFUSED,
+                refused.size() + " of " + reservations.size() + " engines had no memory to lease");
+    }
+
+    private void release(List<Reservation> reservations) {
+        forAll(reservations, each -> order(each, false));
+    }
+
+    private boolean order(Reservation each, boolean isReserve) {
+        Deadline deadline = Deadline.after(mTime, ORDER_TIMEOUT);
+        try {
+            return isReserve
+                    ? mOrders.reserve(
+                            each.engine().address(), each.id(), each.tokens(), HOLD, deadline)
+                    : mOrders.release(each.engine().address(), each.id(), deadline);
+        } catch (RattanportException e) {
+            LOGGER.debugf(
+                    "memory order for %s at %s failed: %s",
+                    each.id(), each.engine().id(), e.getMessage());
+            return false;
+        }
+    }
+
+    private static void forAll(List<Reservation> reservations, Consumer<Reservation> action) {
+        CountDownLatch open = new CountDownLatch(reservations.size());
+        for (Reservation each : reservations) {
+            Tasks.start(
+                    "memory-order",
+                    () -> {
+                        try {
+                            action.accept(each);
+                        } finally {
+                            open.countDown();
+                        }
+                    });
+        }
+        try {
+            if (!open.await(ORDER_TIMEOUT.multipliedBy(2).toMillis(), TimeUnit.MILLISECONDS)) {
+                LOGGER.debug("not every memory order was answered");
+            }
+        } catch (InterruptedException e) {
+            throw RattanportException.interrupted();
+        }
+    }
+}
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/PromptPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/PromptPlacement.java
@@ -13,6 +13,8 @@
 import org.rattanport.kernel.gateway.CallerRequest;
 import org.rattanport.kernel.gateway.EngineFigures;
 import org.rattanport.kernel.gateway.PromptSize;
+import org.rattanport.kernel.gateway.Share;
+import org.rattanport.kernel.gateway.Work;
 
 /**
  * Places a prompt by predicted passes: the engine that writes, and the engines that read parts of
@@ -148,25 +150,39 @@
         int parts = readers.size() + 1;
         int partTokens = Math.ceilDiv(size.promptTokens(), parts);
         double partMillis = model.readMillis(size.promptTokens(), parts);
+        boolean isLeased = !readers.isEmpty() && needsLeases(size, model, writer);
+        int leased = isLeased ? partTokens : 0;
+        int held = size.promptTokens() + size.answerTokens() - leased * readers.size();
         List<Share> shares = new ArrayList<>();
-        int held = size.promptTokens() + size.answerTokens();
+        List<Reservation> reservations = new ArrayList<>();
         shares.add(new Share(writer.backEnd().id(), partTokens, partMillis, held, true));
         double first = writer.picture().readFinishMillis(model, partTokens, partMillis);
         for (Candidate reader : readers) {
-            shares.add(new Share(reader.backEnd().id(), partTokens, partMillis, 0, false));
-            first =
-                    Math.max(
-                            first,
-                            reader.picture().readFinishMillis(model, partTokens, partMillis));
+            BackEnd engine = reader.backEnd();
+            shares.add(new Share(engine.id(), partTokens, partMillis, leased, false));
+            if (isLeased) {
+                String id = request.attemptId() + "-" + reservations.size();
+                reservations.add(new Reservation(engine, id, leased));
+            }
+            double finish = reader.picture().readFinishMillis(model, partTokens, partMillis);
+            first = Math.max(first, finish);
         }
         double pass = model.writingPassMillis(writer.picture().writers() + 1, held);
         double answer = pass * size.answerTokens() / Math.max(1, model.figures().stride());
         return new Placement(
                 writer.backEnd(),
                 readers.stream().map(Candidate::backEnd).toList(),
+                reservations,
                 Optional.of(new Work(request.attemptId(), shares, first, answer)));
     }
 
+    /** Whether the engine that writes has no room for the whole prompt. */
+    private static boolean needsLeases(PromptSize size, PassModel model, Candidate writer) {
+        long needed = (long) size.promptTokens() + size.answerTokens();
+        double room = MEMORY_USE * model.figures().memoryTokens() - writer.picture().heldTokens();
+        return needed > room;
+    }
+
     /** Returns the engines by what is known of their work, for operators. */
     public Map<String, EnginePicture> pictures(String service) {
         return mRegister.of(service).stream()
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/WorkBook.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/WorkBook.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.rattanport.kernel.gateway.Share;
+import org.rattanport.kernel.gateway.Work;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/WorkNews.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/WorkNews.java
@@ -1,5 +1,7 @@
 package org.rattanport.decisions.gateway;
 
+import org.rattanport.kernel.gateway.Work;
+
 /** Takes what this instance does at engines, for itself and for the other instances. */
 public interface WorkNews {
     /** A request was placed. */
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Share.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/Share.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.kernel.gateway;
 
 /**
  * The part of a request that one engine does.
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Work.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/Work.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.kernel.gateway;
 
 import java.util.List;
 
--- a/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
+++ b/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import org.rattanport.kernel.environment.DocumentVersion;
 import org.rattanport.kernel.environment.Stage;
+import org.rattanport.kernel.gateway.WorkNotice;
 import org.rattanport.kernel.request.Explanation;
 
 /** What instances say to each other; each message is a question or its answer. */
@@ -48,6 +49,12 @@
     /** The explanation: none or one. */
     record ExplainReply(List<Explanation> explanations) implements PeerMessage {}
 
+    /** Tells of requests at engines. */
+    record WorkNews(List<WorkNotice> notices) implements PeerMessage {}
+
+    /** The message was taken; there is nothing to answer. */
+    record Received() implements PeerMessage {}
+
     /** The peer does not handle the message. */
     record Unhandled() implements PeerMessage {}
 }
