--- a/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
@@ -25,6 +25,7 @@
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.AnswerHead;
 import org.rattanport.kernel.gateway.CallerLimits;
 import org.rattanport.kernel.gateway.CallerRequest;
@@ -188,12 +189,14 @@
         headers.add(new Header(HttpHeaderNames.CONTENT_TYPE.toString(), "text/plain"));
         request.ifPresent(each -> headers.addAll(mDialect.refusalHeaders(each, e)));
         int status = status(e);
-        LOGGER.infof(
-                "request %s refused: %d %s, %s",
-                request.map(CallerRequest::attemptId).orElse("-"),
-                status,
-                e.verdict().text(),
-                e.getMessage());
+        LOGGER.info(
+                LogLine.of("request-refused")
+                        .with("request", request.map(CallerRequest::attemptId).orElse("-"))
+                        .with("status", status)
+                        .with("code", e.code().text())
+                        .with("verdict", e.verdict().text())
+                        .with("document", mRouting.version())
+                        .with("reason", e.getMessage()));
         exchange.start(
                 new AnswerHead(
                         status,
@@ -211,7 +214,8 @@
 
     /** A status that promises that nothing ran is kept for requests that did not run. */
     private static int status(RattanportException error) {
-        int status = error.code().httpStatus();
+        // A refusal of ours is none of the request: it is proper, and this attempt did not run.
+        int status = error.code() == ErrorCode.POISON_REQUEST ? 503 : error.code().httpStatus();
         boolean isPromise = status == 429 || status == 503 || status == 408 || status == 421;
         if (error.verdict() != Verdict.NOT_RUN && isPromise) {
             return 502;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -1,13 +1,16 @@
 package org.rattanport.decisions.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.AnswerHead;
 import org.rattanport.kernel.gateway.Attempt;
 import org.rattanport.kernel.gateway.BackEnd;
@@ -18,6 +21,9 @@
 import org.rattanport.kernel.gateway.GatewayAccount;
 import org.rattanport.kernel.gateway.Route;
 import org.rattanport.kernel.gateway.RouteKind;
+import org.rattanport.kernel.gateway.Work;
+import org.rattanport.kernel.model.Fingerprint;
+import org.rattanport.kernel.model.TargetId;
 import org.rattanport.kernel.time.Deadline;
 
 /** One request on its way: attempts at back ends until one answers or none may be tried. */
@@ -27,6 +33,9 @@
     /** Back ends that may refuse or be out of reach before the request is refused. */
     private static final int MOST_TRIES = 5;
 
+    /** Engines that may die with one request before it is refused for good. */
+    private static final int MOST_DEATHS = 3;
+
     /** Time to connect: several round trips, and less than the retransmission of a lost packet. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
@@ -61,7 +70,13 @@
     private final Deadline mDeadline;
     private AnswerRelay mRelay;
     private final Set<String> mExcluded = new HashSet<>();
+    private final List<String> mTried = new ArrayList<>();
+    private final long mStartNanos;
+    private final Fingerprint mFingerprint;
     private int mRuns;
+    private int mStatus;
+    private double mPredicted;
+    private boolean mIsCut;
     private Verdict mVerdict = Verdict.NOT_RUN;
     private RattanportException mLast =
             new RattanportException(ErrorCode.NO_TARGET, "no back end takes requests");
@@ -81,6 +96,8 @@
         mService = service;
         mAccount = account;
         mDeadline = deadline;
+        mFingerprint = request.fingerprint(account.map(GatewayAccount::name).orElse(""));
+        mStartNanos = parts.time().nanoTime();
         mRelay = relay();
     }
 
@@ -100,6 +117,51 @@
 
     /** Forwards the request; throws when nothing was sent to the caller. */
     void run() {
+        String outcome = "answered";
+        try {
+            tryBackEnds();
+            outcome = mIsCut ? "cut" : outcome;
+        } catch (RattanportException e) {
+            outcome = e.code().text();
+            throw e;
+        } finally {
+            write(outcome);
+        }
+    }
+
+    private void write(String outcome) {
+        LogLine line =
+                LogLine.of("request-ended")
+                        .with("request", mRequest.attemptId())
+                        .with("outcome", outcome)
+                        .with("verdict", mVerdict.text())
+                        .with("route", mRoute.name())
+                        .with("service", mService.name())
+                        .with("account", mAccount.map(GatewayAccount::name).orElse("-"))
+                        .with("back_ends", String.join(",", mTried))
+                        .with("runs", mRuns)
+                        .with("status", mStatus)
+                        .with("millis", millis(mParts.time().nanoTime() - mStartNanos))
+                        .with("predicted_first_event_millis", Math.round(mPredicted))
+                        .with("document", mParts.routing().version());
+        if (outcome.equals("answered") && mTried.size() == 1) {
+            mParts.log().usual(line);
+        } else {
+            mParts.log().unusual(line.with("reason", mLast.getMessage()));
+        }
+    }
+
+    private static long millis(long nanos) {
+        return Duration.ofNanos(nanos).toMillis();
+    }
+
+    private void tryBackEnds() {
+        if (mParts.suspicions().deaths(mFingerprint) >= MOST_DEATHS) {
+            mLast =
+                    new RattanportException(
+                            ErrorCode.POISON_REQUEST, "engines died with this request before");
+            throw mLast;
+        }
         for (int tries = 0; tries < MOST_TRIES; tries++) {
             if (mCaller.departure().isCancelled()) {
                 throw left();
@@ -135,7 +197,10 @@
     private boolean attempt(Placement placement) {
         BackEnd backEnd = placement.backEnd();
         int runsBefore = mRuns;
+        mStatus = 0;
         mExcluded.add(backEnd.id());
+        mTried.add(backEnd.id());
+        mPredicted = placement.work().map(Work::firstEventMillis).orElse(0.0);
         mParts.loads().sent(backEnd.id());
         placement.work().ifPresent(mParts.news()::placed);
         try (Closing lease = lease(placement);
@@ -196,6 +261,7 @@
     private boolean answer(Placement placement, BackEndExchange exchange) {
         BackEnd backEnd = placement.backEnd();
         AnswerHead head = exchange.head(mDeadline);
+        mStatus = head.status();
         head.load().ifPresent(load -> mParts.loads().reported(backEnd.id(), load));
         if (head.isNotRun()) {
             refused(placement, head);
@@ -220,6 +286,7 @@
             mRelay.relay(head, exchange, mDeadline);
         }
         mParts.health().succeeded(backEnd.id());
+        mParts.suspicions().acquitted(mFingerprint);
         return true;
     }
 
@@ -255,9 +322,15 @@
         if (error.code() == ErrorCode.CANCELLED) {
             throw left();
         }
-        LOGGER.debugf(
-                "request %s failed at %s: %s",
-                mRequest.attemptId(), backEnd.id(), error.getMessage());
+        mParts.log()
+                .unusual(
+                        LogLine.of("attempt-failed")
+                                .with("request", mRequest.attemptId())
+                                .with("back_end", backEnd.id())
+                                .with("code", error.code().text())
+                                .with("verdict", error.verdict().text())
+                                .with("has_started", mRelay.hasStarted())
+                                .with("reason", error.getMessage()));
         if (error.code() == ErrorCode.DEADLINE_EXCEEDED && mDeadline.hasPassed(mParts.time())) {
             mVerdict = mVerdict.and(error.verdict());
             mLast = error;
@@ -273,6 +346,10 @@
         if (hadConnection && mRuns == runsBefore) {
             mRuns++;
         }
+        if (error.code() == ErrorCode.TARGET_FAILED && hadConnection && mStatus < 500) {
+            TargetId engine = new TargetId(backEnd.id(), backEnd.born());
+            mParts.suspicions().died(mFingerprint, engine);
+        }
         mVerdict = mVerdict.and(error.verdict());
         mLast = error;
         return false;
@@ -281,7 +358,7 @@
     /** Ends the request without an answer of a back end. */
     private void giveUp() {
         if (mRelay.hasStarted()) {
-            LOGGER.infof("answer of %s is cut: %s", mRequest.attemptId(), mLast.getMessage());
+            mIsCut = true;
             mCaller.cut();
             return;
         }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayParts.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayParts.java
@@ -1,5 +1,6 @@
 package org.rattanport.decisions.gateway;
 
+import org.rattanport.decisions.poison.SuspicionTable;
 import org.rattanport.kernel.gateway.BackEndClient;
 import org.rattanport.kernel.time.TimeSource;
 
@@ -12,7 +13,9 @@
         BackEndClient client,
         MemoryLeases leases,
         BackEndHealth health,
+        SuspicionTable suspicions,
         LoadBoard loads,
         WorkNews news,
         RepeatAllowance allowance,
+        RequestLog log,
         TimeSource time) {}
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -3,6 +3,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import org.rattanport.decisions.membership.RumorHub;
+import org.rattanport.decisions.poison.SuspicionTable;
 import org.rattanport.kernel.gateway.BackEndClient;
 import org.rattanport.kernel.gateway.FleetSource;
 import org.rattanport.kernel.gateway.GatewaySettings;
@@ -42,6 +44,7 @@
                 MemoryOrders.class,
                 RoutingInForce.class,
                 PeerNetwork.class,
+                RumorHub.class,
                 Membership.class);
     }
 
@@ -96,6 +99,7 @@
                 context.require(BackEndClient.class),
                 new MemoryLeases(context.require(MemoryOrders.class), time),
                 health,
+                SuspicionTable.shared(time, context.require(RumorHub.class)),
                 loads,
                 news,
                 new RepeatAllowance(
@@ -104,6 +108,7 @@
                         settings.repeatRatio(),
                         settings.repeatSlack(),
                         () -> membership.members().size()),
+                new RequestLog(time),
                 time);
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/poison/SuspicionTable.java
+++ b/decisions/src/main/java/org/rattanport/decisions/poison/SuspicionTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.rattanport.decisions.membership.RumorHub;
 import org.rattanport.kernel.model.Fingerprint;
 import org.rattanport.kernel.model.TargetId;
 import org.rattanport.kernel.peer.Rumor;
@@ -32,6 +33,18 @@
         mRumors = rumors;
     }
 
+    /** Makes a table that learns from the rumors of peers and tells them its own. */
+    public static SuspicionTable shared(TimeSource time, RumorHub hub) {
+        SuspicionTable suspicions = new SuspicionTable(time, hub::spread);
+        hub.listen(
+                rumor -> {
+                    if (rumor instanceof RequestSuspected suspected) {
+                        suspicions.died(suspected.fingerprint(), suspected.target());
+                    }
+                });
+        return suspicions;
+    }
+
     /** Engines that died with the request so far. */
     public synchronized int deaths(Fingerprint fingerprint) {
         forgetOld();
--- a/decisions/src/main/java/org/rattanport/decisions/prompt/PromptPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/prompt/PromptPlugin.java
@@ -36,7 +36,6 @@
 import org.rattanport.kernel.model.TargetLoad;
 import org.rattanport.kernel.peer.Membership;
 import org.rattanport.kernel.peer.PeerNetwork;
-import org.rattanport.kernel.peer.Rumor.RequestSuspected;
 import org.rattanport.kernel.plugin.Plugin;
 import org.rattanport.kernel.plugin.PluginContext;
 import org.rattanport.kernel.plugin.TaskGroup;
@@ -99,7 +98,8 @@
                         provider.ordering(),
                         instances,
                         time);
-        SuspicionTable suspicions = suspicions(context);
+        SuspicionTable suspicions =
+                SuspicionTable.shared(context.time(), context.require(RumorHub.class));
         DeadlineCheck deadlines =
                 new DeadlineCheck(source, board, cost, dispatcher, instances, time);
         RetryBudget budget = new RetryBudget();
@@ -145,18 +145,6 @@
         mTasks = Optional.of(tasks);
     }
 
-    private static SuspicionTable suspicions(PluginContext context) {
-        RumorHub hub = context.require(RumorHub.class);
-        SuspicionTable suspicions = new SuspicionTable(context.time(), hub::spread);
-        hub.listen(
-                rumor -> {
-                    if (rumor instanceof RequestSuspected suspected) {
-                        suspicions.died(suspected.fingerprint(), suspected.target());
-                    }
-                });
-        return suspicions;
-    }
-
     private static Admission admission(
             PluginContext context,
             PolicyChoice choice,
