--- a/daemon/src/main/java/org/rattanport/daemon/Logging.java
+++ b/daemon/src/main/java/org/rattanport/daemon/Logging.java
@@ -29,6 +29,11 @@
         sProduct.setLevel(level(level));
     }
 
+    /** Writes what waits and ends the log. */
+    public static synchronized void close() {
+        LogManager.getLogManager().reset();
+    }
+
     private static Level level(String name) {
         return switch (name.toUpperCase(Locale.ROOT)) {
             case "DEBUG" -> Level.FINE;
--- a/daemon/src/main/java/org/rattanport/daemon/command/Serving.java
+++ b/daemon/src/main/java/org/rattanport/daemon/command/Serving.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.jboss.logging.Logger;
 import org.rattanport.daemon.Instance;
+import org.rattanport.daemon.Logging;
 import org.rattanport.kernel.error.RattanportException;
 
 /** Keeps a process alive that serves, until a signal stops it. */
@@ -26,6 +27,7 @@
     private static void drainAndHalt(Instance instance) {
         boolean isClean = instance.stop();
         LOGGER.infof("stopped, nothing cut: %s", isClean);
+        Logging.close();
         Runtime.getRuntime().halt(isClean ? ExitCode.SUCCESS : ExitCode.FAILED);
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayMembershipPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayMembershipPlugin.java
@@ -1,19 +1,17 @@
 package org.rattanport.decisions.gateway;
 
-import java.time.Duration;
-import java.util.List;
+import io.reactivex.rxjava3.disposables.Disposable;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import org.jboss.logging.Logger;
 import org.rattanport.decisions.membership.Gossip;
 import org.rattanport.decisions.membership.MemberTable;
 import org.rattanport.decisions.membership.ProbeSettings;
 import org.rattanport.decisions.membership.Prober;
 import org.rattanport.decisions.membership.RumorHub;
 import org.rattanport.decisions.membership.RumorQueue;
-import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.GatewaySettings;
+import org.rattanport.kernel.gateway.MemberDirectory;
 import org.rattanport.kernel.model.InstanceId;
 import org.rattanport.kernel.peer.Member;
 import org.rattanport.kernel.peer.MemberState;
@@ -31,12 +29,11 @@
 
 /** Provides the membership of gateway instances, which find each other through seeds. */
 public final class GatewayMembershipPlugin implements Plugin {
-    private static final Logger LOGGER = Logger.getLogger(GatewayMembershipPlugin.class);
     private static final int INDIRECT_PROBES = 2;
     private static final int REJOIN_ROUNDS = 5;
-    private static final Duration JOIN_TIMEOUT = Duration.ofMillis(800);
 
     private Optional<TaskGroup> mTasks = Optional.empty();
+    private Disposable mReloads = Disposable.disposed();
 
     @Override
     public String name() {
@@ -55,6 +52,7 @@
                 GatewaySettings.class,
                 InstanceId.class,
                 LocalEndpoints.class,
+                MemberDirectory.class,
                 PeerNetwork.class);
     }
 
@@ -98,10 +96,20 @@
                                 REJOIN_ROUNDS),
                         time,
                         new Random());
-        List<String> seeds = context.require(GatewaySettings.class).memberSeeds();
+        MemberSearch search =
+                new MemberSearch(
+                        context.require(GatewaySettings.class).memberSeeds(),
+                        context.require(MemberDirectory.class),
+                        table,
+                        gossip,
+                        time);
+        mReloads =
+                context.events()
+                        .watch(GatewaySettings.class)
+                        .subscribe(changed -> search.setSeeds(changed.memberSeeds()));
         TaskGroup tasks = new TaskGroup(time);
         tasks.every("probe-members", timings.probePeriod(), prober::round);
-        tasks.every("join-members", timings.listPeriod(), () -> join(seeds, table, gossip, time));
+        tasks.every("join-members", timings.listPeriod(), search::round);
         mTasks = Optional.of(tasks);
     }
 
@@ -116,25 +124,9 @@
                 0);
     }
 
-    /** Asks every seed that is not known as a member yet. */
-    private static void join(
-            List<String> seeds, MemberTable table, Gossip gossip, TimeSource time) {
-        List<String> known = table.aliveMembers().stream().map(Member::peerAddress).toList();
-        seeds.stream()
-                .filter(each -> !known.contains(each))
-                .forEach(each -> tryJoin(each, gossip, Deadline.after(time, JOIN_TIMEOUT)));
-    }
-
-    private static void tryJoin(String address, Gossip gossip, Deadline deadline) {
-        try {
-            gossip.join(address, deadline);
-        } catch (RattanportException e) {
-            LOGGER.debugf("cannot join through %s: %s", address, e.getMessage());
-        }
-    }
-
     @Override
     public void stop(Deadline deadline) {
+        mReloads.dispose();
         mTasks.ifPresent(TaskGroup::close);
     }
 }
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/MemberSearch.java
@@ -0,0 +1,83 @@
+package org.rattanport.decisions.gateway;
+
+import java.time.Duration;
+import java.util.List;
+import org.jboss.logging.Logger;
+import org.rattanport.decisions.membership.Gossip;
+import org.rattanport.decisions.membership.MemberTable;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.gateway.MemberDirectory;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.TimeSource;
+
+/**
+ * Finds other instances: through seeds, and through the directory while no seed is of use. Each
+ * instance enters the directory once, which costs the store one write for each start.
+ */
+final class MemberSearch {
+    private static final Logger LOGGER = Logger.getLogger(MemberSearch.class);
+    private static final Duration JOIN_TIMEOUT = Duration.ofMillis(800);
+
+    /** Rounds without another member after which the directory is read. */
+    private static final int LONELY_ROUNDS = 2;
+
+    private volatile List<String> mSeeds;
+    private final MemberDirectory mDirectory;
+    private final MemberTable mTable;
+    private final Gossip mGossip;
+    private final TimeSource mTime;
+    private boolean mIsEntered;
+    private int mLonelyRounds;
+
+    MemberSearch(
+            List<String> seeds,
+            MemberDirectory directory,
+            MemberTable table,
+            Gossip gossip,
+            TimeSource time) {
+        mSeeds = seeds;
+        mDirectory = directory;
+        mTable = table;
+        mGossip = gossip;
+        mTime = time;
+    }
+
+    /** Takes the seeds of changed settings. */
+    void setSeeds(List<String> seeds) {
+        mSeeds = seeds;
+    }
+
+    /** Body of a periodic task. */
+    void round() {
+        joinThrough(mSeeds);
+        enter();
+        mLonelyRounds = mTable.aliveMembers().size() > 1 ? 0 : mLonelyRounds + 1;
+        if (mLonelyRounds >= LONELY_ROUNDS) {
+            mLonelyRounds = 0;
+            joinThrough(mDirectory.peerAddresses(Deadline.after(mTime, JOIN_TIMEOUT)));
+        }
+    }
+
+    private void enter() {
+        if (!mIsEntered) {
+            Member self = mTable.self();
+            Deadline deadline = Deadline.after(mTime, JOIN_TIMEOUT);
+            mDirectory.enter(self.id().name(), self.peerAddress(), deadline);
+            mIsEntered = true;
+        }
+    }
+
+    private void joinThrough(List<String> addresses) {
+        List<String> known = mTable.aliveMembers().stream().map(Member::peerAddress).toList();
+        addresses.stream().filter(each -> !known.contains(each)).forEach(this::tryJoin);
+    }
+
+    private void tryJoin(String address) {
+        try {
+            mGossip.join(address, Deadline.after(mTime, JOIN_TIMEOUT));
+        } catch (RattanportException e) {
+            LOGGER.debugf("cannot join through %s: %s", address, e.getMessage());
+        }
+    }
+}
