Place prompts by the harm of their passes

Change: the number of readers, the readers and the writer are those of least predicted loss, of the request itself and of all that write there; short streams gather so that others stay free.

--- a/connectors/src/main/java/org/rattanport/connectors/peer/WorkNewsCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/WorkNewsCodec.java
@@ -28,7 +28,9 @@
                                             .map(WorkNewsCodec::share)
                                             .toList())
                             .setFirstEventMillis((float) placed.work().firstEventMillis())
-                            .setAnswerMillis((float) placed.work().answerMillis());
+                            .setAnswerMillis((float) placed.work().answerMillis())
+                            .setPauseMillis((float) placed.work().pauseMillis())
+                            .setWeight((float) placed.work().weight());
             case WorkNotice.Writes writes ->
                     builder.setKind(org.rattanport.connectors.peer.protocol.WorkNotice.Kind.WRITES);
             case WorkNotice.Ended ended ->
@@ -68,7 +70,9 @@
                                                     .map(WorkNewsCodec::share)
                                                     .toList(),
                                             notice.getFirstEventMillis(),
-                                            notice.getAnswerMillis())));
+                                            notice.getAnswerMillis(),
+                                            notice.getPauseMillis(),
+                                            notice.getWeight())));
             case WRITES -> Optional.of(new WorkNotice.Writes(notice.getId()));
             case ENDED -> Optional.of(new WorkNotice.Ended(notice.getId()));
             case UNRECOGNIZED -> Optional.empty();
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -190,7 +190,9 @@
 
     private Optional<Placement> place() {
         BackEndPlacement policy = mService.engine().isPresent() ? mParts.prompts() : mParts.calls();
-        return policy.place(mService, mRequest, mExcluded);
+        return policy.place(
+                new PlacementQuery(
+                        mService, mRequest, mRoute.objective(), mRoute.longestPause(), mExcluded));
     }
 
     /** Sends the request once; returns whether the caller has a final answer. */
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/LeastLoadedPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/LeastLoadedPlacement.java
@@ -4,10 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 import org.rattanport.kernel.gateway.BackEnd;
-import org.rattanport.kernel.gateway.BackEndService;
-import org.rattanport.kernel.gateway.CallerRequest;
 
 /** Sends a request of a plain service to the back end with the most free places. */
 public final class LeastLoadedPlacement implements BackEndPlacement {
@@ -34,11 +31,10 @@
     }
 
     @Override
-    public Optional<Placement> place(
-            BackEndService service, CallerRequest request, Set<String> excluded) {
+    public Optional<Placement> place(PlacementQuery query) {
         List<BackEnd> candidates =
-                mRegister.of(service.name()).stream()
-                        .filter(each -> !excluded.contains(each.id()))
+                mRegister.of(query.service().name()).stream()
+                        .filter(each -> !query.excluded().contains(each.id()))
                         .toList();
         return candidates.stream()
                 .min(Comparator.comparingDouble(this::cost))
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/PassModel.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/PassModel.java
@@ -35,9 +35,4 @@
                         + contextTokens / THOUSAND * mFigures.contextMillisPerThousand();
         return mFigures.stride() * step;
     }
-
-    /** Passes that reading that many tokens takes. */
-    public int passes(double tokens) {
-        return (int) Math.ceil(tokens / mFigures.chunkTokens());
-    }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/PromptPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/PromptPlacement.java
@@ -3,22 +3,19 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
-import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.rattanport.kernel.gateway.BackEnd;
-import org.rattanport.kernel.gateway.BackEndService;
-import org.rattanport.kernel.gateway.CallerRequest;
 import org.rattanport.kernel.gateway.EngineFigures;
 import org.rattanport.kernel.gateway.PromptSize;
 import org.rattanport.kernel.gateway.Share;
 import org.rattanport.kernel.gateway.Work;
 
 /**
- * Places a prompt by predicted passes: the engine that writes, and the engines that read parts of
- * the prompt for it, are those that would be done first.
+ * Places a prompt by predicted passes. An engine reads in the passes in which others write, so a
+ * long part makes their pauses long: the cost of a place is what the request loses by a late first
+ * event and what the writers at each engine lose by the pass that reads its part.
  */
 public final class PromptPlacement implements BackEndPlacement {
     /** Engines that may read besides the one that writes; the engines' own limit. */
@@ -27,17 +24,37 @@
     /** Size assumed of a prompt that does not tell its size. */
     private static final PromptSize UNKNOWN_SIZE = new PromptSize(2_000, 500);
 
-    /** Milliseconds that near-equal engines are spread over, so that instances do not herd. */
-    private static final double SPREAD_MILLIS = 4;
+    /** Prompt of weight one; the value of an answer grows with the work that it stands for. */
+    private static final double USUAL_TOKENS = 5_000;
 
-    /** Milliseconds that a recent failure of full weight counts. */
-    private static final double FAILURE_MILLIS = 2_000;
+    private static final double WEIGHT_GROWTH = 0.75;
 
-    /** Part of a full engine's memory that is planned with; the rest takes what is not known. */
-    private static final double MEMORY_USE = 0.95;
+    /** Part of an engine's memory that is planned with; the rest takes what is not known. */
+    private static final double MEMORY_USE = 0.92;
 
     private record Candidate(BackEnd backEnd, EnginePicture picture, double penalty) {}
 
+    /** The prompt to place, and what follows from it. */
+    private record Prompt(PlacementQuery query, PassModel model, PromptSize size, double weight) {
+        double pauseMillis() {
+            return query.longestPause().toMillis();
+        }
+
+        double partMillis(int parts) {
+            return model.readMillis(size.promptTokens(), parts);
+        }
+
+        long neededTokens() {
+            return (long) size.promptTokens() + size.answerTokens();
+        }
+    }
+
+    private record Plan(Candidate writer, List<Candidate> readers, double first, double cost) {
+        int parts() {
+            return readers.size() + 1;
+        }
+    }
+
     private final BackEndRegister mRegister;
     private final BackEndHealth mHealth;
     private final WorkBook mBook;
@@ -58,134 +75,146 @@
     }
 
     @Override
-    public Optional<Placement> place(
-            BackEndService service, CallerRequest request, Set<String> excluded) {
-        EngineFigures figures = service.engine().orElseThrow();
-        PassModel model = new PassModel(figures);
-        PromptSize size = request.size().orElse(UNKNOWN_SIZE);
+    public Optional<Placement> place(PlacementQuery query) {
+        PromptSize size = query.request().size().orElse(UNKNOWN_SIZE);
+        double weight = Math.max(1, Math.pow(size.promptTokens() / USUAL_TOKENS, WEIGHT_GROWTH));
+        Prompt prompt =
+                new Prompt(
+                        query, new PassModel(query.service().engine().orElseThrow()), size, weight);
         mBook.forgetOld();
-        List<Candidate> candidates = candidates(service.name(), excluded);
-        if (candidates.isEmpty()) {
-            return Optional.empty();
-        }
-        int parts = Math.min(parts(size, model), candidates.size());
-        double partTokens = (double) size.promptTokens() / parts;
-        double partMillis = model.readMillis(size.promptTokens(), parts);
-        Candidate writer = writer(candidates, size, model, partTokens, partMillis);
-        List<Candidate> readers =
-                candidates.stream()
-                        .filter(each -> each != writer)
-                        .sorted(
-                                Comparator.comparingDouble(
-                                        each -> readerCost(each, model, partTokens, partMillis)))
-                        .limit(parts - 1L)
-                        .toList();
-        return Optional.of(placement(request, size, model, writer, readers));
+        List<Candidate> candidates = candidates(query);
+        return IntStream.rangeClosed(1, Math.min(MOST_READERS + 1, candidates.size()))
+                .mapToObj(parts -> plan(prompt, candidates, parts))
+                .min(Comparator.comparingDouble(Plan::cost))
+                .map(plan -> placement(prompt, plan));
     }
 
-    private List<Candidate> candidates(String service, Set<String> excluded) {
+    private List<Candidate> candidates(PlacementQuery query) {
         List<Candidate> all =
-                mRegister.of(service).stream()
-                        .filter(each -> !excluded.contains(each.id()))
+                mRegister.of(query.service().name()).stream()
+                        .filter(each -> !query.excluded().contains(each.id()))
                         .map(each -> new Candidate(each, mBook.picture(each.id()), penalty(each)))
-                        .collect(Collectors.toList());
+                        .toList();
         List<Candidate> sound =
                 all.stream().filter(each -> !mHealth.isAvoided(each.backEnd().id())).toList();
         return sound.isEmpty() ? all : sound;
     }
 
     private double penalty(BackEnd engine) {
-        return mHealth.weight(engine.id()) * FAILURE_MILLIS + SPREAD_MILLIS * mRandom.nextDouble();
+        return mHealth.weight(engine.id()) * mTuning.failure()
+                + mTuning.spread() * mRandom.nextDouble();
     }
 
-    private int parts(PromptSize size, PassModel model) {
-        int wanted = (int) Math.ceil((double) size.promptTokens() / mTuning.partTokens());
-        return Math.clamp(wanted, 1, MOST_READERS + 1);
+    private Plan plan(Prompt prompt, List<Candidate> candidates, int parts) {
+        double partMillis = prompt.partMillis(parts);
+        Candidate writer =
+                candidates.stream()
+                        .min(
+                                Comparator.comparingDouble(
+                                        each -> writerCost(prompt, each, parts, partMillis)))
+                        .orElseThrow();
+        List<Candidate> readers =
+                candidates.stream()
+                        .filter(each -> each != writer)
+                        .sorted(
+                                Comparator.comparingDouble(
+                                        each -> readerCost(prompt, each, partMillis)))
+                        .limit(parts - 1L)
+                        .toList();
+        double first = finish(prompt, writer, partMillis);
+        double cost = writerCost(prompt, writer, parts, partMillis) - lateness(prompt, first);
+        for (Candidate reader : readers) {
+            first = Math.max(first, finish(prompt, reader, partMillis));
+            cost += harm(prompt, reader, partMillis) + reader.penalty() + mTuning.joining();
+        }
+        return new Plan(writer, readers, first, cost + lateness(prompt, first));
     }
 
-    private Candidate writer(
-            List<Candidate> candidates,
-            PromptSize size,
-            PassModel model,
-            double partTokens,
-            double partMillis) {
-        return candidates.stream()
-                .min(
-                        Comparator.comparingDouble(
-                                each -> writerCost(each, size, model, partTokens, partMillis)))
-                .orElseThrow();
+    private static double finish(Prompt prompt, Candidate candidate, double partMillis) {
+        return candidate.picture().readFinishMillis(prompt.model(), partMillis);
     }
 
-    private double writerCost(
-            Candidate candidate,
-            PromptSize size,
-            PassModel model,
-            double partTokens,
-            double partMillis) {
-        EnginePicture picture = candidate.picture();
-        EngineFigures figures = model.figures();
-        double finish = picture.readFinishMillis(model, partTokens, partMillis);
-        double crowd = mTuning.writerMillis() * picture.writers();
-        double full = picture.writers() >= figures.slots() ? mTuning.fullMillis() : 0;
-        double memory = size.promptTokens() + size.answerTokens() + picture.heldTokens();
-        double overflow =
-                memory > MEMORY_USE * figures.memoryTokens() ? mTuning.overflowMillis() : 0;
-        return finish + crowd + full + overflow + candidate.penalty();
-    }
-
-    private double readerCost(
-            Candidate candidate, PassModel model, double partTokens, double partMillis) {
+    /** What the writers at the engine lose by the pass that reads the part. */
+    private double harm(Prompt prompt, Candidate candidate, double partMillis) {
         EnginePicture picture = candidate.picture();
-        return picture.readFinishMillis(model, partTokens, partMillis)
-                + mTuning.disturbedMillis() * picture.waitingReads()
+        double pass = picture.passMillis(prompt.model(), partMillis);
+        return picture.harm(pass / mTuning.safePause());
+    }
+
+    /** What the request loses by its first event at that time. */
+    private double lateness(Prompt prompt, double firstMillis) {
+        double part = firstMillis / Math.max(1, prompt.query().objective().toMillis());
+        double beyond = (part - mTuning.safeObjective()) / mTuning.objectiveSpread();
+        return prompt.weight() * (1 / (1 + Math.exp(-beyond)) + mTuning.haste() * part);
+    }
+
+    private double readerCost(Prompt prompt, Candidate candidate, double partMillis) {
+        return harm(prompt, candidate, partMillis)
+                + lateness(prompt, finish(prompt, candidate, partMillis))
                 + candidate.penalty();
     }
 
-    private Placement placement(
-            CallerRequest request,
-            PromptSize size,
-            PassModel model,
-            Candidate writer,
-            List<Candidate> readers) {
-        int parts = readers.size() + 1;
-        int partTokens = Math.ceilDiv(size.promptTokens(), parts);
-        double partMillis = model.readMillis(size.promptTokens(), parts);
-        boolean isLeased = !readers.isEmpty() && needsLeases(size, model, writer);
+    private double writerCost(Prompt prompt, Candidate candidate, int parts, double partMillis) {
+        EnginePicture picture = candidate.picture();
+        EngineFigures figures = prompt.model().figures();
+        double taken = (picture.writers().size() + 1.0) / figures.slots();
+        double crowd = mTuning.crowding() * Math.pow(taken, 4);
+        boolean isFull = taken > 1 || lacksMemory(prompt, picture, parts);
+        boolean opens = !picture.hasWriterOfPause(prompt.pauseMillis());
+        return readerCost(prompt, candidate, partMillis)
+                + crowd
+                + (isFull ? mTuning.full() : 0)
+                + (opens ? mTuning.opening() : 0);
+    }
+
+    /** Whether the prompt would not fit even when the other engines hold their parts. */
+    private static boolean lacksMemory(Prompt prompt, EnginePicture picture, int parts) {
+        double room = room(prompt, picture);
+        boolean fitsWhole = prompt.neededTokens() <= room;
+        double ownPart = (double) prompt.size().promptTokens() / parts;
+        return !fitsWhole && (parts == 1 || ownPart + prompt.size().answerTokens() > room);
+    }
+
+    private static double room(Prompt prompt, EnginePicture picture) {
+        return MEMORY_USE * prompt.model().figures().memoryTokens() - picture.heldTokens();
+    }
+
+    private Placement placement(Prompt prompt, Plan plan) {
+        int parts = plan.parts();
+        int partTokens = Math.ceilDiv(prompt.size().promptTokens(), parts);
+        double partMillis = prompt.partMillis(parts);
+        boolean isLeased =
+                parts > 1 && prompt.neededTokens() > room(prompt, plan.writer().picture());
         int leased = isLeased ? partTokens : 0;
-        int held = size.promptTokens() + size.answerTokens() - leased * readers.size();
+        int held = (int) prompt.neededTokens() - leased * (parts - 1);
+        String attempt = prompt.query().request().attemptId();
         List<Share> shares = new ArrayList<>();
         List<Reservation> reservations = new ArrayList<>();
-        shares.add(new Share(writer.backEnd().id(), partTokens, partMillis, held, true));
-        double first = writer.picture().readFinishMillis(model, partTokens, partMillis);
-        for (Candidate reader : readers) {
+        BackEnd writer = plan.writer().backEnd();
+        shares.add(new Share(writer.id(), partTokens, partMillis, held, true));
+        for (Candidate reader : plan.readers()) {
             BackEnd engine = reader.backEnd();
             shares.add(new Share(engine.id(), partTokens, partMillis, leased, false));
             if (isLeased) {
-                String id = request.attemptId() + "-" + reservations.size();
+                String id = attempt + "-" + reservations.size();
                 reservations.add(new Reservation(engine, id, leased));
             }
-            double finish = reader.picture().readFinishMillis(model, partTokens, partMillis);
-            first = Math.max(first, finish);
         }
-        double pass = model.writingPassMillis(writer.picture().writers() + 1, held);
-        double answer = pass * size.answerTokens() / Math.max(1, model.figures().stride());
-        return new Placement(
-                writer.backEnd(),
-                readers.stream().map(Candidate::backEnd).toList(),
-                reservations,
-                Optional.of(new Work(request.attemptId(), shares, first, answer)));
-    }
-
-    /** Whether the engine that writes has no room for the whole prompt. */
-    private static boolean needsLeases(PromptSize size, PassModel model, Candidate writer) {
-        long needed = (long) size.promptTokens() + size.answerTokens();
-        double room = MEMORY_USE * model.figures().memoryTokens() - writer.picture().heldTokens();
-        return needed > room;
-    }
-
-    /** Returns the engines by what is known of their work, for operators. */
-    public Map<String, EnginePicture> pictures(String service) {
-        return mRegister.of(service).stream()
-                .collect(Collectors.toMap(BackEnd::id, each -> mBook.picture(each.id())));
+        Work work =
+                new Work(
+                        attempt,
+                        shares,
+                        plan.first(),
+                        answerMillis(prompt, plan.writer(), held),
+                        prompt.pauseMillis(),
+                        prompt.weight());
+        List<BackEnd> readers = plan.readers().stream().map(Candidate::backEnd).toList();
+        return new Placement(writer, readers, reservations, Optional.of(work));
+    }
+
+    private static double answerMillis(Prompt prompt, Candidate writer, int held) {
+        PassModel model = prompt.model();
+        double pass = model.writingPassMillis(writer.picture().writers().size() + 1, held);
+        return pass * prompt.size().answerTokens() / Math.max(1, model.figures().stride());
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/WorkBook.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/WorkBook.java
@@ -1,7 +1,9 @@
 package org.rattanport.decisions.gateway;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.rattanport.kernel.gateway.Share;
 import org.rattanport.kernel.gateway.Work;
@@ -97,29 +99,27 @@
             return EnginePicture.IDLE;
         }
         long now = mTime.nanoTime();
-        int writers = 0;
+        List<EnginePicture.Writer> writers = new ArrayList<>();
         int writersNow = 0;
         long context = 0;
         long held = 0;
-        double unreadTokens = 0;
         double unreadMillis = 0;
-        int waitingReads = 0;
+        int waiting = 0;
         for (Map.Entry<String, Share> each : shares.entrySet()) {
             Entry entry = mEntries.get(each.getKey());
             Share share = each.getValue();
             double left = unreadShare(entry, now);
-            unreadTokens += left * share.readTokens();
             unreadMillis += left * share.readMillis();
-            waitingReads += left > 0 ? 1 : 0;
+            waiting += left > 0 ? 1 : 0;
             held += share.heldTokens();
             if (share.isWriter()) {
-                writers++;
+                Work work = entry.mWork;
+                writers.add(new EnginePicture.Writer(work.pauseMillis(), work.weight()));
                 writersNow += left > 0 ? 0 : 1;
                 context += left > 0 ? 0 : share.heldTokens();
             }
         }
-        return new EnginePicture(
-                writers, writersNow, context, held, unreadTokens, unreadMillis, waitingReads);
+        return new EnginePicture(writers, writersNow, context, held, unreadMillis, waiting);
     }
 
     private static double unreadShare(Entry entry, long now) {
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/Work.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/Work.java
@@ -9,5 +9,13 @@
  * @param shares what each engine does of it
  * @param firstEventMillis predicted time until its first event
  * @param answerMillis predicted time that it writes after that
+ * @param pauseMillis longest pause between its events that is on time
+ * @param weight what a late answer loses, in short prompts
  */
-public record Work(String id, List<Share> shares, double firstEventMillis, double answerMillis) {}
+public record Work(
+        String id,
+        List<Share> shares,
+        double firstEventMillis,
+        double answerMillis,
+        double pauseMillis,
+        double weight) {}
