--- a/connectors/src/main/java/org/rattanport/connectors/peer/NettyPeerNetwork.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/NettyPeerNetwork.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.jboss.logging.Logger;
 import org.rattanport.connectors.peer.protocol.Frame;
 import org.rattanport.kernel.error.ErrorCode;
@@ -97,12 +98,28 @@
 
     @Override
     public PeerMessage ask(String peerAddress, PeerMessage question, Deadline deadline) {
+        return onLink(peerAddress, deadline, link -> link.ask(question, deadline));
+    }
+
+    @Override
+    public void tell(String peerAddress, PeerMessage message, Deadline connectDeadline) {
+        onLink(
+                peerAddress,
+                connectDeadline,
+                link -> {
+                    link.tell(message);
+                    return message;
+                });
+    }
+
+    private PeerMessage onLink(
+            String address, Deadline deadline, Function<PeerLink, PeerMessage> action) {
         if (mEventLoop.isShuttingDown()) {
             throw new RattanportException(
                     ErrorCode.PEER_UNREACHABLE, "the network of this instance is closed");
         }
         try {
-            return link(peerAddress, deadline).ask(question, deadline);
+            return action.apply(link(address, deadline));
         } catch (RejectedExecutionException | IllegalStateException e) {
             // The event loop was closed in this moment.
             throw RattanportException.builder(
@@ -165,6 +182,10 @@
                 if (frame.isEmpty()) {
                     return;
                 }
+                if (frame.get().getCorrelation() == PeerLink.TOLD) {
+                    mCodec.decode(frame.get()).ifPresent(this::dispatch);
+                    continue;
+                }
                 // A slow question must not hold up a probe behind it.
                 Tasks.start("peer-question", () -> answer(channel, frame.get()));
             }
--- a/connectors/src/main/java/org/rattanport/connectors/peer/PeerLink.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PeerLink.java
@@ -21,6 +21,9 @@
 
 /** An outgoing connection: one task reads the answers and hands each to the one who asked. */
 final class PeerLink implements AutoCloseable {
+    /** Correlation of messages that have no answer; questions count from one. */
+    static final long TOLD = 0;
+
     private static final Duration IDLE_LIMIT = Duration.ofSeconds(60);
 
     private final PeerChannel mChannel;
@@ -108,6 +111,11 @@
         return mChannel.isOpen();
     }
 
+    /** Sends a message that has no answer. */
+    void tell(PeerMessage message) {
+        mChannel.write(mCodec.encode(message).setCorrelation(TOLD).build());
+    }
+
     /** Sends a question and waits for its answer. */
     PeerMessage ask(PeerMessage question, Deadline deadline) {
         long correlation = mCorrelations.incrementAndGet();
--- a/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
@@ -9,6 +9,8 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -16,6 +18,9 @@
 import org.rattanport.kernel.environment.Stage;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.gateway.Share;
+import org.rattanport.kernel.gateway.Work;
+import org.rattanport.kernel.gateway.WorkNotice;
 import org.rattanport.kernel.model.Fingerprint;
 import org.rattanport.kernel.model.InstanceId;
 import org.rattanport.kernel.model.RequestId;
@@ -139,6 +144,12 @@
                                             new Explanation(
                                                     new RequestId("req-1"),
                                                     List.of(new Explanation.Step(3, "did"))))),
+                            new PeerMessage.WorkNews(
+                                    List.of(
+                                            new WorkNotice.Placed(work()),
+                                            new WorkNotice.Writes("attempt-1"),
+                                            new WorkNotice.Ended("attempt-1"))),
+                            new PeerMessage.Received(),
                             new PeerMessage.Unhandled())
                     .forEach(
                             message ->
@@ -147,6 +158,45 @@
         }
     }
 
+    private static Work work() {
+        return new Work(
+                "attempt-1", List.of(new Share("engine", 5_000, 20, 6_000, true)), 60, 900, 200, 1);
+    }
+
+    @Nested
+    final class Telling {
+        @Test
+        void shouldArriveInOrder() {
+            List<String> heard = new CopyOnWriteArrayList<>();
+            mServer.handle(
+                    PeerMessage.WorkNews.class,
+                    news -> {
+                        news.notices().forEach(notice -> heard.add(notice.id()));
+                        return new PeerMessage.Received();
+                    });
+            try (NettyPeerNetwork client = new NettyPeerNetwork(ANY_PORT, SECRET, mTime)) {
+                for (int i = 0; i < 100; i++) {
+                    client.tell(mServer.boundAddress(), news(i), deadline());
+                }
+                // The answer to a question that was sent after all of them.
+                assertThat(
+                                client.ask(
+                                        mServer.boundAddress(),
+                                        new PeerMessage.IndirectPing("x"),
+                                        deadline()))
+                        .isEqualTo(new PeerMessage.IndirectAck(true));
+            }
+            assertThat(heard)
+                    .containsExactlyElementsIn(
+                            IntStream.range(0, 100).mapToObj(i -> "attempt-" + i).toList())
+                    .inOrder();
+        }
+
+        private PeerMessage news(int number) {
+            return new PeerMessage.WorkNews(List.of(new WorkNotice.Ended("attempt-" + number)));
+        }
+    }
+
     private PeerMessage ask(String secret) {
         try (NettyPeerNetwork client = new NettyPeerNetwork(ANY_PORT, secret, mTime)) {
             return client.ask(
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/PeerNews.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/PeerNews.java
@@ -122,7 +122,7 @@
             try {
                 news.add(notices.take());
                 notices.drainTo(news);
-                mPeers.ask(
+                mPeers.tell(
                         peer,
                         new PeerMessage.WorkNews(List.copyOf(news)),
                         Deadline.after(mTime, TELL_TIMEOUT));
--- a/decisions/src/test/java/org/rattanport/decisions/membership/MembershipTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/membership/MembershipTest.java
@@ -269,6 +269,11 @@
                             new Random(seed));
         }
 
+        @Override
+        public void tell(String peerAddress, PeerMessage message, Deadline connectDeadline) {
+            throw new UnsupportedOperationException("members only ask each other");
+        }
+
         private void join(String address) {
             mGossip.join(address, new Deadline(Long.MAX_VALUE));
         }
