Test the gateway's decisions; let ends of requests wait for the next news

Change: a peer is told of a placed request at once, of its end with the next news or after 400 ms, and not of its first event, which it predicts. Also: ActionServiceTest.Recovery no longer depends on a millisecond of real time; the lost answer moves the clock of the test past the caller's time (the check is as strict: it failed when the write was taken back before the writer's task saw it, which is another case than the one that it is about).

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/PeerNews.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/PeerNews.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.error.RattanportException;
@@ -34,6 +35,9 @@
     /** Time for a peer to take news; older news is worth less than the next. */
     private static final Duration TELL_TIMEOUT = Duration.ofMillis(500);
 
+    /** Time that news of an end may wait; answers take seconds. */
+    private static final Duration LONGEST_GATHERING = Duration.ofMillis(400);
+
     private static final class Listener {
         private final BlockingQueue<WorkNotice> mNotices = new ArrayBlockingQueue<>(MOST_WAITING);
         private final Thread mTask;
@@ -79,9 +83,10 @@
         tell(new WorkNotice.Placed(work));
     }
 
+    /** Only recorded here: the others predict it well enough from when it was placed. */
     @Override
     public void writes(String id) {
-        tell(new WorkNotice.Writes(id));
+        record(new WorkNotice.Writes(id));
     }
 
     @Override
@@ -120,8 +125,7 @@
         while (!Thread.currentThread().isInterrupted()) {
             news.clear();
             try {
-                news.add(notices.take());
-                notices.drainTo(news);
+                gather(notices, news);
                 mPeers.tell(
                         peer,
                         new PeerMessage.WorkNews(List.copyOf(news)),
@@ -134,6 +138,21 @@
         }
     }
 
+    /** Takes what waits; the end of a request may wait a little for the next that is placed. */
+    private static void gather(BlockingQueue<WorkNotice> notices, List<WorkNotice> news)
+            throws InterruptedException {
+        news.add(notices.take());
+        notices.drainTo(news);
+        while (news.stream().noneMatch(WorkNotice.Placed.class::isInstance)) {
+            WorkNotice next = notices.poll(LONGEST_GATHERING.toMillis(), TimeUnit.MILLISECONDS);
+            if (next == null) {
+                return;
+            }
+            news.add(next);
+            notices.drainTo(news);
+        }
+    }
+
     /** Ends the tasks of all peers. */
     public void close() {
         Set.copyOf(mListeners.keySet()).forEach(this::forget);
--- a/decisions/src/test/java/org/rattanport/decisions/FakeTable.java
+++ b/decisions/src/test/java/org/rattanport/decisions/FakeTable.java
@@ -29,6 +29,7 @@
     private final Random mRandom;
     private StoreFault mRandomFault = StoreFault.NONE;
     private double mRandomShare;
+    private Runnable mOnLostAnswer = () -> {};
     private boolean mIsDown;
     private long mRevision;
     private long mCalls;
@@ -43,6 +44,11 @@
         return this;
     }
 
+    /** Runs the action when an answer is lost, before the writer hears of it. */
+    public synchronized void onLostAnswer(Runnable action) {
+        mOnLostAnswer = action;
+    }
+
     /** A fault that meets a share of the writes. */
     public synchronized void randomly(StoreFault fault, double share) {
         mRandomFault = fault;
@@ -76,6 +82,7 @@
             case LOST_REQUEST -> throw unavailable(Verdict.MAY_HAVE_RUN);
             case LOST_ANSWER -> {
                 apply(writes);
+                mOnLostAnswer.run();
                 throw unavailable(Verdict.MAY_HAVE_RUN);
             }
             case LATE_WRITE -> {
--- a/decisions/src/test/java/org/rattanport/decisions/action/ActionServiceTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/action/ActionServiceTest.java
@@ -159,9 +159,11 @@
         void shouldRunOnResendAfterAnUnconfirmedClaimWasSettled() {
             ActionService service = service("a");
             mTable.script(StoreFault.LOST_ANSWER);
+            // The caller's time is over on the clock of the test, however busy the machine is.
+            mTable.onLostAnswer(() -> mTime.advance(TIME_LIMIT));
             ClaimTable claims = mClaims.get("a");
             RattanportException error =
-                    failure(service, request("lock-out", "k", "{}", Duration.ofMillis(1)));
+                    failure(service, request("lock-out", "k", "{}", TIME_LIMIT));
             assertThat(error.verdict()).isEqualTo(Verdict.NOT_RUN);
             mSettlers.get("a").retry();
             assertThat(claims.read(ClaimKeys.of(new AccountId("inspectors"), "k"), deadline()))
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
@@ -0,0 +1,147 @@
+package org.rattanport.decisions.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.FleetSource;
+import org.rattanport.kernel.gateway.RoutingDocument;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.ManualTimeSource;
+
+/** What an instance believes while the store answers, loses its history or is away. */
+final class FleetFollowerTest {
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final RoutingInForce mRouting = new RoutingInForce(new EventStreams());
+    private final BackEndRegister mRegister = new BackEndRegister(mTime);
+    private final ScriptedSource mSource = new ScriptedSource();
+    private final FleetFollower mFollower = new FleetFollower(mSource, mRouting, mRegister, mTime);
+    private final BackEnd mOne = TestFleet.backEnd("one", TestFleet.CALLS, false);
+    private final BackEnd mTwo = TestFleet.backEnd("two", TestFleet.CALLS, false);
+
+    /** Answers by script; the follower is closed when the script ends. */
+    private final class ScriptedSource implements FleetSource {
+        private final Deque<Supplier<RegisterChange>> mRegisterScript = new ArrayDeque<>();
+        private final Deque<Supplier<Reading<RoutingDocument>>> mDocumentScript =
+                new ArrayDeque<>();
+        private final List<String> mAsked = new ArrayList<>();
+
+        private <T> T next(Deque<Supplier<T>> script, T last) {
+            if (script.isEmpty()) {
+                mFollower.close();
+                return last;
+            }
+            return script.removeFirst().get();
+        }
+
+        @Override
+        public Reading<RoutingDocument> readDocument(Deadline deadline) {
+            mAsked.add("read");
+            return next(mDocumentScript, new Reading<>(0, Optional.empty()));
+        }
+
+        @Override
+        public Reading<RoutingDocument> awaitDocument(long after, Duration longestWait) {
+            mAsked.add("await " + after);
+            return next(mDocumentScript, new Reading<>(after, Optional.empty()));
+        }
+
+        @Override
+        public RegisterChange readRegister(Deadline deadline) {
+            mAsked.add("read");
+            return next(mRegisterScript, new RegisterChange(0, List.of(), List.of()));
+        }
+
+        @Override
+        public RegisterChange awaitRegister(long after, Duration longestWait) {
+            mAsked.add("await " + after);
+            return next(mRegisterScript, new RegisterChange(after, List.of(), List.of()));
+        }
+    }
+
+    private static <T> Supplier<T> away() {
+        return () -> {
+            throw new RattanportException(ErrorCode.STORE_UNAVAILABLE, "away");
+        };
+    }
+
+    private static <T> Supplier<T> historyLost() {
+        return () -> {
+            throw new FleetSource.HistoryLost();
+        };
+    }
+
+    private static Supplier<FleetSource.RegisterChange> change(
+            long version, List<BackEnd> present, String... removed) {
+        return () -> new FleetSource.RegisterChange(version, present, List.of(removed));
+    }
+
+    private static Supplier<FleetSource.Reading<RoutingDocument>> document(
+            long position, long version) {
+        return () -> new FleetSource.Reading<>(position, Optional.of(TestFleet.document(version)));
+    }
+
+    @Nested
+    final class Document {
+        @Test
+        void shouldGoOnWhereTheLastAnswerEnded() {
+            mSource.mDocumentScript.addAll(List.of(document(10, 3), document(12, 4)));
+            mFollower.followDocument();
+            assertThat(mRouting.version()).isEqualTo(4);
+            assertThat(mSource.mAsked).containsExactly("read", "await 10", "await 12").inOrder();
+        }
+
+        @Test
+        void shouldReadInFullAfterAGapAndNeverGoBack() {
+            mSource.mDocumentScript.addAll(
+                    List.of(document(10, 5), historyLost(), document(20, 4), document(21, 6)));
+            mFollower.followDocument();
+            assertThat(mRouting.version()).isEqualTo(6);
+            assertThat(mSource.mAsked)
+                    .containsExactly("read", "await 10", "read", "await 20", "await 21")
+                    .inOrder();
+        }
+
+        @Test
+        void shouldKeepWhatItHasWhileTheStoreIsAway() {
+            mSource.mDocumentScript.addAll(List.of(document(10, 5), away(), away()));
+            mFollower.followDocument();
+            assertThat(mRouting.version()).isEqualTo(5);
+        }
+    }
+
+    @Nested
+    final class Register {
+        @Test
+        void shouldTakeOutAtOnceWhatLeftInAGapOfTheHistory() {
+            mSource.mRegisterScript.addAll(
+                    List.of(
+                            change(5, List.of(mOne, mTwo)),
+                            historyLost(),
+                            change(9, List.of(mTwo))));
+            mFollower.followRegister();
+            assertThat(mRegister.of(TestFleet.CALLS)).containsExactly(mTwo);
+        }
+
+        @Test
+        void shouldKeepForAWhileWhatIsMissingAfterAnOutage() {
+            mSource.mRegisterScript.addAll(
+                    List.of(change(5, List.of(mOne, mTwo)), away(), change(9, List.of(mTwo))));
+            mFollower.followRegister();
+            assertThat(mRegister.of(TestFleet.CALLS)).containsExactly(mOne, mTwo);
+            mTime.advance(Duration.ofSeconds(3));
+            assertThat(mRegister.of(TestFleet.CALLS)).containsExactly(mTwo);
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
@@ -0,0 +1,86 @@
+package org.rattanport.decisions.gateway;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.BackEndService;
+import org.rattanport.kernel.gateway.CallerLimits;
+import org.rattanport.kernel.gateway.CallerRequest;
+import org.rattanport.kernel.gateway.EngineFigures;
+import org.rattanport.kernel.gateway.GatewayAccount;
+import org.rattanport.kernel.gateway.PromptSize;
+import org.rattanport.kernel.gateway.Route;
+import org.rattanport.kernel.gateway.RouteKind;
+import org.rattanport.kernel.gateway.RoutingDocument;
+import org.rattanport.kernel.gateway.WeightedService;
+
+/** Back ends, documents and requests for tests of the gateway's decisions. */
+final class TestFleet {
+    static final String ENGINES = "engines";
+    static final String CALLS = "calls";
+
+    static final EngineFigures FIGURES =
+            new EngineFigures(8, 450_000, 46, 0.925, 0.007, 0.0025, 256, 0.0917, 2_048, 0.1);
+
+    private TestFleet() {}
+
+    static BackEnd backEnd(String id, String service, boolean isLeaving) {
+        return new BackEnd(id, 1, service, "10.0.0.1:" + id.hashCode(), "zone", 8, isLeaving);
+    }
+
+    static List<BackEnd> engines(int count) {
+        return IntStream.range(0, count)
+                .mapToObj(i -> backEnd("engine-" + i, ENGINES, false))
+                .toList();
+    }
+
+    static BackEndService engineService() {
+        return new BackEndService(ENGINES, 100, Optional.of(FIGURES));
+    }
+
+    static Route route(String host, String prefix, RouteKind kind) {
+        boolean isStream = kind == RouteKind.STREAMING;
+        return new Route(
+                "route" + prefix,
+                host,
+                prefix,
+                List.of(new WeightedService(isStream ? ENGINES : CALLS, 1)),
+                kind,
+                Duration.ofSeconds(5),
+                Duration.ofMillis(300),
+                isStream || kind == RouteKind.IDEMPOTENT ? 2 : 1,
+                1,
+                false,
+                isStream,
+                Duration.ofMillis(200));
+    }
+
+    static RoutingDocument document(long version, Route... routes) {
+        return new RoutingDocument(
+                version,
+                List.of(routes),
+                List.of(engineService(), new BackEndService(CALLS, 100, Optional.empty())),
+                List.of(new GatewayAccount("account", Set.of("key"), OptionalInt.empty())),
+                CallerLimits.DEFAULTS);
+    }
+
+    static CallerRequest request(String path, int promptTokens) {
+        return new CallerRequest(
+                "POST",
+                path,
+                "host",
+                "attempt-" + path + promptTokens,
+                Optional.of("key"),
+                Optional.of(Duration.ofSeconds(3)),
+                promptTokens == 0
+                        ? Optional.empty()
+                        : Optional.of(new PromptSize(promptTokens, 1_500)),
+                Optional.empty(),
+                List.of(),
+                new byte[0]);
+    }
+}
