Count and log requests from one trace; hold the platform's names to its folder

Change: RequestTrace publishes what became of each request and attempt; the log and the metrics watch. Ruled out: java.io buffers in decisions (ArchitectureTest); GrowingBytes in their place.

--- a/benchmark/src/test/java/org/rattanport/benchmark/ArchitectureTest.java
+++ b/benchmark/src/test/java/org/rattanport/benchmark/ArchitectureTest.java
@@ -37,21 +37,26 @@
                             .definedBy("org.rattanport.connectors..")
                             .layer("daemon")
                             .definedBy("org.rattanport.daemon..")
+                            .layer("platform")
+                            .definedBy("org.rattanport.platform..")
                             .layer("standins")
                             .definedBy("org.rattanport.standins..")
                             .layer("benchmark")
                             .definedBy("org.rattanport.benchmark..")
                             .whereLayer("benchmark")
                             .mayNotBeAccessedByAnyLayer()
+                            .whereLayer("platform")
+                            .mayNotBeAccessedByAnyLayer()
                             .whereLayer("standins")
                             .mayOnlyBeAccessedByLayers("benchmark")
                             .whereLayer("daemon")
-                            .mayOnlyBeAccessedByLayers("standins", "benchmark")
+                            .mayOnlyBeAccessedByLayers("platform", "standins", "benchmark")
                             .whereLayer("connectors")
-                            .mayOnlyBeAccessedByLayers("daemon", "standins", "benchmark")
+                            .mayOnlyBeAccessedByLayers(
+                                    "daemon", "platform", "standins", "benchmark")
                             .whereLayer("decisions")
                             .mayOnlyBeAccessedByLayers(
-                                    "connectors", "daemon", "standins", "benchmark"));
+                                    "connectors", "daemon", "platform", "standins", "benchmark"));
         }
 
         @Test
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
@@ -0,0 +1,75 @@
+package org.rattanport.connectors.metrics;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.gateway.AttemptFailure;
+import org.rattanport.kernel.gateway.RequestOutcome;
+
+/** Counts what a gateway instance does. Labels are bounded by the services and the error codes. */
+public final class GatewayMetrics {
+    private static final double[] BUCKETS_SECONDS = {
+        0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1, 1.5, 3, 5, 10, 15, 30
+    };
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final PrometheusRegistry mRegistry = new PrometheusRegistry();
+    private final Counter mRequests =
+            Counter.builder()
+                    .name("rattanport_gateway_requests")
+                    .help("Requests that ended, by service, outcome and verdict")
+                    .labelNames("service", "outcome", "verdict")
+                    .register(mRegistry);
+    private final Counter mFailures =
+            Counter.builder()
+                    .name("rattanport_gateway_attempt_failures")
+                    .help("Attempts that a back end did not answer well, by code and verdict")
+                    .labelNames("code", "verdict")
+                    .register(mRegistry);
+    private final Histogram mDurations =
+            Histogram.builder()
+                    .name("rattanport_gateway_request_seconds")
+                    .help("Time from the arrival of a request to the end of its answer, by service")
+                    .labelNames("service")
+                    .classicOnly()
+                    .classicUpperBounds(BUCKETS_SECONDS)
+                    .register(mRegistry);
+    private final Gauge mState =
+            Gauge.builder()
+                    .name("rattanport_gateway_state")
+                    .help("Present values of this instance, by name")
+                    .labelNames("name")
+                    .register(mRegistry);
+
+    void ended(RequestOutcome outcome) {
+        mRequests.labelValues(outcome.service(), outcome.outcome(), outcome.verdict().text()).inc();
+        mDurations.labelValues(outcome.service()).observe(outcome.millis() / MILLIS_PER_SECOND);
+    }
+
+    void failed(AttemptFailure failure) {
+        mFailures.labelValues(failure.code(), failure.verdict().text()).inc();
+    }
+
+    void state(String name, double value) {
+        mState.labelValues(name).set(value);
+    }
+
+    /** Returns all metrics in the text format. */
+    String expose() {
+        try (ByteArrayOutputStream output = new ByteArrayOutputStream()) {
+            PrometheusTextFormatWriter.create().write(output, mRegistry.scrape());
+            return output.toString(StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw RattanportException.builder(ErrorCode.INTERNAL, "cannot write metrics")
+                    .cause(e)
+                    .build();
+        }
+    }
+}
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
@@ -0,0 +1,73 @@
+package org.rattanport.connectors.metrics;
+
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
+import java.util.Optional;
+import java.util.Set;
+import org.rattanport.connectors.gateway.HttpTransport;
+import org.rattanport.connectors.gateway.PageServer;
+import org.rattanport.connectors.gateway.PageServer.Page;
+import org.rattanport.decisions.gateway.RoutingInForce;
+import org.rattanport.decisions.lifecycle.InFlight;
+import org.rattanport.kernel.gateway.AttemptFailure;
+import org.rattanport.kernel.gateway.GatewaySettings;
+import org.rattanport.kernel.gateway.RequestOutcome;
+import org.rattanport.kernel.peer.Membership;
+import org.rattanport.kernel.plugin.Edition;
+import org.rattanport.kernel.plugin.Plugin;
+import org.rattanport.kernel.plugin.PluginContext;
+import org.rattanport.kernel.time.Deadline;
+
+/** Serves the metrics of a gateway instance, where the settings give them an address. */
+public final class GatewayMetricsPlugin implements Plugin {
+    private static final String PATH = "/metrics";
+
+    private final CompositeDisposable mWatches = new CompositeDisposable();
+
+    @Override
+    public String name() {
+        return "gateway-metrics";
+    }
+
+    @Override
+    public Set<Edition> editions() {
+        return Set.of(Edition.GATEWAY);
+    }
+
+    @Override
+    public Set<Class<?>> requires() {
+        return Set.of(
+                GatewaySettings.class,
+                HttpTransport.class,
+                RoutingInForce.class,
+                InFlight.class,
+                Membership.class);
+    }
+
+    @Override
+    public void start(PluginContext context) {
+        Optional<String> address = context.require(GatewaySettings.class).metricsAddress();
+        if (address.isEmpty()) {
+            return;
+        }
+        GatewayMetrics metrics = new GatewayMetrics();
+        mWatches.add(context.events().watch(RequestOutcome.class).subscribe(metrics::ended));
+        mWatches.add(context.events().watch(AttemptFailure.class).subscribe(metrics::failed));
+        new PageServer(
+                context.require(HttpTransport.class),
+                address.get(),
+                (path, query) ->
+                        path.equals(PATH) ? Optional.of(page(metrics, context)) : Optional.empty());
+    }
+
+    private static Page page(GatewayMetrics metrics, PluginContext context) {
+        metrics.state("requests_in_flight", context.require(InFlight.class).count());
+        metrics.state("alive_members", context.require(Membership.class).aliveMembers().size());
+        metrics.state("document_version", context.require(RoutingInForce.class).version());
+        return new Page(200, "text/plain; version=0.0.4", metrics.expose());
+    }
+
+    @Override
+    public void stop(Deadline deadline) {
+        mWatches.dispose();
+    }
+}
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventReader.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/EventReader.java
@@ -1,6 +1,5 @@
 package org.rattanport.decisions.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -23,16 +22,15 @@
     private static final int LONGEST_NUMBER = 18;
     private static final String ID_FIELD = "id:";
 
-    private final ByteArrayOutputStream mPending = new ByteArrayOutputStream();
+    private final GrowingBytes mPending = new GrowingBytes();
 
     /** Takes bytes and returns the events that they complete. */
     public List<Event> take(byte[] piece) {
         List<Event> events = new ArrayList<>();
         for (byte each : piece) {
-            mPending.write(each);
+            mPending.add(each);
             if (each == '\n' && endsWithBlankLine()) {
-                byte[] bytes = mPending.toByteArray();
-                mPending.reset();
+                byte[] bytes = mPending.takeAll();
                 events.add(new Event(bytes, id(bytes)));
             }
         }
@@ -41,16 +39,12 @@
 
     /** Bytes after the last whole event. */
     public byte[] rest() {
-        return mPending.toByteArray();
+        return mPending.toArray();
     }
 
     private boolean endsWithBlankLine() {
-        byte[] bytes = mPending.toByteArray();
-        int end = bytes.length;
-        if (end >= 2 && bytes[end - 2] == '\n') {
-            return true;
-        }
-        return end >= 3 && bytes[end - 2] == '\r' && bytes[end - 3] == '\n';
+        return mPending.endsWith((byte) '\n', (byte) '\n')
+                || mPending.endsWith((byte) '\n', (byte) '\r', (byte) '\n');
     }
 
     private static Optional<String> id(byte[] bytes) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -1,16 +1,13 @@
 package org.rattanport.decisions.gateway;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
-import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.AnswerHead;
 import org.rattanport.kernel.gateway.Attempt;
 import org.rattanport.kernel.gateway.BackEnd;
@@ -19,9 +16,9 @@
 import org.rattanport.kernel.gateway.CallerExchange;
 import org.rattanport.kernel.gateway.CallerRequest;
 import org.rattanport.kernel.gateway.GatewayAccount;
+import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.Route;
 import org.rattanport.kernel.gateway.RouteKind;
-import org.rattanport.kernel.gateway.Work;
 import org.rattanport.kernel.model.Fingerprint;
 import org.rattanport.kernel.model.TargetId;
 import org.rattanport.kernel.time.Deadline;
@@ -70,12 +67,9 @@
     private final Deadline mDeadline;
     private AnswerRelay mRelay;
     private final Set<String> mExcluded = new HashSet<>();
-    private final List<String> mTried = new ArrayList<>();
-    private final long mStartNanos;
+    private final RequestTrace mTrace;
     private final Fingerprint mFingerprint;
     private int mRuns;
-    private int mStatus;
-    private double mPredicted;
     private boolean mIsCut;
     private Verdict mVerdict = Verdict.NOT_RUN;
     private RattanportException mLast =
@@ -97,7 +91,14 @@
         mAccount = account;
         mDeadline = deadline;
         mFingerprint = request.fingerprint(account.map(GatewayAccount::name).orElse(""));
-        mStartNanos = parts.time().nanoTime();
+        RequestTrace.Subject subject =
+                new RequestTrace.Subject(
+                        request.attemptId(),
+                        route.name(),
+                        service.name(),
+                        account.map(GatewayAccount::name).orElse("-"),
+                        parts.routing().version());
+        mTrace = new RequestTrace(subject, parts.events(), parts.time());
         mRelay = relay();
     }
 
@@ -117,44 +118,20 @@
 
     /** Forwards the request; throws when nothing was sent to the caller. */
     void run() {
-        String outcome = "answered";
+        String outcome = RequestOutcome.ANSWERED;
         try {
             tryBackEnds();
-            outcome = mIsCut ? "cut" : outcome;
+            outcome = mIsCut ? RequestOutcome.CUT : outcome;
         } catch (RattanportException e) {
             outcome = e.code().text();
             throw e;
         } finally {
-            write(outcome);
+            boolean isAnswered = outcome.equals(RequestOutcome.ANSWERED);
+            String reason = isAnswered ? "" : String.valueOf(mLast.getMessage());
+            mTrace.ended(outcome, mVerdict, mRuns, reason);
         }
     }
 
-    private void write(String outcome) {
-        LogLine line =
-                LogLine.of("request-ended")
-                        .with("request", mRequest.attemptId())
-                        .with("outcome", outcome)
-                        .with("verdict", mVerdict.text())
-                        .with("route", mRoute.name())
-                        .with("service", mService.name())
-                        .with("account", mAccount.map(GatewayAccount::name).orElse("-"))
-                        .with("back_ends", String.join(",", mTried))
-                        .with("runs", mRuns)
-                        .with("status", mStatus)
-                        .with("millis", millis(mParts.time().nanoTime() - mStartNanos))
-                        .with("predicted_first_event_millis", Math.round(mPredicted))
-                        .with("document", mParts.routing().version());
-        if (outcome.equals("answered") && mTried.size() == 1) {
-            mParts.log().usual(line);
-        } else {
-            mParts.log().unusual(line.with("reason", mLast.getMessage()));
-        }
-    }
-
-    private static long millis(long nanos) {
-        return Duration.ofNanos(nanos).toMillis();
-    }
-
     private void tryBackEnds() {
         if (mParts.suspicions().deaths(mFingerprint) >= MOST_DEATHS) {
             mLast =
@@ -199,10 +176,8 @@
     private boolean attempt(Placement placement) {
         BackEnd backEnd = placement.backEnd();
         int runsBefore = mRuns;
-        mStatus = 0;
         mExcluded.add(backEnd.id());
-        mTried.add(backEnd.id());
-        mPredicted = placement.work().map(Work::firstEventMillis).orElse(0.0);
+        mTrace.sent(placement);
         mParts.loads().sent(backEnd.id());
         placement.work().ifPresent(mParts.news()::placed);
         try (Closing lease = lease(placement);
@@ -263,7 +238,7 @@
     private boolean answer(Placement placement, BackEndExchange exchange) {
         BackEnd backEnd = placement.backEnd();
         AnswerHead head = exchange.head(mDeadline);
-        mStatus = head.status();
+        mTrace.answered(head.status());
         head.load().ifPresent(load -> mParts.loads().reported(backEnd.id(), load));
         if (head.isNotRun()) {
             refused(placement, head);
@@ -324,15 +299,12 @@
         if (error.code() == ErrorCode.CANCELLED) {
             throw left();
         }
-        mParts.log()
-                .unusual(
-                        LogLine.of("attempt-failed")
-                                .with("request", mRequest.attemptId())
-                                .with("back_end", backEnd.id())
-                                .with("code", error.code().text())
-                                .with("verdict", error.verdict().text())
-                                .with("has_started", mRelay.hasStarted())
-                                .with("reason", error.getMessage()));
+        mTrace.failed(
+                backEnd,
+                error.code().text(),
+                error.verdict(),
+                mRelay.hasStarted(),
+                String.valueOf(error.getMessage()));
         if (error.code() == ErrorCode.DEADLINE_EXCEEDED && mDeadline.hasPassed(mParts.time())) {
             mVerdict = mVerdict.and(error.verdict());
             mLast = error;
@@ -348,7 +320,7 @@
         if (hadConnection && mRuns == runsBefore) {
             mRuns++;
         }
-        if (error.code() == ErrorCode.TARGET_FAILED && hadConnection && mStatus < 500) {
+        if (error.code() == ErrorCode.TARGET_FAILED && hadConnection && mTrace.status() < 500) {
             TargetId engine = new TargetId(backEnd.id(), backEnd.born());
             mParts.suspicions().died(mFingerprint, engine);
         }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayParts.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayParts.java
@@ -1,6 +1,7 @@
 package org.rattanport.decisions.gateway;
 
 import org.rattanport.decisions.poison.SuspicionTable;
+import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.gateway.BackEndClient;
 import org.rattanport.kernel.time.TimeSource;
 
@@ -17,5 +18,5 @@
         LoadBoard loads,
         WorkNews news,
         RepeatAllowance allowance,
-        RequestLog log,
+        EventStreams events,
         TimeSource time) {}
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -1,14 +1,17 @@
 package org.rattanport.decisions.gateway;
 
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.rattanport.decisions.membership.RumorHub;
 import org.rattanport.decisions.poison.SuspicionTable;
+import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.BackEndClient;
 import org.rattanport.kernel.gateway.FleetSource;
 import org.rattanport.kernel.gateway.GatewaySettings;
 import org.rattanport.kernel.gateway.MemoryOrders;
+import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.peer.Membership;
 import org.rattanport.kernel.peer.PeerNetwork;
 import org.rattanport.kernel.plugin.Edition;
@@ -22,6 +25,7 @@
 /** Provides the forwarding of requests and follows the store. */
 public final class GatewayPlugin implements Plugin {
     private Optional<FleetFollower> mFollower = Optional.empty();
+    private final CompositeDisposable mWatches = new CompositeDisposable();
     private Optional<PeerNews> mNews = Optional.empty();
 
     @Override
@@ -73,6 +77,9 @@
                 new FleetFollower(context.require(FleetSource.class), routing, register, time);
         Tasks.start("follow-document", follower::followDocument);
         Tasks.start("follow-register", follower::followRegister);
+        RequestLog log = new RequestLog(time);
+        mWatches.add(context.events().watch(RequestOutcome.class).subscribe(log::ended));
+        mWatches.add(context.events().watch(AttemptFailure.class).subscribe(log::failed));
         mFollower = Optional.of(follower);
         mNews = Optional.of(news);
         context.provide(BackEndRegister.class, register);
@@ -108,12 +115,13 @@
                         settings.repeatRatio(),
                         settings.repeatSlack(),
                         () -> membership.members().size()),
-                new RequestLog(time),
+                context.events(),
                 time);
     }
 
     @Override
     public void stop(Deadline deadline) {
+        mWatches.dispose();
         mFollower.ifPresent(FleetFollower::close);
         mNews.ifPresent(PeerNews::close);
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RequestLog.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RequestLog.java
@@ -2,6 +2,8 @@
 
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.event.LogLine;
+import org.rattanport.kernel.gateway.AttemptFailure;
+import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
@@ -26,28 +28,60 @@
         mSecondNanos = time.nanoTime();
     }
 
-    /** Writes about something that went wrong. */
-    public void unusual(LogLine line) {
-        LOGGER.info(line);
+    /** Writes about a back end that did not answer well. */
+    public void failed(AttemptFailure failure) {
+        LOGGER.info(
+                LogLine.of("attempt-failed")
+                        .with("request", failure.request())
+                        .with("back_end", failure.backEnd())
+                        .with("code", failure.code())
+                        .with("verdict", failure.verdict().text())
+                        .with("has_started", failure.hasStarted())
+                        .with("reason", failure.reason()));
     }
 
-    /** Writes about something that went well, within bounds. */
-    public void usual(LogLine line) {
-        int leftOut;
-        synchronized (this) {
-            long now = mTime.nanoTime();
-            if (now - mSecondNanos >= NANOS_PER_SECOND) {
-                mSecondNanos = now;
-                mWritten = 0;
-            }
-            if (mWritten >= USUAL_LINES_PER_SECOND) {
-                mLeftOut++;
-                return;
-            }
-            mWritten++;
-            leftOut = mLeftOut;
-            mLeftOut = 0;
+    /** Writes about a request that has ended. */
+    public void ended(RequestOutcome outcome) {
+        if (!outcome.isUsual()) {
+            LOGGER.info(line(outcome).with("reason", outcome.reason()));
+            return;
         }
-        LOGGER.info(leftOut == 0 ? line : line.with("like_it_left_out", leftOut));
+        int leftOut = takeUsualLine();
+        if (leftOut >= 0) {
+            LOGGER.info(line(outcome).with("like_it_left_out", leftOut));
+        }
+    }
+
+    /** Returns how many lines were left out since the last one, or -1 to leave out this one. */
+    synchronized int takeUsualLine() {
+        long now = mTime.nanoTime();
+        if (now - mSecondNanos >= NANOS_PER_SECOND) {
+            mSecondNanos = now;
+            mWritten = 0;
+        }
+        if (mWritten >= USUAL_LINES_PER_SECOND) {
+            mLeftOut++;
+            return -1;
+        }
+        mWritten++;
+        int leftOut = mLeftOut;
+        mLeftOut = 0;
+        return leftOut;
+    }
+
+    private static LogLine line(RequestOutcome outcome) {
+        return LogLine.of("request-ended")
+                .with("request", outcome.request())
+                .with("outcome", outcome.outcome())
+                .with("verdict", outcome.verdict().text())
+                .with("route", outcome.route())
+                .with("service", outcome.service())
+                .with("account", outcome.account())
+                .with("back_ends", String.join(",", outcome.backEnds()))
+                .with("runs", outcome.runs())
+                .with("status", outcome.status())
+                .with("millis", outcome.millis())
+                .with("predicted_first_event_millis", outcome.predictedFirstEventMillis())
+                .with("document", outcome.document());
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/WholeAnswerRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/WholeAnswerRelay.java
@@ -1,6 +1,5 @@
 package org.rattanport.decisions.gateway;
 
-import java.io.ByteArrayOutputStream;
 import java.util.Optional;
 import java.util.OptionalInt;
 import org.rattanport.kernel.gateway.AnswerHead;
@@ -25,21 +24,21 @@
 
     @Override
     public void relay(AnswerHead head, BackEndExchange exchange, Deadline deadline) {
-        ByteArrayOutputStream held = new ByteArrayOutputStream();
+        GrowingBytes held = new GrowingBytes();
         Optional<byte[]> piece = exchange.next(deadline);
         while (piece.isPresent() && held.size() + piece.get().length <= LONGEST_HELD) {
-            held.writeBytes(piece.get());
+            held.addAll(piece.get());
             piece = exchange.next(deadline);
         }
         mHasStarted = true;
         if (piece.isEmpty()) {
             mCaller.start(head, OptionalInt.of(held.size()));
-            mCaller.write(held.toByteArray());
+            mCaller.write(held.toArray());
             mCaller.finish();
             return;
         }
         mCaller.start(head, OptionalInt.empty());
-        mCaller.write(held.toByteArray());
+        mCaller.write(held.toArray());
         while (piece.isPresent()) {
             mCaller.write(piece.get());
             piece = exchange.next(deadline);
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -21,7 +21,7 @@
 load=$!
 for _ in $(seq 100); do [ -s "$settings" ] && break; sleep 0.1; done
 target/jre/bin/java $options -XX:ArchiveClassesAtExit=target/gateway.jsa \
-    -jar target/lib/gateway.jar gateway --settings "$settings" >target/training.log 2>&1 &
+    -jar target/lib/gateway.jar gateway --settings "$settings" --metrics-port 28524 >target/training.log 2>&1 &
 gateway=$!
 wait "$load" || echo "the training load failed, see target/training.log" >&2
 kill -TERM "$gateway" 2>/dev/null || true
