Name an instance to callers only once it can serve; hold no news for a silent peer

Cause: an instance that starts while the store is away was listed by its peers from its first probe and answered 503 to every caller; news for a peer that takes nothing gathered without bound. Change: a gateway instance is announced when it knows a document and the register; a peer connection whose outbound buffer is full is closed and told of again on a new one. Tests: ReadinessTest, and the gateway's own tests.

--- a/connectors/src/main/java/org/rattanport/connectors/peer/PeerChannel.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PeerChannel.java
@@ -56,6 +56,12 @@
         if (!mChannel.isActive()) {
             throw closed();
         }
+        if (!mChannel.isWritable()) {
+            // What a silent peer does not take would gather in memory.
+            mChannel.close();
+            throw new RattanportException(
+                    ErrorCode.PEER_UNREACHABLE, "the peer does not take what it is sent");
+        }
         mChannel.writeAndFlush(frame);
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/FleetFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/FleetFollower.java
@@ -34,15 +34,21 @@
     private final FleetSource mSource;
     private final RoutingInForce mRouting;
     private final BackEndRegister mRegister;
+    private final Runnable mOnNews;
     private final TimeSource mTime;
     private volatile boolean mIsClosed;
     private boolean mWasRegisterAway;
 
     public FleetFollower(
-            FleetSource source, RoutingInForce routing, BackEndRegister register, TimeSource time) {
+            FleetSource source,
+            RoutingInForce routing,
+            BackEndRegister register,
+            Runnable onNews,
+            TimeSource time) {
         mSource = source;
         mRouting = routing;
         mRegister = register;
+        mOnNews = onNews;
         mTime = time;
     }
 
@@ -87,6 +93,7 @@
                 mSource.readDocument(Deadline.after(mTime, READ_TIMEOUT));
         while (!mIsClosed) {
             reading.value().ifPresent(mRouting::offer);
+            mOnNews.run();
             reading = mSource.awaitDocument(reading.version(), LONGEST_WAIT);
         }
     }
@@ -98,6 +105,7 @@
         }
         mWasRegisterAway = true;
         mRegister.replace(all.present());
+        mOnNews.run();
         long version = all.version();
         while (!mIsClosed) {
             RegisterChange change = awaitRegister(version);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayMembershipPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayMembershipPlugin.java
@@ -120,7 +120,8 @@
                 endpoints.callerAddress(),
                 endpoints.peerAddress(),
                 context.require(InstanceSettings.class).dataCentre(),
-                MemberState.ALIVE,
+                // Callers are not sent here before there is a document and a register.
+                MemberState.LEAVING,
                 0);
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import org.rattanport.decisions.lifecycle.Drain;
+import org.rattanport.decisions.membership.MemberTable;
 import org.rattanport.decisions.membership.RumorHub;
 import org.rattanport.decisions.poison.SuspicionTable;
 import org.rattanport.kernel.gateway.AttemptFailure;
@@ -49,12 +51,14 @@
                 RoutingInForce.class,
                 PeerNetwork.class,
                 RumorHub.class,
+                MemberTable.class,
+                Drain.class,
                 Membership.class);
     }
 
     @Override
     public Set<Class<?>> provides() {
-        return Set.of(GatewayService.class, BackEndRegister.class);
+        return Set.of(GatewayService.class, BackEndRegister.class, Readiness.class);
     }
 
     @Override
@@ -73,8 +77,19 @@
         news.register();
         GatewayService service =
                 new GatewayService(parts(context, settings, register, book, news), new Random());
+        Readiness readiness =
+                new Readiness(
+                        routing,
+                        register,
+                        context.require(MemberTable.class),
+                        context.require(Drain.class)::isDraining);
         FleetFollower follower =
-                new FleetFollower(context.require(FleetSource.class), routing, register, time);
+                new FleetFollower(
+                        context.require(FleetSource.class),
+                        routing,
+                        register,
+                        readiness::update,
+                        time);
         Tasks.start("follow-document", follower::followDocument);
         Tasks.start("follow-register", follower::followRegister);
         RequestLog log = new RequestLog(time);
@@ -82,6 +97,7 @@
         mWatches.add(context.events().watch(AttemptFailure.class).subscribe(log::failed));
         mFollower = Optional.of(follower);
         mNews = Optional.of(news);
+        context.provide(Readiness.class, readiness);
         context.provide(BackEndRegister.class, register);
         context.provide(GatewayService.class, service);
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/MemberSearch.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/MemberSearch.java
@@ -52,13 +52,18 @@
     void round() {
         joinThrough(mSeeds);
         enter();
-        mLonelyRounds = mTable.aliveMembers().size() > 1 ? 0 : mLonelyRounds + 1;
+        mLonelyRounds = knowsOthers() ? 0 : mLonelyRounds + 1;
         if (mLonelyRounds >= LONELY_ROUNDS) {
             mLonelyRounds = 0;
             joinThrough(mDirectory.peerAddresses(Deadline.after(mTime, JOIN_TIMEOUT)));
         }
     }
 
+    private boolean knowsOthers() {
+        return mTable.aliveMembers().stream()
+                .anyMatch(each -> !each.id().equals(mTable.self().id()));
+    }
+
     private void enter() {
         if (!mIsEntered) {
             Member self = mTable.self();
@@ -69,7 +74,7 @@
     }
 
     private void joinThrough(List<String> addresses) {
-        List<String> known = mTable.aliveMembers().stream().map(Member::peerAddress).toList();
+        List<String> known = mTable.members().stream().map(Member::peerAddress).toList();
         addresses.stream().filter(each -> !known.contains(each)).forEach(this::tryJoin);
     }
 
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
@@ -26,7 +26,8 @@
     private final RoutingInForce mRouting = new RoutingInForce(new EventStreams());
     private final BackEndRegister mRegister = new BackEndRegister(mTime);
     private final ScriptedSource mSource = new ScriptedSource();
-    private final FleetFollower mFollower = new FleetFollower(mSource, mRouting, mRegister, mTime);
+    private final FleetFollower mFollower =
+            new FleetFollower(mSource, mRouting, mRegister, () -> {}, mTime);
     private final BackEnd mOne = TestFleet.backEnd("one", TestFleet.CALLS, false);
     private final BackEnd mTwo = TestFleet.backEnd("two", TestFleet.CALLS, false);
 
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ReadinessTest.java
@@ -0,0 +1,67 @@
+package org.rattanport.decisions.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.membership.MemberTable;
+import org.rattanport.decisions.membership.RumorQueue;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.peer.MemberState;
+import org.rattanport.kernel.time.ManualTimeSource;
+
+final class ReadinessTest {
+    private final EventStreams mEvents = new EventStreams();
+    private final RoutingInForce mRouting = new RoutingInForce(mEvents);
+    private final BackEndRegister mRegister = new BackEndRegister(new ManualTimeSource());
+    private final AtomicBoolean mIsLeaving = new AtomicBoolean();
+    private final MemberTable mMembers =
+            new MemberTable(
+                    new Member(
+                            new InstanceId("a", 1), "c:1", "p:1", "zone", MemberState.LEAVING, 0),
+                    new RumorQueue(),
+                    mEvents);
+    private final Readiness mReadiness =
+            new Readiness(mRouting, mRegister, mMembers, mIsLeaving::get);
+
+    private void learnAll() {
+        mRouting.offer(TestFleet.document(1));
+        mRegister.replace(List.of());
+        mReadiness.update();
+    }
+
+    @Nested
+    final class Starting {
+        @Test
+        void shouldNotBeNamedToCallersBeforeItKnowsEnough() {
+            mReadiness.update();
+            assertThat(mMembers.aliveMembers()).isEmpty();
+            mRouting.offer(TestFleet.document(1));
+            mReadiness.update();
+            assertThat(mReadiness.isReady()).isFalse();
+            assertThat(mMembers.aliveMembers()).isEmpty();
+        }
+
+        @Test
+        void shouldBeNamedOnceItDoes() {
+            learnAll();
+            assertThat(mReadiness.isReady()).isTrue();
+            assertThat(mMembers.aliveMembers()).hasSize(1);
+        }
+    }
+
+    @Nested
+    final class Stopping {
+        @Test
+        void shouldNotBeNamedAgainWhileItLeaves() {
+            mIsLeaving.set(true);
+            learnAll();
+            assertThat(mReadiness.isReady()).isFalse();
+            assertThat(mMembers.aliveMembers()).isEmpty();
+        }
+    }
+}
