Judge failures by their verdict; leave silent back ends while another may be asked

Cause, found by reading: a 500 of a back end, or an answer without signature, was thrown with the verdict not-run, so it counted as a back end out of reach (weight 2) besides its own weight; a read or a stream at an engine that had gone dark waited for its caller to leave; refused connections used up the allowance for repeats although nothing arrived; a refused lease was tried again at the same engine. Change: weights by verdict, Patience, allowance only for what arrived, refusing engines left out.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -19,6 +19,7 @@
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.Route;
 import org.rattanport.kernel.gateway.RouteKind;
+import org.rattanport.kernel.gateway.Work;
 import org.rattanport.kernel.model.Fingerprint;
 import org.rattanport.kernel.model.TargetId;
 import org.rattanport.kernel.time.Deadline;
@@ -39,25 +40,13 @@
     /** When a refused caller should come back: by then a short request has ended. */
     private static final Duration COME_BACK = Duration.ofMillis(200);
 
-    /** Shortest silence of a stream after which its engine is given up. */
-    private static final Duration LEAST_SILENCE = Duration.ofMillis(1_200);
-
-    /** Silence of a stream relative to the pause that is still on time. */
-    private static final int SILENT_PAUSES = 4;
-
     /** Weights of failures for the health of a back end. */
     private static final double NO_CONNECTION = 2.0;
 
     private static final double BROKEN = 1.0;
-    private static final double FAILED = 0.5;
+    private static final double FAILED = 0.3;
     private static final double REFUSED = 0.2;
 
-    private static final int SHORT_OBJECTIVE_MILLIS = 500;
-    private static final int MIDDLE_OBJECTIVE_MILLIS = 2_000;
-    private static final int URGENT = 1;
-    private static final int USUAL = 4;
-    private static final int PATIENT = 6;
-
     private final GatewayParts mParts;
     private final CallerRequest mRequest;
     private final CallerExchange mCaller;
@@ -71,6 +60,7 @@
     private final Fingerprint mFingerprint;
     private int mRuns;
     private boolean mIsCut;
+    private boolean mHasArrived;
     private Verdict mVerdict = Verdict.NOT_RUN;
     private RattanportException mLast =
             new RattanportException(ErrorCode.NO_TARGET, "no back end takes requests");
@@ -106,13 +96,11 @@
         if (mRoute.kind() != RouteKind.STREAMING) {
             return new WholeAnswerRelay(mCaller);
         }
-        Duration pauses = mRoute.longestPause().multipliedBy(SILENT_PAUSES);
-        Duration silence = pauses.compareTo(LEAST_SILENCE) > 0 ? pauses : LEAST_SILENCE;
         return new EventRelay(
                 mCaller,
                 mParts.time(),
                 mRequest.lastEventId(),
-                silence,
+                Patience.of(mRoute, 0).between(),
                 () -> mParts.news().writes(mRequest.attemptId()));
     }
 
@@ -147,7 +135,7 @@
                 mLast = new RattanportException(ErrorCode.DEADLINE_EXCEEDED, "no time is left");
                 break;
             }
-            if (tries > 0 && !mParts.allowance().take(mService.name())) {
+            if (mHasArrived && !mParts.allowance().take(mService.name())) {
                 break;
             }
             Optional<Placement> placement = place();
@@ -178,6 +166,7 @@
         int runsBefore = mRuns;
         mExcluded.add(backEnd.id());
         mTrace.sent(placement);
+        mHasArrived = false;
         mParts.loads().sent(backEnd.id());
         placement.work().ifPresent(mParts.news()::placed);
         try (Closing lease = lease(placement);
@@ -205,7 +194,11 @@
     private Closing lease(Placement placement) {
         return placement.reservations().isEmpty()
                 ? () -> {}
-                : mParts.leases().acquire(placement.reservations())::close;
+                : mParts.leases().acquire(placement.reservations(), this::exclude)::close;
+    }
+
+    private void exclude(BackEnd engine) {
+        mExcluded.add(engine.id());
     }
 
     private BackEndExchange send(Placement placement) {
@@ -215,7 +208,7 @@
                         placement.backEnd(),
                         mDeadline.remaining(mParts.time()),
                         mAccount.map(GatewayAccount::name),
-                        urgency(),
+                        Urgency.of(mRoute.objective()),
                         placement.readers().stream()
                                 .map(
                                         each ->
@@ -227,18 +220,11 @@
         return mParts.client().send(attempt, mDeadline.within(mParts.time(), CONNECT_TIMEOUT));
     }
 
-    private int urgency() {
-        long objective = mRoute.objective().toMillis();
-        if (objective <= SHORT_OBJECTIVE_MILLIS) {
-            return URGENT;
-        }
-        return objective <= MIDDLE_OBJECTIVE_MILLIS ? USUAL : PATIENT;
-    }
-
     private boolean answer(Placement placement, BackEndExchange exchange) {
         BackEnd backEnd = placement.backEnd();
-        AnswerHead head = exchange.head(mDeadline);
+        AnswerHead head = exchange.head(firstDeadline(placement));
         mTrace.answered(head.status());
+        mHasArrived = true;
         head.load().ifPresent(load -> mParts.loads().reported(backEnd.id(), load));
         if (head.isNotRun()) {
             refused(placement, head);
@@ -252,9 +238,7 @@
         mVerdict = mVerdict.and(Verdict.MAY_HAVE_RUN);
         requireOwnAnswer(head);
         if (mayAskAnother(head)) {
-            mParts.health().failed(backEnd.id(), FAILED);
-            throw new RattanportException(
-                    ErrorCode.TARGET_FAILED, "the back end answered " + head.status());
+            throw ranBadly("the back end answered " + head.status());
         }
         if (head.isSuccess()) {
             mRelay.relay(head, exchange, mDeadline);
@@ -267,6 +251,16 @@
         return true;
     }
 
+    /** A silent back end is only given up early while another one may be asked. */
+    private Deadline firstDeadline(Placement placement) {
+        boolean mayAskAnother = mRoute.isRepeatable() && mRuns + 1 < mRoute.maxAttempts();
+        if (!mayAskAnother || mRelay.hasStarted()) {
+            return mDeadline;
+        }
+        double predicted = placement.work().map(Work::firstEventMillis).orElse(0.0);
+        return mDeadline.within(mParts.time(), Patience.of(mRoute, predicted).untilFirst());
+    }
+
     /** Finds who refused: the back end that was asked, or an engine that was to read for it. */
     private void refused(Placement placement, AnswerHead head) {
         BackEnd culprit = head.culprit().flatMap(placement::at).orElse(placement.backEnd());
@@ -283,11 +277,16 @@
         boolean isOther =
                 head.attemptId().filter(id -> !id.equals(mRequest.attemptId())).isPresent();
         if (isOther || (head.isSuccess() && !head.isSealed())) {
-            throw new RattanportException(
-                    ErrorCode.TARGET_FAILED, "the answer belongs to another request");
+            throw ranBadly("the answer belongs to another request");
         }
     }
 
+    private static RattanportException ranBadly(String reason) {
+        return RattanportException.builder(ErrorCode.TARGET_FAILED, reason)
+                .verdict(Verdict.RAN)
+                .build();
+    }
+
     private boolean mayAskAnother(AnswerHead head) {
         if (mRelay.hasStarted()) {
             return !head.isSuccess();
@@ -311,22 +310,37 @@
             giveUp();
             return true;
         }
-        boolean hadConnection = error.verdict() != Verdict.NOT_RUN;
+        mLast = error;
         if (error.code() == ErrorCode.TARGET_REFUSED) {
-            mLast = error;
+            // Memory was not to be had; the engine that would have written is not at fault.
+            mExcluded.remove(backEnd.id());
             return false;
         }
-        mParts.health().failed(backEnd.id(), hadConnection ? BROKEN : NO_CONNECTION);
+        judge(backEnd, error);
+        boolean hadConnection = error.verdict() != Verdict.NOT_RUN;
+        mHasArrived |= hadConnection;
         if (hadConnection && mRuns == runsBefore) {
             mRuns++;
         }
-        if (error.code() == ErrorCode.TARGET_FAILED && hadConnection && mTrace.status() < 500) {
+        mVerdict = mVerdict.and(error.verdict());
+        return false;
+    }
+
+    /** Weighs the failure for the health of the back end, and for the suspicion of the request. */
+    private void judge(BackEnd backEnd, RattanportException error) {
+        double weight =
+                switch (error.verdict()) {
+                    case NOT_RUN -> NO_CONNECTION;
+                    case MAY_HAVE_RUN -> BROKEN;
+                    case RAN -> FAILED;
+                };
+        mParts.health().failed(backEnd.id(), weight);
+        boolean mayHaveDied =
+                error.code() == ErrorCode.TARGET_FAILED && error.verdict() == Verdict.MAY_HAVE_RUN;
+        if (mayHaveDied) {
             TargetId engine = new TargetId(backEnd.id(), backEnd.born());
             mParts.suspicions().died(mFingerprint, engine);
         }
-        mVerdict = mVerdict.and(error.verdict());
-        mLast = error;
-        return false;
     }
 
     /** Ends the request without an answer of a back end. */
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/MemoryLeases.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/MemoryLeases.java
@@ -10,6 +10,7 @@
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.MemoryOrders;
 import org.rattanport.kernel.task.PeriodicTask;
 import org.rattanport.kernel.task.Tasks;
@@ -66,9 +67,10 @@
     /**
      * Leases everything, or nothing.
      *
+     * @param whoRefused told each engine that had no room
      * @throws RattanportException {@code TARGET_REFUSED}, not run, when some engine has no room
      */
-    public Lease acquire(List<Reservation> reservations) {
+    public Lease acquire(List<Reservation> reservations, Consumer<BackEnd> whoRefused) {
         Queue<Reservation> refused = new ConcurrentLinkedQueue<>();
         forAll(
                 reservations,
@@ -80,6 +82,7 @@
         if (refused.isEmpty()) {
             return new Lease(reservations);
         }
+        refused.forEach(each -> whoRefused.accept(each.engine()));
         // An order without an answer may still have been taken, so every one is released.
         release(reservations);
         throw new RattanportException(
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/MemoryLeasesTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/MemoryLeasesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -13,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.MemoryOrders;
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.SystemTimeSource;
@@ -54,7 +56,8 @@
         void shouldHoldAllUntilClosed() throws InterruptedException {
             FakeOrders orders = new FakeOrders(3);
             MemoryLeases.Lease lease =
-                    new MemoryLeases(orders, new SystemTimeSource()).acquire(reservations());
+                    new MemoryLeases(orders, new SystemTimeSource())
+                            .acquire(reservations(), engine -> {});
             assertThat(orders.mHeld).hasSize(3);
             lease.close();
             assertThat(orders.mReleased.await(20, TimeUnit.SECONDS)).isTrue();
@@ -65,9 +68,13 @@
         void shouldGiveBackWhatItGotWhenOneEngineHasNoRoom() {
             FakeOrders orders = new FakeOrders(3);
             orders.mFull.add(reservations().get(1).engine().address());
+            List<BackEnd> refused = new ArrayList<>();
             MemoryLeases leases = new MemoryLeases(orders, new SystemTimeSource());
             RattanportException error =
-                    assertThrows(RattanportException.class, () -> leases.acquire(reservations()));
+                    assertThrows(
+                            RattanportException.class,
+                            () -> leases.acquire(reservations(), refused::add));
+            assertThat(refused).containsExactly(reservations().get(1).engine());
             assertThat(error.verdict()).isEqualTo(Verdict.NOT_RUN);
             assertThat(orders.mHeld).isEmpty();
         }
