--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -71,7 +71,7 @@
         PeerNews news =
                 new PeerNews(
                         book,
-                        context.require(Membership.class),
+                        context.require(MemberTable.class),
                         context.require(PeerNetwork.class),
                         time);
         news.register();
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/PeerNews.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/PeerNews.java
@@ -11,11 +11,12 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
+import org.rattanport.decisions.membership.MemberTable;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.Work;
 import org.rattanport.kernel.gateway.WorkNotice;
 import org.rattanport.kernel.peer.Member;
-import org.rattanport.kernel.peer.Membership;
+import org.rattanport.kernel.peer.MemberState;
 import org.rattanport.kernel.peer.PeerMessage;
 import org.rattanport.kernel.peer.PeerNetwork;
 import org.rattanport.kernel.task.Tasks;
@@ -48,14 +49,14 @@
     }
 
     private final WorkBook mBook;
-    private final Membership mMembership;
+    private final MemberTable mMembers;
     private final PeerNetwork mPeers;
     private final TimeSource mTime;
     private final Map<String, Listener> mListeners = new ConcurrentHashMap<>();
 
-    public PeerNews(WorkBook book, Membership membership, PeerNetwork peers, TimeSource time) {
+    public PeerNews(WorkBook book, MemberTable members, PeerNetwork peers, TimeSource time) {
         mBook = book;
-        mMembership = membership;
+        mMembers = members;
         mPeers = peers;
         mTime = time;
     }
@@ -97,8 +98,8 @@
     private void tell(WorkNotice notice) {
         record(notice);
         Set<String> peers =
-                mMembership.aliveMembers().stream()
-                        .filter(each -> !each.id().equals(mMembership.self().id()))
+                mMembers.aliveMembers().stream()
+                        .filter(each -> !each.id().equals(mMembers.self().id()))
                         .map(Member::peerAddress)
                         .collect(Collectors.toSet());
         for (String peer : peers) {
@@ -134,10 +135,18 @@
                 Thread.currentThread().interrupt();
             } catch (RattanportException e) {
                 LOGGER.debugf("peer %s was not told of work: %s", peer, e.getMessage());
+                suspect(peer);
             }
         }
     }
 
+    /** News is sent far more often than probes, so it finds a lost peer first. */
+    private void suspect(String peer) {
+        mMembers.aliveMembers().stream()
+                .filter(each -> each.peerAddress().equals(peer))
+                .forEach(each -> mMembers.judge(each.id(), MemberState.SUSPECT));
+    }
+
     /** Takes what waits; the end of a request may wait a little for the next that is placed. */
     private static void gather(BlockingQueue<WorkNotice> notices, List<WorkNotice> news)
             throws InterruptedException {
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/PeerNewsTest.java
@@ -0,0 +1,100 @@
+package org.rattanport.decisions.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.membership.MemberTable;
+import org.rattanport.decisions.membership.RumorQueue;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.gateway.Share;
+import org.rattanport.kernel.gateway.Work;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.peer.MemberState;
+import org.rattanport.kernel.peer.PeerHandler;
+import org.rattanport.kernel.peer.PeerMessage;
+import org.rattanport.kernel.peer.PeerNetwork;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.SystemTimeSource;
+
+final class PeerNewsTest {
+    private static final Work WORK =
+            new Work("a", List.of(new Share("engine", 5_000, 20, 6_000, true)), 60, 900, 200, 1);
+
+    private final SystemTimeSource mTime = new SystemTimeSource();
+    private final WorkBook mBook = new WorkBook(mTime);
+    private final MemberTable mMembers =
+            new MemberTable(member("self"), new RumorQueue(), new EventStreams());
+    private final FakePeers mPeers = new FakePeers();
+    private final PeerNews mNews = new PeerNews(mBook, mMembers, mPeers, mTime);
+
+    PeerNewsTest() {
+        mMembers.merge(member("other"));
+    }
+
+    @AfterEach
+    void close() {
+        mNews.close();
+    }
+
+    private static Member member(String name) {
+        return new Member(
+                new InstanceId(name, 1), "c-" + name, "p-" + name, "z", MemberState.ALIVE, 0);
+    }
+
+    /** Takes or refuses what one peer is told. */
+    private static final class FakePeers implements PeerNetwork {
+        private final CountDownLatch mTold = new CountDownLatch(1);
+        private volatile boolean mIsReachable = true;
+
+        @Override
+        public PeerMessage ask(String peerAddress, PeerMessage question, Deadline deadline) {
+            throw new UnsupportedOperationException("news has no answer");
+        }
+
+        @Override
+        public void tell(String peerAddress, PeerMessage message, Deadline connectDeadline) {
+            mTold.countDown();
+            if (!mIsReachable) {
+                throw new RattanportException(ErrorCode.PEER_UNREACHABLE, "gone");
+            }
+        }
+
+        @Override
+        public <T extends PeerMessage> void handle(Class<T> type, PeerHandler<T> handler) {}
+    }
+
+    @Nested
+    final class Telling {
+        @Test
+        void shouldRecordHereAndTellTheOthers() throws InterruptedException {
+            mNews.placed(WORK);
+            assertThat(mBook.picture("engine").writers()).hasSize(1);
+            assertThat(mPeers.mTold.await(20, TimeUnit.SECONDS)).isTrue();
+            mNews.ended("a");
+            assertThat(mBook.size()).isEqualTo(0);
+        }
+    }
+
+    @Nested
+    final class LostPeer {
+        @Test
+        void shouldBeSuspected() throws InterruptedException {
+            mPeers.mIsReachable = false;
+            CountDownLatch suspected = new CountDownLatch(1);
+            mMembers.changes()
+                    .filter(each -> each.state() == MemberState.SUSPECT)
+                    .subscribe(each -> suspected.countDown());
+            mNews.placed(WORK);
+            assertThat(suspected.await(20, TimeUnit.SECONDS)).isTrue();
+            assertThat(mMembers.aliveMembers()).hasSize(1);
+        }
+    }
+}
