--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -21,7 +21,6 @@
 import org.rattanport.kernel.gateway.RouteKind;
 import org.rattanport.kernel.gateway.Work;
 import org.rattanport.kernel.model.Fingerprint;
-import org.rattanport.kernel.model.TargetId;
 import org.rattanport.kernel.time.Deadline;
 
 /** One request on its way: attempts at back ends until one answers or none may be tried. */
@@ -31,22 +30,12 @@
     /** Back ends that may refuse or be out of reach before the request is refused. */
     private static final int MOST_TRIES = 5;
 
-    /** Engines that may die with one request before it is refused for good. */
-    private static final int MOST_DEATHS = 3;
-
     /** Time to connect: several round trips, and less than the retransmission of a lost packet. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
     /** When a refused caller should come back: by then a short request has ended. */
     private static final Duration COME_BACK = Duration.ofMillis(200);
 
-    /** Weights of failures for the health of a back end. */
-    private static final double NO_CONNECTION = 2.0;
-
-    private static final double BROKEN = 1.0;
-    private static final double FAILED = 0.3;
-    private static final double REFUSED = 0.2;
-
     private final GatewayParts mParts;
     private final CallerRequest mRequest;
     private final CallerExchange mCaller;
@@ -121,7 +110,7 @@
     }
 
     private void tryBackEnds() {
-        if (mParts.suspicions().deaths(mFingerprint) >= MOST_DEATHS) {
+        if (mParts.judge().isPoison(mFingerprint)) {
             mLast =
                     new RattanportException(
                             ErrorCode.POISON_REQUEST, "engines died with this request before");
@@ -246,8 +235,7 @@
             mRelay = new WholeAnswerRelay(mCaller);
             mRelay.relay(head, exchange, mDeadline);
         }
-        mParts.health().succeeded(backEnd.id());
-        mParts.suspicions().acquitted(mFingerprint);
+        mParts.judge().succeeded(backEnd, mFingerprint);
         return true;
     }
 
@@ -269,7 +257,7 @@
         if (head.isOtherBackEnd()) {
             mParts.register().heardOther(culprit);
         }
-        mParts.health().failed(culprit.id(), head.culprit().isPresent() ? BROKEN : REFUSED);
+        mParts.judge().refused(culprit, head.culprit().isPresent());
     }
 
     /** An answer to another attempt, or a success without signature, is not this caller's. */
@@ -316,7 +304,7 @@
             mExcluded.remove(backEnd.id());
             return false;
         }
-        judge(backEnd, error);
+        mParts.judge().failed(backEnd, mFingerprint, error);
         boolean hadConnection = error.verdict() != Verdict.NOT_RUN;
         mHasArrived |= hadConnection;
         if (hadConnection && mRuns == runsBefore) {
@@ -326,23 +314,6 @@
         return false;
     }
 
-    /** Weighs the failure for the health of the back end, and for the suspicion of the request. */
-    private void judge(BackEnd backEnd, RattanportException error) {
-        double weight =
-                switch (error.verdict()) {
-                    case NOT_RUN -> NO_CONNECTION;
-                    case MAY_HAVE_RUN -> BROKEN;
-                    case RAN -> FAILED;
-                };
-        mParts.health().failed(backEnd.id(), weight);
-        boolean mayHaveDied =
-                error.code() == ErrorCode.TARGET_FAILED && error.verdict() == Verdict.MAY_HAVE_RUN;
-        if (mayHaveDied) {
-            TargetId engine = new TargetId(backEnd.id(), backEnd.born());
-            mParts.suspicions().died(mFingerprint, engine);
-        }
-    }
-
     /** Ends the request without an answer of a back end. */
     private void giveUp() {
         if (mRelay.hasStarted()) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayParts.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayParts.java
@@ -1,6 +1,5 @@
 package org.rattanport.decisions.gateway;
 
-import org.rattanport.decisions.poison.SuspicionTable;
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.gateway.BackEndClient;
 import org.rattanport.kernel.time.TimeSource;
@@ -13,8 +12,7 @@
         BackEndPlacement calls,
         BackEndClient client,
         MemoryLeases leases,
-        BackEndHealth health,
-        SuspicionTable suspicions,
+        OutcomeJudge judge,
         LoadBoard loads,
         WorkNews news,
         RepeatAllowance allowance,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -121,8 +121,8 @@
                 new LeastLoadedPlacement(zone, register, health, loads, random),
                 context.require(BackEndClient.class),
                 new MemoryLeases(context.require(MemoryOrders.class), time),
-                health,
-                SuspicionTable.shared(time, context.require(RumorHub.class)),
+                new OutcomeJudge(
+                        health, SuspicionTable.shared(time, context.require(RumorHub.class))),
                 loads,
                 news,
                 new RepeatAllowance(
