--- a/decisions/src/main/java/org/rattanport/decisions/gateway/PromptPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/PromptPlacement.java
@@ -190,13 +190,15 @@
         String attempt = prompt.query().request().attemptId();
         List<Share> shares = new ArrayList<>();
         List<Reservation> reservations = new ArrayList<>();
+        // Ids are new for each sending, as the engines may still be ending an earlier one.
+        String lease = attempt + "-" + Long.toString(mRandom.nextLong() >>> 1, Character.MAX_RADIX);
         BackEnd writer = plan.writer().backEnd();
         shares.add(new Share(writer.id(), partTokens, partMillis, held, true));
         for (Candidate reader : plan.readers()) {
             BackEnd engine = reader.backEnd();
             shares.add(new Share(engine.id(), partTokens, partMillis, leased, false));
             if (isLeased) {
-                String id = attempt + "-" + reservations.size();
+                String id = lease + "-" + reservations.size();
                 reservations.add(new Reservation(engine, id, leased));
             }
         }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/PlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/PlacementTest.java
@@ -87,6 +87,15 @@
                     .isEqualTo(placement.reservations().size());
         }
 
+        @Test
+        void shouldUseNewLeasesForEachSendingOfAPrompt() {
+            List<String> first =
+                    placeLong(700_000).reservations().stream().map(Reservation::id).toList();
+            List<String> second =
+                    placeLong(700_000).reservations().stream().map(Reservation::id).toList();
+            assertThat(second).containsNoneIn(first);
+        }
+
         @Test
         void shouldLeaseNothingWhereOneEngineHasEnough() {
             assertThat(placeLong(200_000).reservations()).isEmpty();
