Wait for the last engine that may be asked, however long it is silent

Change: the silence that ends an attempt applies only while another engine may be asked. Test: ForwardingTest.Streams, which failed before.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.function.Supplier;
 import org.rattanport.decisions.gateway.EventReader.Event;
 import org.rattanport.kernel.gateway.AnswerHead;
 import org.rattanport.kernel.gateway.BackEndExchange;
@@ -18,7 +19,7 @@
     private final CallerExchange mCaller;
     private final TimeSource mTime;
     private final Runnable mFirstEvent;
-    private final Duration mLongestSilence;
+    private final Supplier<Duration> mLongestSilence;
     private Optional<Event> mLast = Optional.empty();
     private final Optional<String> mCallerHas;
     private boolean mHasStarted;
@@ -27,7 +28,7 @@
             CallerExchange caller,
             TimeSource time,
             Optional<String> callerHas,
-            Duration longestSilence,
+            Supplier<Duration> longestSilence,
             Runnable firstEvent) {
         mCaller = caller;
         mTime = time;
@@ -44,7 +45,8 @@
             for (Event event : reader.take(piece.get())) {
                 pass(head, event);
             }
-            Deadline patience = mHasStarted ? deadline.within(mTime, mLongestSilence) : deadline;
+            Deadline patience =
+                    mHasStarted ? deadline.within(mTime, mLongestSilence.get()) : deadline;
             piece = exchange.next(patience);
         }
         start(head);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -89,7 +89,7 @@
                 mCaller,
                 mParts.time(),
                 mRequest.lastEventId(),
-                Patience.of(mRoute, 0).between(),
+                this::longestSilence,
                 () -> mParts.news().writes(mRequest.attemptId()));
     }
 
@@ -239,6 +239,12 @@
         return true;
     }
 
+    /** The last engine that may be asked is waited for, however long it is silent. */
+    private Duration longestSilence() {
+        boolean mayAskAnother = mRoute.isRepeatable() && mRuns < mRoute.maxAttempts();
+        return mayAskAnother ? Patience.of(mRoute, 0).between() : mRoute.timeout();
+    }
+
     /** A silent back end is only given up early while another one may be asked. */
     private Deadline firstDeadline(Placement placement) {
         boolean mayAskAnother = mRoute.isRepeatable() && mRuns + 1 < mRoute.maxAttempts();
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -44,9 +45,13 @@
         FAIL,
         UNSIGNED,
         OTHER_ATTEMPT,
-        SILENT
+        SILENT,
+        /** Streams one event, pauses, and streams the next. */
+        PAUSE
     }
 
+    private static final Duration PAUSE = Duration.ofMillis(1_500);
+
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final EventStreams mEvents = new EventStreams();
     private final BackEndRegister mRegister = new BackEndRegister(mTime);
@@ -63,13 +68,15 @@
         List<BackEnd> backEnds = new ArrayList<>();
         for (int i = 0; i < 4; i++) {
             backEnds.add(TestFleet.backEnd("call-" + i, TestFleet.CALLS, false));
+            backEnds.add(TestFleet.backEnd("engine-" + i, TestFleet.ENGINES, false));
         }
         mRegister.replace(backEnds);
         mRouting.offer(
                 TestFleet.document(
                         1,
                         TestFleet.route("host", "/read/", RouteKind.IDEMPOTENT),
-                        TestFleet.route("host", "/book/", RouteKind.NON_IDEMPOTENT)));
+                        TestFleet.route("host", "/book/", RouteKind.NON_IDEMPOTENT),
+                        TestFleet.route("host", "/stream/", RouteKind.STREAMING)));
         mEvents.watch(RequestOutcome.class).subscribe(mOutcomes::add);
     }
 
@@ -187,6 +194,21 @@
         }
     }
 
+    @Nested
+    final class Streams {
+        @Test
+        void shouldGoOnElsewhereAfterASilenceButWaitForTheLastEngine() {
+            serve("/stream/a", Act.PAUSE, Act.PAUSE);
+            assertThat(mSent).hasSize(2);
+            assertThat(mSent.get(1).lastEventId()).hasValue("1");
+            assertThat(mCaller.mIsCut).isFalse();
+            assertThat(mCaller.mIsFinished).isTrue();
+            assertThat(mCaller.mText.toString().lines().filter(each -> each.startsWith("id")))
+                    .containsExactly("id: 1", "id: 2", "id: 3")
+                    .inOrder();
+        }
+    }
+
     @Nested
     final class RequestsThatEnginesDieWith {
         @Test
@@ -224,6 +246,7 @@
     private final class ScriptedExchange implements BackEndExchange {
         private final Attempt mAttempt;
         private final Act mAct;
+        private int mPieces;
 
         private ScriptedExchange(Attempt attempt, Act act) {
             mAttempt = attempt;
@@ -266,7 +289,25 @@
 
         @Override
         public Optional<byte[]> next(Deadline deadline) {
-            return Optional.empty();
+            mPieces++;
+            if (mAct != Act.PAUSE || mPieces > 2) {
+                return Optional.empty();
+            }
+            if (mPieces == 2) {
+                pause(deadline);
+            }
+            int last = mAttempt.lastEventId().map(Integer::parseInt).orElse(0);
+            String event = "id: " + (last + mPieces) + "\ndata: x\n\n";
+            return Optional.of(event.getBytes(StandardCharsets.UTF_8));
+        }
+
+        private void pause(Deadline deadline) {
+            Duration left = deadline.remaining(mTime);
+            if (left.compareTo(PAUSE) < 0) {
+                mTime.advance(left);
+                throw failure(ErrorCode.DEADLINE_EXCEEDED);
+            }
+            mTime.advance(PAUSE);
         }
 
         @Override
@@ -279,7 +320,9 @@
     private static final class FakeCaller implements CallerExchange {
         private final Cancellation mDeparture = new Cancellation();
         private int mStatus;
+        private final StringBuilder mText = new StringBuilder();
         private boolean mIsFinished;
+        private boolean mIsCut;
 
         @Override
         public Cancellation departure() {
@@ -292,7 +335,9 @@
         }
 
         @Override
-        public void write(byte[] piece) {}
+        public void write(byte[] piece) {
+            mText.append(new String(piece, StandardCharsets.UTF_8));
+        }
 
         @Override
         public void finish() {
@@ -300,7 +345,9 @@
         }
 
         @Override
-        public void cut() {}
+        public void cut() {
+            mIsCut = true;
+        }
     }
 
     private static final class NoNews implements WorkNews {
