--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EnginePicture.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/EnginePicture.java
@@ -10,20 +10,18 @@
  * @param contextTokens context of the requests that write now
  * @param heldTokens memory that is taken or promised
  * @param unreadMillis time that reading takes of what is still to be read there
- * @param waiting requests of which something is still to be read there
  */
 public record EnginePicture(
         List<Writer> writers,
         int writersNow,
         long contextTokens,
         long heldTokens,
-        double unreadMillis,
-        int waiting) {
+        double unreadMillis) {
     /** A request that writes: the longest pause that is on time, and what a late answer loses. */
     public record Writer(double pauseMillis, double weight) {}
 
     /** An engine without work. */
-    public static final EnginePicture IDLE = new EnginePicture(List.of(), 0, 0, 0, 0, 0);
+    public static final EnginePicture IDLE = new EnginePicture(List.of(), 0, 0, 0, 0);
 
     /** Time of a pass that reads what waits and a new part besides. */
     public double passMillis(PassModel model, double partMillis) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/LoadBoard.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/LoadBoard.java
@@ -33,11 +33,6 @@
         mOwn.computeIfPresent(id, (key, count) -> count > 1 ? count - 1 : null);
     }
 
-    /** Requests of this instance at the back end. */
-    public synchronized int own(String id) {
-        return mOwn.getOrDefault(id, 0);
-    }
-
     /** Estimated requests at the back end: the last report, as far as it still says something. */
     public synchronized double busyPlaces(String id) {
         int own = mOwn.getOrDefault(id, 0);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/WorkBook.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/WorkBook.java
@@ -104,13 +104,11 @@
         long context = 0;
         long held = 0;
         double unreadMillis = 0;
-        int waiting = 0;
         for (Map.Entry<String, Share> each : shares.entrySet()) {
             Entry entry = mEntries.get(each.getKey());
             Share share = each.getValue();
             double left = unreadShare(entry, now);
             unreadMillis += left * share.readMillis();
-            waiting += left > 0 ? 1 : 0;
             held += share.heldTokens();
             if (share.isWriter()) {
                 Work work = entry.mWork;
@@ -119,7 +117,7 @@
                 context += left > 0 ? 0 : share.heldTokens();
             }
         }
-        return new EnginePicture(writers, writersNow, context, held, unreadMillis, waiting);
+        return new EnginePicture(writers, writersNow, context, held, unreadMillis);
     }
 
     private static double unreadShare(Entry entry, long now) {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
@@ -24,7 +24,7 @@
     static final String CALLS = "calls";
 
     static final EngineFigures FIGURES =
-            new EngineFigures(8, 450_000, 46, 0.925, 0.007, 0.0025, 256, 0.0917, 2_048, 0.1);
+            new EngineFigures(8, 450_000, 46, 0.925, 0.007, 0.0025, 256, 0.0917);
 
     private TestFleet() {}
 
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/EngineFigures.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/EngineFigures.java
@@ -11,8 +11,6 @@
  * @param contextMillisPerThousand added time of a step for each thousand tokens of context
  * @param readTokensPerMillisecond prompt tokens read in a millisecond
  * @param pairMillisPerMillion added time of reading for each million pairs of tokens
- * @param chunkTokens most prompt tokens read in one pass
- * @param hopMillis added time of a step of a request whose memory lies at several engines
  */
 public record EngineFigures(
         int slots,
@@ -22,6 +20,4 @@
         double sequenceMillis,
         double contextMillisPerThousand,
         double readTokensPerMillisecond,
-        double pairMillisPerMillion,
-        int chunkTokens,
-        double hopMillis) {}
+        double pairMillisPerMillion) {}
