Give engine memory back after a renewal that is under way

Cause: MemoryLeasesTest.shouldHoldAllUntilClosed failed once in a whole run: a renewal whose orders were on their way when the lease was closed reserved the memory again after its release, for three seconds and for nobody.

Ruled out: a slip of the test alone; the new test holds a renewal open and fails each time on the earlier code (held: lease-engine-1).

Change: one task for each engine of a lease renews and gives back in order.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/MemoryLeases.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/MemoryLeases.java
@@ -12,7 +12,6 @@
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.MemoryOrders;
-import org.rattanport.kernel.task.PeriodicTask;
 import org.rattanport.kernel.task.Tasks;
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.TimeSource;
@@ -36,31 +35,42 @@
 
     private final MemoryOrders mOrders;
     private final TimeSource mTime;
+    private final Duration mRenewal;
 
     public MemoryLeases(MemoryOrders orders, TimeSource time) {
+        this(orders, time, RENEWAL);
+    }
+
+    MemoryLeases(MemoryOrders orders, TimeSource time, Duration renewal) {
         mOrders = orders;
         mTime = time;
+        mRenewal = renewal;
     }
 
-    /** Memory that is held until it is closed. */
+    /** Memory that is held until it is closed; one task for each engine renews and gives back. */
     public final class Lease implements AutoCloseable {
-        private final List<Reservation> mReservations;
-        private final PeriodicTask mRenewal;
+        private final CountDownLatch mClosing = new CountDownLatch(1);
 
         private Lease(List<Reservation> reservations) {
-            mReservations = reservations;
-            mRenewal = new PeriodicTask("renew-memory", mTime, RENEWAL, this::renew);
+            reservations.forEach(each -> Tasks.start("hold-memory", () -> hold(each)));
         }
 
-        private void renew() {
-            forAll(mReservations, each -> order(each, true));
+        /** A renewal that is under way ends before the memory is given back. */
+        private void hold(Reservation each) {
+            try {
+                while (!mClosing.await(mRenewal.toNanos(), TimeUnit.NANOSECONDS)) {
+                    order(each, true);
+                }
+            } catch (InterruptedException e) {
+                LOGGER.debugf("memory %s is given back early: the task was interrupted", each.id());
+            }
+            order(each, false);
         }
 
-        /** Ends the renewal, then gives the memory back without holding up the caller's answer. */
+        /** Gives the memory back without holding up the caller's answer. */
         @Override
         public void close() {
-            mRenewal.close();
-            Tasks.start("release-memory", () -> release(mReservations));
+            mClosing.countDown();
         }
     }
 
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/MemoryLeasesTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/MemoryLeasesTest.java
@@ -24,6 +24,9 @@
     private static final class FakeOrders implements MemoryOrders {
         private final Set<String> mHeld = ConcurrentHashMap.newKeySet();
         private final Set<String> mFull = ConcurrentHashMap.newKeySet();
+        private final Set<String> mAsked = ConcurrentHashMap.newKeySet();
+        private final CountDownLatch mRenewing = new CountDownLatch(3);
+        private final CountDownLatch mRenewalMayEnd = new CountDownLatch(1);
         private final CountDownLatch mReleased;
 
         private FakeOrders(int releases) {
@@ -33,7 +36,15 @@
         @Override
         public boolean reserve(
                 String address, String id, int tokens, Duration hold, Deadline deadline) {
-            return !mFull.contains(address) && (mHeld.add(id) || true);
+            if (mFull.contains(address)) {
+                return false;
+            }
+            if (!mAsked.add(id)) {
+                mRenewing.countDown();
+                awaitUninterruptibly(mRenewalMayEnd);
+            }
+            mHeld.add(id);
+            return true;
         }
 
         @Override
@@ -44,6 +55,18 @@
         }
     }
 
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        while (true) {
+            try {
+                latch.await();
+                return;
+            } catch (InterruptedException e) {
+                // An order that is on its way is not taken back by an interrupt.
+                continue;
+            }
+        }
+    }
+
     private static List<Reservation> reservations() {
         return TestFleet.engines(3).stream()
                 .map(engine -> new Reservation(engine, "lease-" + engine.id(), 1_000))
@@ -64,6 +87,19 @@
             assertThat(orders.mHeld).isEmpty();
         }
 
+        @Test
+        void shouldGiveBackAfterARenewalThatIsUnderWay() throws InterruptedException {
+            FakeOrders orders = new FakeOrders(3);
+            MemoryLeases.Lease lease =
+                    new MemoryLeases(orders, new SystemTimeSource(), Duration.ofMillis(1))
+                            .acquire(reservations(), engine -> {});
+            assertThat(orders.mRenewing.await(20, TimeUnit.SECONDS)).isTrue();
+            lease.close();
+            orders.mRenewalMayEnd.countDown();
+            assertThat(orders.mReleased.await(20, TimeUnit.SECONDS)).isTrue();
+            assertThat(orders.mHeld).isEmpty();
+        }
+
         @Test
         void shouldGiveBackWhatItGotWhenOneEngineHasNoRoom() {
             FakeOrders orders = new FakeOrders(3);
