Count little for answers that are late already; log when answers came

The log did not say which requests were late.

Change: the book of work marks streams that a new part makes late; they weigh 0.15 from then on, so long parts gather where little is left to lose. Lines of requests hold the first event, the longest pause, the readers and whether the answer was late; late ones are always written.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
@@ -18,7 +18,7 @@
 final class EventRelay implements AnswerRelay {
     private final CallerExchange mCaller;
     private final TimeSource mTime;
-    private final Runnable mFirstEvent;
+    private final Runnable mOnEvent;
     private final Supplier<Duration> mLongestSilence;
     private Optional<Event> mLast = Optional.empty();
     private final Optional<String> mCallerHas;
@@ -29,12 +29,12 @@
             TimeSource time,
             Optional<String> callerHas,
             Supplier<Duration> longestSilence,
-            Runnable firstEvent) {
+            Runnable onEvent) {
         mCaller = caller;
         mTime = time;
         mCallerHas = callerHas;
         mLongestSilence = longestSilence;
-        mFirstEvent = firstEvent;
+        mOnEvent = onEvent;
     }
 
     @Override
@@ -63,9 +63,7 @@
         if (isKnown) {
             return;
         }
-        if (!mHasStarted) {
-            mFirstEvent.run();
-        }
+        mOnEvent.run();
         start(head);
         mCaller.write(event.bytes());
         if (event.id().isPresent()) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -73,7 +73,7 @@
         RequestTrace.Subject subject =
                 new RequestTrace.Subject(
                         request.attemptId(),
-                        route.name(),
+                        route,
                         service.name(),
                         account.map(GatewayAccount::name).orElse("-"),
                         parts.routing().version());
@@ -83,14 +83,19 @@
 
     private AnswerRelay relay() {
         if (mRoute.kind() != RouteKind.STREAMING) {
-            return new WholeAnswerRelay(mCaller);
+            return new WholeAnswerRelay(mCaller, mTrace::passedOn);
         }
         return new EventRelay(
                 mCaller,
                 mParts.time(),
                 mRequest.lastEventId(),
                 this::longestSilence,
-                () -> mParts.news().writes(mRequest.attemptId()));
+                this::passedOn);
+    }
+
+    private void passedOn() {
+        mTrace.passedOn();
+        mParts.news().writes(mRequest.attemptId());
     }
 
     /** Forwards the request; throws when nothing was sent to the caller. */
@@ -232,7 +237,7 @@
         if (head.isSuccess()) {
             mRelay.relay(head, exchange, mDeadline);
         } else {
-            mRelay = new WholeAnswerRelay(mCaller);
+            mRelay = new WholeAnswerRelay(mCaller, mTrace::passedOn);
             mRelay.relay(head, exchange, mDeadline);
         }
         mParts.judge().succeeded(backEnd, mFingerprint);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RequestLog.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RequestLog.java
@@ -81,7 +81,11 @@
                 .with("runs", outcome.runs())
                 .with("status", outcome.status())
                 .with("millis", outcome.millis())
-                .with("predicted_first_event_millis", outcome.predictedFirstEventMillis())
+                .with("readers", outcome.readers())
+                .with("predicted_first_event_millis", outcome.timing().predictedFirstMillis())
+                .with("first_event_millis", outcome.timing().firstMillis())
+                .with("longest_pause_millis", outcome.timing().longestPauseMillis())
+                .with("is_late", outcome.timing().isLate())
                 .with("document", outcome.document());
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RequestTrace.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RequestTrace.java
@@ -3,18 +3,22 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.rattanport.kernel.error.Verdict;
 import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.gateway.AnswerTiming;
 import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.RequestOutcome;
+import org.rattanport.kernel.gateway.Route;
+import org.rattanport.kernel.gateway.RouteKind;
 import org.rattanport.kernel.gateway.Work;
 import org.rattanport.kernel.time.TimeSource;
 
 /** Collects what happens to one request, and tells those who log and count it. */
 final class RequestTrace {
     /** What does not change while the request is on its way. */
-    record Subject(String request, String route, String service, String account, long document) {}
+    record Subject(String request, Route route, String service, String account, long document) {}
 
     private final Subject mSubject;
     private final EventStreams mEvents;
@@ -22,7 +26,11 @@
     private final long mStartNanos;
     private final List<String> mBackEnds = new ArrayList<>();
     private int mStatus;
+    private int mReaders;
     private double mPredicted;
+    private long mFirstNanos;
+    private long mLastNanos;
+    private long mLongestPauseNanos;
 
     RequestTrace(Subject subject, EventStreams events, TimeSource time) {
         mSubject = subject;
@@ -33,6 +41,7 @@
 
     void sent(Placement placement) {
         mBackEnds.add(placement.backEnd().id());
+        mReaders = placement.readers().size();
         mPredicted = placement.work().map(Work::firstEventMillis).orElse(0.0);
         mStatus = 0;
     }
@@ -41,6 +50,30 @@
         mStatus = status;
     }
 
+    /** Records that a part of the answer went to the caller. */
+    void passedOn() {
+        long now = mTime.nanoTime();
+        if (mFirstNanos == 0) {
+            mFirstNanos = now - mStartNanos;
+        } else {
+            mLongestPauseNanos = Math.max(mLongestPauseNanos, now - mLastNanos);
+        }
+        mLastNanos = now;
+    }
+
+    private AnswerTiming timing() {
+        Route route = mSubject.route();
+        boolean isLate =
+                mFirstNanos > route.objective().toNanos()
+                        || (route.kind() == RouteKind.STREAMING
+                                && mLongestPauseNanos > route.longestPause().toNanos());
+        return new AnswerTiming(
+                Math.round(mPredicted),
+                TimeUnit.NANOSECONDS.toMillis(mFirstNanos),
+                TimeUnit.NANOSECONDS.toMillis(mLongestPauseNanos),
+                isLate);
+    }
+
     /** Status of the back end that was asked last, or 0 while it has not answered. */
     int status() {
         return mStatus;
@@ -58,14 +91,15 @@
                         mSubject.request(),
                         outcome,
                         verdict,
-                        mSubject.route(),
+                        mSubject.route().name(),
                         mSubject.service(),
                         mSubject.account(),
                         List.copyOf(mBackEnds),
                         runs,
                         mStatus,
                         Duration.ofNanos(mTime.nanoTime() - mStartNanos).toMillis(),
-                        Math.round(mPredicted),
+                        mReaders,
+                        timing(),
                         mSubject.document(),
                         reason));
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/WholeAnswerRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/WholeAnswerRelay.java
@@ -16,10 +16,12 @@
     private static final int LONGEST_HELD = 65_536;
 
     private final CallerExchange mCaller;
+    private final Runnable mOnAnswer;
     private boolean mHasStarted;
 
-    WholeAnswerRelay(CallerExchange caller) {
+    WholeAnswerRelay(CallerExchange caller, Runnable onAnswer) {
         mCaller = caller;
+        mOnAnswer = onAnswer;
     }
 
     @Override
@@ -31,6 +33,7 @@
             piece = exchange.next(deadline);
         }
         mHasStarted = true;
+        mOnAnswer.run();
         if (piece.isEmpty()) {
             mCaller.start(head, OptionalInt.of(held.size()));
             mCaller.write(held.toArray());
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/WorkBook.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/WorkBook.java
@@ -20,12 +20,19 @@
     /** And at the earliest after this time. */
     private static final double FORGET_MILLIS = 3_000;
 
+    /** Part of a pause that may go into reading; the rest is the writing of the pass itself. */
+    private static final double READING_PART = 0.8;
+
+    /** What a late answer still loses by another long pause; a share of its worth is left. */
+    private static final double LATE_WEIGHT = 0.15;
+
     private static final double NANOS_PER_MILLI = 1e6;
 
     private static final class Entry {
         private final Work mWork;
         private final long mPlacedNanos;
         private boolean mIsWriting;
+        private boolean mIsLate;
 
         private Entry(Work work, long placedNanos) {
             mWork = work;
@@ -44,6 +51,7 @@
     /** Records a request that was placed now. */
     public synchronized void placed(Work work) {
         ended(work.id());
+        work.shares().forEach(this::markLate);
         mEntries.put(work.id(), new Entry(work, mTime.nanoTime()));
         work.shares()
                 .forEach(
@@ -54,6 +62,25 @@
                                         .put(work.id(), share));
     }
 
+    /** Marks the requests that a new part makes late, since they have little to lose after that. */
+    private void markLate(Share added) {
+        Map<String, Share> shares = mByEngine.get(added.engine());
+        if (shares == null) {
+            return;
+        }
+        long now = mTime.nanoTime();
+        double readMillis = added.readMillis();
+        for (Map.Entry<String, Share> each : shares.entrySet()) {
+            readMillis +=
+                    unreadShare(mEntries.get(each.getKey()), now) * each.getValue().readMillis();
+        }
+        for (Map.Entry<String, Share> each : shares.entrySet()) {
+            Entry entry = mEntries.get(each.getKey());
+            boolean isWriting = each.getValue().isWriter() && unreadShare(entry, now) == 0;
+            entry.mIsLate |= isWriting && readMillis > READING_PART * entry.mWork.pauseMillis();
+        }
+    }
+
     /** Records that the request has its first event. */
     public synchronized void writes(String id) {
         Entry entry = mEntries.get(id);
@@ -112,7 +139,8 @@
             held += share.heldTokens();
             if (share.isWriter()) {
                 Work work = entry.mWork;
-                writers.add(new EnginePicture.Writer(work.pauseMillis(), work.weight()));
+                double weight = work.weight() * (entry.mIsLate ? LATE_WEIGHT : 1);
+                writers.add(new EnginePicture.Writer(work.pauseMillis(), weight));
                 writersNow += left > 0 ? 0 : 1;
                 context += left > 0 ? 0 : share.heldTokens();
             }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/PlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/PlacementTest.java
@@ -77,6 +77,18 @@
             assertThat(used(placeLong(210_000))).containsNoneOf("engine-0", "engine-1");
         }
 
+        @Test
+        void shouldBeReadWhereTheAnswersAreLateAnyway() {
+            for (int engine = 0; engine < ENGINES; engine++) {
+                writer(engine, "a" + engine);
+                writer(engine, "b" + engine);
+            }
+            Share part = new Share("engine-3", 100_000, 600, 0, false);
+            mBook.placed(new Work("long", List.of(part), 700, 900, 800, 16));
+            mBook.ended("long");
+            assertThat(used(placeLong(100_000))).containsExactly("engine-3");
+        }
+
         @Test
         void shouldLeaseMemoryWhereOneEngineHasNotEnough() {
             Placement placement = placeLong(700_000);
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/RequestOutcome.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/RequestOutcome.java
@@ -16,7 +16,8 @@
  * @param runs back ends that may have run it
  * @param status status of the last back end that answered, or 0
  * @param millis time from its arrival to its end
- * @param predictedFirstEventMillis what its placement predicted
+ * @param readers engines that read for the one that it was last sent to
+ * @param timing when the caller had the answer
  * @param document version of the document that routed it
  * @param reason why the last attempt failed, or an empty text
  */
@@ -31,7 +32,8 @@
         int runs,
         int status,
         long millis,
-        long predictedFirstEventMillis,
+        int readers,
+        AnswerTiming timing,
         long document,
         String reason) {
     /** Outcome of a request that a back end answered. */
@@ -40,8 +42,8 @@
     /** Outcome of a request whose answer was ended in the middle. */
     public static final String CUT = "cut";
 
-    /** Whether the first back end answered it whole. */
+    /** Whether the first back end answered it whole and in time. */
     public boolean isUsual() {
-        return outcome.equals(ANSWERED) && backEnds.size() == 1;
+        return outcome.equals(ANSWERED) && backEnds.size() == 1 && !timing.isLate();
     }
 }
