Wait longer for an engine that is known to read

Change: Patience waits on while the book of work explains the silence, until shortly before the caller itself would leave. GatewayParts hands the book out.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
@@ -19,7 +19,8 @@
     private final CallerExchange mCaller;
     private final TimeSource mTime;
     private final Runnable mOnEvent;
-    private final Supplier<Duration> mLongestSilence;
+    private final Supplier<Patience> mPatience;
+    private final Supplier<Duration> mReading;
     private Optional<Event> mLast = Optional.empty();
     private final Optional<String> mCallerHas;
     private boolean mHasStarted;
@@ -28,12 +29,14 @@
             CallerExchange caller,
             TimeSource time,
             Optional<String> callerHas,
-            Supplier<Duration> longestSilence,
+            Supplier<Patience> patience,
+            Supplier<Duration> reading,
             Runnable onEvent) {
         mCaller = caller;
         mTime = time;
         mCallerHas = callerHas;
-        mLongestSilence = longestSilence;
+        mPatience = patience;
+        mReading = reading;
         mOnEvent = onEvent;
     }
 
@@ -45,9 +48,10 @@
             for (Event event : reader.take(piece.get())) {
                 pass(head, event);
             }
-            Deadline patience =
-                    mHasStarted ? deadline.within(mTime, mLongestSilence.get()) : deadline;
-            piece = exchange.next(patience);
+            piece =
+                    mHasStarted
+                            ? mPatience.get().await(mTime, deadline, mReading, exchange::next)
+                            : exchange.next(deadline);
         }
         start(head);
         mCaller.write(reader.rest());
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -47,6 +47,7 @@
     private final Set<String> mExcluded = new HashSet<>();
     private final RequestTrace mTrace;
     private final Fingerprint mFingerprint;
+    private Optional<String> mAsked = Optional.empty();
     private int mRuns;
     private boolean mIsCut;
     private boolean mHasArrived;
@@ -89,7 +90,8 @@
                 mCaller,
                 mParts.time(),
                 mRequest.lastEventId(),
-                this::longestSilence,
+                this::patienceBetween,
+                this::reading,
                 this::passedOn);
     }
 
@@ -160,6 +162,7 @@
         int runsBefore = mRuns;
         mExcluded.add(backEnd.id());
         mTrace.sent(placement);
+        mAsked = Optional.of(backEnd.id());
         mHasArrived = false;
         mParts.loads().sent(backEnd.id());
         placement.work().ifPresent(mParts.news()::placed);
@@ -216,7 +219,9 @@
 
     private boolean answer(Placement placement, BackEndExchange exchange) {
         BackEnd backEnd = placement.backEnd();
-        AnswerHead head = exchange.head(firstDeadline(placement));
+        AnswerHead head =
+                patienceUntilFirst(placement)
+                        .await(mParts.time(), mDeadline, this::reading, exchange::head);
         mTrace.answered(head.status());
         mHasArrived = true;
         head.load().ifPresent(load -> mParts.loads().reported(backEnd.id(), load));
@@ -245,19 +250,24 @@
     }
 
     /** The last engine that may be asked is waited for, however long it is silent. */
-    private Duration longestSilence() {
+    private Patience patienceBetween() {
         boolean mayAskAnother = mRoute.isRepeatable() && mRuns < mRoute.maxAttempts();
-        return mayAskAnother ? Patience.of(mRoute, 0).between() : mRoute.timeout();
+        return mayAskAnother ? Patience.between(mRoute) : Patience.unlimited(mRoute);
     }
 
     /** A silent back end is only given up early while another one may be asked. */
-    private Deadline firstDeadline(Placement placement) {
+    private Patience patienceUntilFirst(Placement placement) {
         boolean mayAskAnother = mRoute.isRepeatable() && mRuns + 1 < mRoute.maxAttempts();
         if (!mayAskAnother || mRelay.hasStarted()) {
-            return mDeadline;
+            return Patience.unlimited(mRoute);
         }
         double predicted = placement.work().map(Work::firstEventMillis).orElse(0.0);
-        return mDeadline.within(mParts.time(), Patience.of(mRoute, predicted).untilFirst());
+        return Patience.untilFirst(mRoute, predicted);
+    }
+
+    /** How long the back end that was asked last is still known to read. */
+    private Duration reading() {
+        return mAsked.map(mParts.work()::readsFor).orElse(Duration.ZERO);
     }
 
     /** Finds who refused: the back end that was asked, or an engine that was to read for it. */
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayParts.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayParts.java
@@ -15,6 +15,7 @@
         OutcomeJudge judge,
         LoadBoard loads,
         WorkNews news,
+        WorkBook work,
         RepeatAllowance allowance,
         EventStreams events,
         TimeSource time) {}
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -125,6 +125,7 @@
                         health, SuspicionTable.shared(time, context.require(RumorHub.class))),
                 loads,
                 news,
+                book,
                 new RepeatAllowance(
                         time,
                         settings.repeatWindow(),
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/WorkBook.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/WorkBook.java
@@ -1,5 +1,6 @@
 package org.rattanport.decisions.gateway;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -114,9 +115,8 @@
     }
 
     private static boolean isOld(Entry entry, long now) {
-        double age = (now - entry.mPlacedNanos) / NANOS_PER_MILLI;
         double expected = entry.mWork.firstEventMillis() + entry.mWork.answerMillis();
-        return age > Math.max(FORGET_MILLIS, FORGET_FACTOR * expected);
+        return age(entry, now) > Math.max(FORGET_MILLIS, FORGET_FACTOR * expected);
     }
 
     /** Returns what is known of the engine now. */
@@ -152,8 +152,25 @@
         if (entry.mIsWriting || entry.mWork.firstEventMillis() <= 0) {
             return 0;
         }
-        double age = (now - entry.mPlacedNanos) / NANOS_PER_MILLI;
-        return Math.max(0, 1 - age / entry.mWork.firstEventMillis());
+        return Math.max(0, 1 - age(entry, now) / entry.mWork.firstEventMillis());
+    }
+
+    private static double age(Entry entry, long now) {
+        return (now - entry.mPlacedNanos) / NANOS_PER_MILLI;
+    }
+
+    /** Predicts how long the engine still reads what is known to be there. */
+    public synchronized Duration readsFor(String engine) {
+        Map<String, Share> shares = mByEngine.getOrDefault(engine, Map.of());
+        long now = mTime.nanoTime();
+        double millis =
+                shares.keySet().stream()
+                        .map(mEntries::get)
+                        .filter(each -> unreadShare(each, now) > 0)
+                        .mapToDouble(each -> each.mWork.firstEventMillis() - age(each, now))
+                        .max()
+                        .orElse(0);
+        return Duration.ofMillis(Math.round(millis));
     }
 
     /** Requests that are known now. */
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -99,6 +99,7 @@
                         new OutcomeJudge(mHealth, new SuspicionTable(mTime, rumor -> {})),
                         loads,
                         new NoNews(),
+                        new WorkBook(mTime),
                         allowance,
                         mEvents,
                         mTime);
