Gather short streams a little closer

Cause: in bursts short streams spread over all engines, and each long part then makes some of them late.

Change: the first short stream at an engine costs 0.1 instead of 0.05.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/PlacementTuning.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/PlacementTuning.java
@@ -28,5 +28,5 @@
         double spread) {
     /** Found by playing calm and loaded days; see the decision record on placement. */
     public static final PlacementTuning DEFAULTS =
-            new PlacementTuning(0.85, 0.75, 0.1, 0.05, 0.05, 0.2, 2.0, 0.005, 2.0, 0.005);
+            new PlacementTuning(0.85, 0.75, 0.1, 0.05, 0.1, 0.2, 2.0, 0.005, 2.0, 0.005);
 }
