Take no spoilt body for a whole one; leave answers without a length so

Two ways lead there: Netty's codec ends a body with a broken chunk by a last content that only its decoder result marks as failed, which was taken for the end; and an answer without a length that ends with its connection was given a length, so an early end looked whole.

Ruled out by tests: answers cut by a reset (200 times), and sized or chunked answers cut at any byte.

Change: HttpMessagePart.Spoilt; AnswerHead.endsWithConnection, passed on without a length, as the last answer of its connection. Malformed bodies of callers get 400.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
@@ -155,6 +155,7 @@
                         false,
                         false,
                         false,
+                        false,
                         Optional.empty(),
                         Optional.empty()),
                 OptionalInt.of(text.length));
--- a/connectors/src/main/java/org/rattanport/connectors/gateway/NettyBackEndClient.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/NettyBackEndClient.java
@@ -9,6 +9,7 @@
 import org.rattanport.connectors.http.HttpMessagePart.End;
 import org.rattanport.connectors.http.HttpMessagePart.Head;
 import org.rattanport.connectors.http.HttpMessagePart.Piece;
+import org.rattanport.connectors.http.HttpMessagePart.Spoilt;
 import org.rattanport.connectors.http.HttpTransport;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
@@ -74,6 +75,7 @@
                 case Piece piece -> Optional.of(piece.bytes());
                 case End end -> Optional.empty();
                 case Head head -> throw failed("another answer came inside the answer");
+                case Spoilt spoilt -> throw failed(spoilt.reason());
                 case Closed closed -> throw failed(closed.reason());
             };
         }
--- a/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
@@ -61,22 +61,21 @@
         for (Header each : head.headers()) {
             headers.add(each.name(), each.value());
         }
-        frame(headers, length);
+        frame(headers, head, length);
         if (mIsLast) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         send(mChannel.write(response, LONGEST_STALL));
     }
 
-    private void frame(HttpHeaders headers, OptionalInt length) {
-        mIsFramed = true;
-        if (length.isPresent()) {
+    private void frame(HttpHeaders headers, AnswerHead head, OptionalInt length) {
+        mIsFramed = !head.endsWithConnection() && (length.isPresent() || mUnderstandsChunks);
+        if (!mIsFramed) {
+            mIsLast = true;
+        } else if (length.isPresent()) {
             headers.setInt(HttpHeaderNames.CONTENT_LENGTH, length.getAsInt());
-        } else if (mUnderstandsChunks) {
-            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         } else {
-            mIsFramed = false;
-            mIsLast = true;
+            headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         }
     }
 
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
@@ -24,6 +24,7 @@
 import org.rattanport.connectors.http.HttpMessagePart.End;
 import org.rattanport.connectors.http.HttpMessagePart.Head;
 import org.rattanport.connectors.http.HttpMessagePart.Piece;
+import org.rattanport.connectors.http.HttpMessagePart.Spoilt;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.task.Cancellation;
 import org.rattanport.kernel.task.Tasks;
@@ -44,7 +45,7 @@
     private final Channel mChannel;
     private boolean mIsBroken;
 
-    HttpChannel(Channel channel) {
+    public HttpChannel(Channel channel) {
         mChannel = channel;
     }
 
@@ -143,7 +144,11 @@
             if (message instanceof HttpMessage head) {
                 mParts.add(new Head(head));
             }
-            if (message instanceof HttpContent content) {
+            if (message instanceof HttpContent content && content.decoderResult().isFailure()) {
+                // The codec ends a body with a broken chunk as if it were complete.
+                mIsBroken = true;
+                mParts.add(new Spoilt(String.valueOf(content.decoderResult().cause())));
+            } else if (message instanceof HttpContent content) {
                 if (content.content().isReadable()) {
                     mParts.add(new Piece(ByteBufUtil.getBytes(content.content())));
                 }
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpMessagePart.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpMessagePart.java
@@ -13,6 +13,9 @@
     /** The complete end of a message. */
     record End() implements HttpMessagePart {}
 
+    /** The body goes on in a way that is no HTTP; nothing more can be read. */
+    record Spoilt(String reason) implements HttpMessagePart {}
+
     /** The connection is over; a broken one leaves no message complete. */
     record Closed(boolean isBroken, String reason) implements HttpMessagePart {}
 }
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpStream.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpStream.java
@@ -12,6 +12,7 @@
 import org.rattanport.connectors.http.HttpMessagePart.End;
 import org.rattanport.connectors.http.HttpMessagePart.Head;
 import org.rattanport.connectors.http.HttpMessagePart.Piece;
+import org.rattanport.connectors.http.HttpMessagePart.Spoilt;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
@@ -92,6 +93,7 @@
                 yield Optional.empty();
             }
             case Head head -> throw failed("another answer came inside the answer");
+            case Spoilt spoilt -> throw failed(spoilt.reason());
             case Closed closed -> throw failed(closed.reason());
         };
     }
--- a/connectors/src/main/java/org/rattanport/connectors/http/RequestBody.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/RequestBody.java
@@ -11,6 +11,7 @@
 import org.rattanport.connectors.http.HttpMessagePart.End;
 import org.rattanport.connectors.http.HttpMessagePart.Head;
 import org.rattanport.connectors.http.HttpMessagePart.Piece;
+import org.rattanport.connectors.http.HttpMessagePart.Spoilt;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 
@@ -48,6 +49,7 @@
                 case Closed closed ->
                         throw new RattanportException(
                                 ErrorCode.CANCELLED, "the caller left inside its request");
+                case Spoilt spoilt -> throw invalid("the body is malformed: " + spoilt.reason());
                 case Head other -> throw invalid("a request began inside a request");
             }
             if (body.size() > limits.bytes()) {
--- a/connectors/src/test/java/org/rattanport/connectors/http/HttpCallerTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/http/HttpCallerTest.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -22,6 +23,16 @@
 
 /** Which failures of a call may say that nothing was sent. */
 final class HttpCallerTest {
+    private static final String CHUNKED =
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1f\r\n"
+                    + "d".repeat(31)
+                    + "\r\n0\r\n\r\n";
+
+    private static final String SIZED = "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nsome text";
+
+    /** Enough for a reset to meet the reading of the answer at different points. */
+    private static final int RESETS = 200;
+
     private final SystemTimeSource mTime = new SystemTimeSource();
     private final HttpTransport mTransport = new HttpTransport();
     private final HttpCaller mCaller = HttpCaller.onKeptConnections(mTransport, mTime);
@@ -62,6 +73,43 @@
             }
         }
 
+        @Test
+        void shouldBeUnknownWhenAnAnswerWithoutALengthIsReset() throws Exception {
+            String half = "HTTP/1.1 200 OK\r\n\r\nhalf";
+            try (ServerSocket server = listen()) {
+                Tasks.start("server", () -> acceptAndReset(server, half));
+                for (int i = 0; i < RESETS; i++) {
+                    assertThat(failure(server.getLocalPort()).verdict())
+                            .isEqualTo(Verdict.MAY_HAVE_RUN);
+                }
+            }
+        }
+
+        @Test
+        void shouldBeUnknownWhereverAFramedAnswerBreaksOff() throws Exception {
+            for (String whole : List.of(CHUNKED, SIZED)) {
+                for (int length = 0; length < whole.length(); length++) {
+                    String part = whole.substring(0, length);
+                    try (ServerSocket server = listen()) {
+                        Tasks.start("server", () -> acceptAndAnswer(server, part));
+                        assertThat(failure(server.getLocalPort()).verdict())
+                                .isEqualTo(Verdict.MAY_HAVE_RUN);
+                    }
+                }
+            }
+        }
+
+        @Test
+        void shouldBeUnknownWhenAChunkOfTheAnswerIsSpoilt() throws Exception {
+            String spoilt =
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nxyz\r\n";
+            try (ServerSocket server = listen()) {
+                Tasks.start("server", () -> acceptAndAnswer(server, spoilt));
+                assertThat(failure(server.getLocalPort()).verdict())
+                        .isEqualTo(Verdict.MAY_HAVE_RUN);
+            }
+        }
+
         @Test
         void shouldBeNotRunWhenTheTaskIsInterruptedBeforeItConnects() throws Exception {
             try (ServerSocket server = listen()) {
@@ -150,6 +198,19 @@
         return new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
     }
 
+    /** Answers each request and resets its connection. */
+    private static void acceptAndReset(ServerSocket server, String answer) {
+        for (int i = 0; i < RESETS; i++) {
+            try (Socket socket = server.accept()) {
+                assertThat(socket.getInputStream().read(new byte[8192])).isGreaterThan(0);
+                socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+                socket.setSoLinger(true, 0);
+            } catch (java.io.IOException e) {
+                throw new java.io.UncheckedIOException(e);
+            }
+        }
+    }
+
     private static void acceptAndAnswer(ServerSocket server, String answer) {
         try (Socket socket = server.accept()) {
             InputStream input = socket.getInputStream();
--- a/connectors/src/test/java/org/rattanport/connectors/http/HttpServerTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/http/HttpServerTest.java
@@ -125,6 +125,15 @@
 
     @Nested
     final class Connections {
+        @Test
+        void shouldEndAfterAMalformedBody() throws Exception {
+            String request =
+                    "POST /echo HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + "3\r\nabc\r\nxyz\r\nGET /things/pump HTTP/1.1\r\n\r\n";
+            assertThat(raw(request)).startsWith("HTTP/1.1 400");
+            assertThat(mHandled.get()).isEqualTo(0);
+        }
+
         @Test
         void shouldEndAfterAMalformedRequest() throws Exception {
             assertThat(raw("GET nothing\r\n\r\nGET /things/pump HTTP/1.1\r\n\r\n"))
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -278,6 +278,7 @@
                     isSealed,
                     isNotRun,
                     false,
+                    false,
                     Optional.empty(),
                     Optional.empty());
         }
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/AnswerHead.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/AnswerHead.java
@@ -12,6 +12,8 @@
  * @param isSealed whether it carries the back end's signature
  * @param isNotRun whether the back end guarantees that it did not run the request
  * @param isOtherBackEnd whether another back end than the expected one answered
+ * @param endsWithConnection whether its body has no length, so that only the end of the connection
+ *     tells its end; it is passed on in the same way, as that end may have come too early
  * @param culprit address of the engine at fault, where the answer names one
  * @param load how busy the back end is
  */
@@ -22,6 +24,7 @@
         boolean isSealed,
         boolean isNotRun,
         boolean isOtherBackEnd,
+        boolean endsWithConnection,
         Optional<String> culprit,
         Optional<BackEndLoad> load) {
     /** Whether the status tells of success. */
