Write the log until the end of a graceful stop

The standard log manager closes every log in a shutdown hook of its own, as soon as SIGTERM comes.

Change: KeptLogManager, named before the first logger; Logging.close ends the log.

--- a/daemon/src/main/java/org/rattanport/daemon/Logging.java
+++ b/daemon/src/main/java/org/rattanport/daemon/Logging.java
@@ -2,8 +2,8 @@
 
 import java.io.OutputStream;
 import java.util.Locale;
+import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.LogManager;
 import java.util.logging.Logger;
 
 /**
@@ -20,7 +20,7 @@
     public static synchronized void configure(OutputStream stream, String level) {
         // JBoss Logging would take any other back end that it finds on the class path.
         System.setProperty("org.jboss.logging.provider", "jdk");
-        LogManager.getLogManager().reset();
+        close();
         LogWriter writer = new LogWriter(stream);
         Logger root = Logger.getLogger("");
         root.setLevel(Level.WARNING);
@@ -31,7 +31,11 @@
 
     /** Writes what waits and ends the log. */
     public static synchronized void close() {
-        LogManager.getLogManager().reset();
+        Logger root = Logger.getLogger("");
+        for (Handler each : root.getHandlers()) {
+            root.removeHandler(each);
+            each.close();
+        }
     }
 
     private static Level level(String name) {
--- a/daemon/src/main/java/org/rattanport/daemon/Main.java
+++ b/daemon/src/main/java/org/rattanport/daemon/Main.java
@@ -9,6 +9,8 @@
     private Main() {}
 
     public static void main(String[] arguments) {
+        // Set here, as the first use of any class of the log would choose the standard manager.
+        System.setProperty("java.util.logging.manager", KeptLogManager.class.getName());
         Logging.configure(System.err, "WARN");
         int code =
                 CommandLine.registered()
