--- a/daemon/src/main/java/org/rattanport/daemon/Main.java
+++ b/daemon/src/main/java/org/rattanport/daemon/Main.java
@@ -8,6 +8,7 @@
 public final class Main {
     private Main() {}
 
+    /** Runs the command that the arguments name and ends with its exit code. */
     public static void main(String[] arguments) {
         // Set here, as the first use of any class of the log would choose the standard manager.
         System.setProperty("java.util.logging.manager", KeptLogManager.class.getName());
