--- /dev/null
+++ b/connectors/src/test/java/org/rattanport/connectors/http/BaseAddressTest.java
@@ -0,0 +1,38 @@
+package org.rattanport.connectors.http;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+
+/** Which base addresses of services the settings may hold. */
+final class BaseAddressTest {
+    @Nested
+    final class Reading {
+        @ParameterizedTest
+        @CsvSource({
+            "http://10.0.0.1:80, 10.0.0.1:80, /rows",
+            "http://10.0.0.1:80/, 10.0.0.1:80, /rows",
+            "http://10.0.0.1:80/store, 10.0.0.1:80, /store/rows"
+        })
+        void shouldPutItsOwnPathBeforeOthers(String text, String address, String target) {
+            HttpCall call = BaseAddress.parse(text).to("/rows").get();
+            assertThat(call.address()).isEqualTo(address);
+            assertThat(call.target()).isEqualTo(target);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"", "10.0.0.1:80", "https://10.0.0.1:80", "http://10.0.0.1", "a b"})
+        void shouldRefuseWhatIsNoneWithAClearError(String text) {
+            RattanportException error =
+                    assertThrows(RattanportException.class, () -> BaseAddress.parse(text));
+            assertThat(error.code()).isEqualTo(ErrorCode.INVALID_SETTINGS);
+            assertThat(error).hasMessageThat().contains("http://IP:port");
+        }
+    }
+}
