Read requests of a connection in one place; drop two unused getters

Cause: CallerConnection and HttpServer held the same loop over the parts of a connection, with the same linger at its end; HttpChannel.channel and RequestTrace.status had lost their last callers.

Change: HttpChannel.serveRequests holds the loop for both. No behaviour is meant to change, but that a server that is closed already no longer lingers on a connection that it closes.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -14,9 +13,6 @@
 import java.util.function.BooleanSupplier;
 import org.jboss.logging.Logger;
 import org.rattanport.connectors.http.HttpChannel;
-import org.rattanport.connectors.http.HttpMessagePart;
-import org.rattanport.connectors.http.HttpMessagePart.Closed;
-import org.rattanport.connectors.http.HttpMessagePart.Head;
 import org.rattanport.connectors.http.RequestBody;
 import org.rattanport.decisions.gateway.GatewayService;
 import org.rattanport.decisions.gateway.RoutingInForce;
@@ -34,11 +30,6 @@
 final class CallerConnection {
     private static final Logger LOGGER = Logger.getLogger(CallerConnection.class);
 
-    /**
-     * Time in which a caller that was told of the end may still send before the connection goes.
-     */
-    private static final Duration LINGER = Duration.ofMillis(500);
-
     private final HttpChannel mChannel;
     private final GatewayDialect mDialect;
     private final GatewayService mService;
@@ -64,18 +55,7 @@
     /** Serves the connection to its end. */
     void run() {
         try {
-            boolean goesOn = true;
-            while (goesOn) {
-                Optional<HttpMessagePart> part = mChannel.take(mRouting.limits().idleTimeout());
-                if (part.isEmpty() || part.get() instanceof Closed) {
-                    return;
-                }
-                goesOn =
-                        !(part.get() instanceof Head head)
-                                || !(head.message() instanceof HttpRequest request)
-                                || serve(request);
-            }
-            mChannel.endSending(LINGER);
+            mChannel.serveRequests(() -> mRouting.limits().idleTimeout(), this::serve);
         } catch (RattanportException e) {
             LOGGER.debugf("caller connection ended: %s", e.getMessage());
         } finally {
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
@@ -19,6 +20,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.jboss.logging.Logger;
 import org.rattanport.connectors.http.HttpMessagePart.Closed;
 import org.rattanport.connectors.http.HttpMessagePart.End;
@@ -38,6 +41,9 @@
 
     private static final int FEW_WAITING = 16;
 
+    /** Time in which a caller that was told of the end may still send before the close. */
+    private static final Duration LINGER = Duration.ofMillis(500);
+
     private final LinkedBlockingQueue<HttpMessagePart> mParts = new LinkedBlockingQueue<>();
     private final ReentrantLock mLock = new ReentrantLock();
     private final Condition mWritable = mLock.newCondition();
@@ -49,10 +55,6 @@
         mChannel = channel;
     }
 
-    public Channel channel() {
-        return mChannel;
-    }
-
     /** Cancelled when the other side closes the connection or it breaks. */
     public Cancellation closing() {
         return mClosing;
@@ -80,6 +82,27 @@
         }
     }
 
+    /**
+     * Serves the requests of the connection, one after the other, until it ends.
+     *
+     * @param idle longest wait for a request
+     * @param serve answers a request and says whether the connection goes on
+     */
+    public void serveRequests(Supplier<Duration> idle, Predicate<HttpRequest> serve) {
+        boolean goesOn = true;
+        while (goesOn) {
+            Optional<HttpMessagePart> part = take(idle.get());
+            if (part.isEmpty() || part.get() instanceof Closed) {
+                return;
+            }
+            goesOn =
+                    !(part.get() instanceof Head head)
+                            || !(head.message() instanceof HttpRequest request)
+                            || serve.test(request);
+        }
+        endSending(LINGER);
+    }
+
     /** Ends the waiting of the task with the given reason. */
     public void abort(String reason) {
         mParts.add(new Closed(true, reason));
@@ -117,7 +140,7 @@
      * Ends the sending side, so that what the other side still sends does not reset what it has not
      * read yet, and waits for its end.
      */
-    public void endSending(Duration longest) {
+    private void endSending(Duration longest) {
         if (mChannel instanceof SocketChannel socket && socket.isActive()) {
             socket.shutdownOutput();
             Optional<HttpMessagePart> part = take(longest);
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpServer.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpServer.java
@@ -14,8 +14,6 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
-import org.rattanport.connectors.http.HttpMessagePart.Closed;
-import org.rattanport.connectors.http.HttpMessagePart.Head;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
@@ -26,9 +24,6 @@
     private static final int LARGEST_HEADERS_BYTES = 32 * 1024;
     private static final Duration IDLE_CONNECTION = Duration.ofMinutes(5);
 
-    /** Time in which a caller may still send before a connection that ends is closed. */
-    private static final Duration LINGER = Duration.ofMillis(500);
-
     private record Route(String method, PathTemplate path, Routes.ExchangeHandler handler) {}
 
     private final List<Route> mRoutes = new ArrayList<>();
@@ -66,18 +61,9 @@
     private void run(HttpChannel channel) {
         mOpen.add(channel);
         try {
-            boolean goesOn = !mIsClosed;
-            while (goesOn) {
-                Optional<HttpMessagePart> part = channel.take(IDLE_CONNECTION);
-                if (part.isEmpty() || part.get() instanceof Closed) {
-                    return;
-                }
-                goesOn =
-                        !(part.get() instanceof Head head)
-                                || !(head.message() instanceof HttpRequest request)
-                                || serve(channel, request);
+            if (!mIsClosed) {
+                channel.serveRequests(() -> IDLE_CONNECTION, request -> serve(channel, request));
             }
-            channel.endSending(LINGER);
         } catch (RattanportException e) {
             LOGGER.debugf("a connection ended: %s", e.getMessage());
         } finally {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RequestTrace.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RequestTrace.java
@@ -74,11 +74,6 @@
                 isLate);
     }
 
-    /** Status of the back end that was asked last, or 0 while it has not answered. */
-    int status() {
-        return mStatus;
-    }
-
     void failed(BackEnd backEnd, String code, Verdict verdict, boolean hasStarted, String reason) {
         mEvents.publish(
                 new AttemptFailure(
