--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
@@ -8,9 +8,11 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.AttemptFailure;
+import org.rattanport.kernel.gateway.PlacementDecision;
 import org.rattanport.kernel.gateway.RequestOutcome;
 
 /**
@@ -36,6 +38,14 @@
                     .help("Failed attempts at back ends, by code and verdict")
                     .labelNames("code", "verdict")
                     .register(mRegistry);
+    private final Counter mPlacements =
+            Counter.builder()
+                    .name("rattanport_gateway_placements")
+                    .help(
+                            "Placements of prompts in a group of engines, by who decided: peer,"
+                                    + " self, or none if no coordinator responded")
+                    .labelNames("coordinator", "is_placed")
+                    .register(mRegistry);
     private final Histogram mDurations =
             Histogram.builder()
                     .name("rattanport_gateway_request_seconds")
@@ -66,6 +76,14 @@
         mFailures.labelValues(failure.errorCode(), failure.verdict().wireName()).inc();
     }
 
+    void countPlacement(PlacementDecision decision) {
+        mPlacements
+                .labelValues(
+                        decision.coordinator().name().toLowerCase(Locale.ROOT),
+                        Boolean.toString(decision.isPlaced()))
+                .inc();
+    }
+
     void setState(String name, double value) {
         mState.labelValues(name).set(value);
     }
--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
@@ -11,6 +11,7 @@
 import org.rattanport.decisions.lifecycle.InFlightRequests;
 import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.GatewaySettings;
+import org.rattanport.kernel.gateway.PlacementDecision;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.peer.Membership;
 import org.rattanport.kernel.plugin.Edition;
@@ -56,6 +57,9 @@
         mSubscriptions.add(
                 context.events().stream(AttemptFailure.class)
                         .subscribe(metrics::countAttemptFailure));
+        mSubscriptions.add(
+                context.events().stream(PlacementDecision.class)
+                        .subscribe(metrics::countPlacement));
         new HttpServer(
                 context.require(HttpTransport.class),
                 address.get(),
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/FleetCodec.java
@@ -0,0 +1,96 @@
+package org.rattanport.connectors.peer;
+
+import java.util.List;
+import java.util.Optional;
+import org.rattanport.connectors.peer.protocol.BackEndEntry;
+import org.rattanport.connectors.peer.protocol.FleetReply;
+import org.rattanport.connectors.peer.protocol.FleetRequest;
+import org.rattanport.connectors.peer.protocol.RegistryUpdate;
+import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
+import org.rattanport.kernel.gateway.FleetUpdate;
+import org.rattanport.kernel.peer.PeerMessage;
+
+/** Translates requests for the state of the store and their responses. */
+final class FleetCodec {
+    private FleetCodec() {}
+
+    static FleetRequest encode(PeerMessage.FleetRequest request) {
+        return FleetRequest.newBuilder()
+                .setDocumentVersion(request.documentVersion())
+                .setRegistryVersion(request.registryVersion())
+                .setMaxWaitMillis((int) request.maxWaitMillis())
+                .build();
+    }
+
+    static PeerMessage.FleetRequest decode(FleetRequest request) {
+        return new PeerMessage.FleetRequest(
+                request.getDocumentVersion(),
+                request.getRegistryVersion(),
+                Integer.toUnsignedLong(request.getMaxWaitMillis()));
+    }
+
+    static FleetReply encode(PeerMessage.FleetReply reply) {
+        FleetUpdate update = reply.update();
+        FleetReply.Builder builder =
+                FleetReply.newBuilder().setIsStoreAvailable(update.isStoreAvailable());
+        update.documentSource().map(GzipCodec::compress).ifPresent(builder::setDocument);
+        update.registry().map(FleetCodec::encode).ifPresent(builder::setRegistry);
+        return builder.build();
+    }
+
+    static PeerMessage.FleetReply decode(FleetReply reply) {
+        return new PeerMessage.FleetReply(
+                new FleetUpdate(
+                        reply.getIsStoreAvailable(),
+                        reply.hasDocument()
+                                ? Optional.of(GzipCodec.decompressBytes(reply.getDocument()))
+                                : Optional.empty(),
+                        reply.hasRegistry()
+                                ? Optional.of(decode(reply.getRegistry()))
+                                : Optional.empty()));
+    }
+
+    private static RegistryUpdate encode(FleetUpdate.RegistryUpdate update) {
+        return RegistryUpdate.newBuilder()
+                .setVersion(update.change().version())
+                .setIsFull(update.isFull())
+                .setFollowsOutage(update.followsOutage())
+                .addAllPresent(update.change().present().stream().map(FleetCodec::entry).toList())
+                .addAllRemoved(update.change().removed())
+                .build();
+    }
+
+    private static FleetUpdate.RegistryUpdate decode(RegistryUpdate update) {
+        return new FleetUpdate.RegistryUpdate(
+                new RegistryChange(
+                        update.getVersion(),
+                        update.getPresentList().stream().map(FleetCodec::backEnd).toList(),
+                        List.copyOf(update.getRemovedList())),
+                update.getIsFull(),
+                update.getFollowsOutage());
+    }
+
+    private static BackEndEntry entry(BackEnd backEnd) {
+        return BackEndEntry.newBuilder()
+                .setId(backEnd.id())
+                .setStartWallMillis(backEnd.startWallMillis())
+                .setService(backEnd.service())
+                .setAddress(backEnd.address())
+                .setDataCentre(backEnd.dataCentre())
+                .setSlots(backEnd.slots())
+                .setIsDraining(backEnd.isDraining())
+                .build();
+    }
+
+    private static BackEnd backEnd(BackEndEntry entry) {
+        return new BackEnd(
+                entry.getId(),
+                entry.getStartWallMillis(),
+                entry.getService(),
+                entry.getAddress(),
+                entry.getDataCentre(),
+                entry.getSlots(),
+                entry.getIsDraining());
+    }
+}
--- a/connectors/src/main/java/org/rattanport/connectors/peer/GzipCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/GzipCodec.java
@@ -9,30 +9,38 @@
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 
-/** Compresses strings with gzip, which makes repetitive documents much smaller. */
+/** Compresses documents with gzip, which makes repetitive documents much smaller. */
 final class GzipCodec {
     private static final int MAX_UNCOMPRESSED_BYTES = 16 * 1024 * 1024;
 
     private GzipCodec() {}
 
     static ByteString compress(String text) {
+        return compress(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    static ByteString compress(byte[] content) {
         ByteArrayOutputStream output = new ByteArrayOutputStream();
         try (GZIPOutputStream gzip = new GZIPOutputStream(output)) {
-            gzip.write(text.getBytes(StandardCharsets.UTF_8));
+            gzip.write(content);
         } catch (IOException e) {
             throw corruptDocument(e);
         }
         return ByteString.copyFrom(output.toByteArray());
     }
 
-    /** Decompresses a string; rejects one that is larger than any valid document. */
     static String decompress(ByteString compressed) {
+        return new String(decompressBytes(compressed), StandardCharsets.UTF_8);
+    }
+
+    /** Decompresses a document; rejects one that is larger than any valid document. */
+    static byte[] decompressBytes(ByteString compressed) {
         try (GZIPInputStream gzip = new GZIPInputStream(compressed.newInput())) {
             byte[] bytes = gzip.readNBytes(MAX_UNCOMPRESSED_BYTES + 1);
             if (bytes.length > MAX_UNCOMPRESSED_BYTES) {
                 throw corruptDocument(new IOException("too large"));
             }
-            return new String(bytes, StandardCharsets.UTF_8);
+            return bytes;
         } catch (IOException e) {
             throw corruptDocument(e);
         }
--- a/connectors/src/main/java/org/rattanport/connectors/peer/NettyPeerNetwork.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/NettyPeerNetwork.java
@@ -10,6 +10,9 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.reactivex.rxjava3.core.Flowable;
+import io.reactivex.rxjava3.processors.FlowableProcessor;
+import io.reactivex.rxjava3.processors.PublishProcessor;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
@@ -45,6 +48,8 @@
     private final Map<String, PeerLink> mLinks = new ConcurrentHashMap<>();
     private final Set<PeerChannel> mAccepted = ConcurrentHashMap.newKeySet();
     private final PeerTraffic mTraffic = new PeerTraffic();
+    private final FlowableProcessor<String> mLostPeers =
+            PublishProcessor.<String>create().toSerialized();
     private final Channel mServer;
 
     public NettyPeerNetwork(String bindAddress, String secret, TimeSource time) {
@@ -92,6 +97,11 @@
         return mTraffic;
     }
 
+    @Override
+    public Flowable<String> lostPeers() {
+        return mLostPeers.onBackpressureDrop();
+    }
+
     @Override
     public <T extends PeerMessage> void registerHandler(Class<T> type, PeerHandler<T> handler) {
         mHandlers.put(type, handler);
@@ -170,7 +180,8 @@
             throw new RattanportException(
                     ErrorCode.PEER_UNREACHABLE, "cannot connect to " + address);
         }
-        return PeerLink.open(channel[0], mSecret, mCodec, mTime, deadline);
+        return PeerLink.open(
+                channel[0], mSecret, mCodec, mTime, () -> mLostPeers.onNext(address), deadline);
     }
 
     private void serveConnection(PeerChannel channel) {
--- a/connectors/src/main/java/org/rattanport/connectors/peer/PeerCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PeerCodec.java
@@ -71,8 +71,8 @@
                             org.rattanport.connectors.peer.protocol.ExplainRequest.newBuilder()
                                     .setRequestId(request.requestId()));
             case PeerMessage.ExplainReply reply -> frame.setExplainReply(explanations(reply));
-            case PeerMessage.WorkUpdates updates ->
-                    frame.setWorkNews(WorkUpdateCodec.encode(updates));
+            case PeerMessage.GatewayMessage gatewayMessage ->
+                    GatewayMessageCodec.encode(gatewayMessage, frame);
             case PeerMessage.Received ignored ->
                     frame.setReceived(
                             org.rattanport.connectors.peer.protocol.Received.getDefaultInstance());
@@ -130,7 +130,14 @@
                             new PeerMessage.ExplainRequest(
                                     frame.getExplainRequest().getRequestId());
                     case EXPLAIN_REPLY -> explanations(frame.getExplainReply());
-                    case WORK_NEWS -> WorkUpdateCodec.decode(frame.getWorkNews());
+                    case WORK_NEWS,
+                            PLACEMENT_REQUEST,
+                            PLACEMENT_REPLY,
+                            PENDING_PREFILL_REQUEST,
+                            PENDING_PREFILL_REPLY,
+                            FLEET_REQUEST,
+                            FLEET_REPLY ->
+                            GatewayMessageCodec.decode(frame);
                     case RECEIVED -> new PeerMessage.Received();
                     case UNHANDLED -> new PeerMessage.Unhandled();
                     case HANDSHAKE, BODY_NOT_SET -> null;
--- a/connectors/src/main/java/org/rattanport/connectors/peer/PeerLink.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PeerLink.java
@@ -36,6 +36,8 @@
     private final Map<Long, CompletableFuture<PeerMessage>> mPendingRequests =
             new ConcurrentHashMap<>();
 
+    private volatile boolean mIsClosed;
+
     private PeerLink(PeerChannel channel, PeerCodec codec, TimeSource time) {
         mChannel = channel;
         mCodec = codec;
@@ -48,6 +50,7 @@
             PeerSecret secret,
             PeerCodec codec,
             TimeSource time,
+            Runnable onBroken,
             Deadline deadline) {
         try {
             byte[] serverNonce = receiveHandshake(channel, time, deadline).getNonce().toByteArray();
@@ -66,7 +69,7 @@
             throw e;
         }
         PeerLink link = new PeerLink(channel, codec, time);
-        Tasks.start("peer-link", link::readResponses);
+        Tasks.start("peer-link", () -> link.readResponses(onBroken));
         return link;
     }
 
@@ -90,7 +93,7 @@
                                         "the peer sent no handshake before the deadline"));
     }
 
-    private void readResponses() {
+    private void readResponses(Runnable onBroken) {
         try {
             while (true) {
                 Optional<Frame> frame = mChannel.poll(IDLE_TIMEOUT.toNanos());
@@ -101,6 +104,9 @@
             }
         } catch (RattanportException e) {
             mPendingRequests.values().forEach(each -> each.completeExceptionally(e));
+            if (!mIsClosed) {
+                onBroken.run();
+            }
         } finally {
             mChannel.close();
         }
@@ -146,6 +152,7 @@
 
     @Override
     public void close() {
+        mIsClosed = true;
         mChannel.close();
     }
 }
--- /dev/null
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PlacementCodec.java
@@ -0,0 +1,68 @@
+package org.rattanport.connectors.peer;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import org.rattanport.connectors.peer.protocol.PlacementReply;
+import org.rattanport.connectors.peer.protocol.PlacementRequest;
+import org.rattanport.kernel.gateway.EngineGroup;
+import org.rattanport.kernel.gateway.PlacementDemand;
+import org.rattanport.kernel.gateway.PromptSize;
+import org.rattanport.kernel.peer.PeerMessage;
+
+/** Translates requests for placements and their responses. */
+final class PlacementCodec {
+    private PlacementCodec() {}
+
+    static PlacementRequest encode(PeerMessage.PlacementRequest request) {
+        PlacementDemand demand = request.demand();
+        PlacementRequest.Builder builder =
+                PlacementRequest.newBuilder()
+                        .setAttemptId(demand.attemptId())
+                        .setService(demand.service())
+                        .setGroupIndex(demand.group().index())
+                        .setGroupCount(demand.group().count())
+                        .setObjectiveMillis((int) demand.objective().toMillis())
+                        .setMaxEventGapMillis((int) demand.maxEventGap().toMillis())
+                        .addAllExcluded(demand.excluded())
+                        .addAllNotices(WorkUpdateCodec.encodeUpdates(request.updates()));
+        demand.size()
+                .ifPresent(
+                        size ->
+                                builder.setPromptTokens(size.promptTokens())
+                                        .setMaxOutputTokens(size.maxOutputTokens()));
+        return builder.build();
+    }
+
+    static PeerMessage.PlacementRequest decode(PlacementRequest request) {
+        return new PeerMessage.PlacementRequest(
+                new PlacementDemand(
+                        request.getAttemptId(),
+                        request.getService(),
+                        new EngineGroup(request.getGroupIndex(), request.getGroupCount()),
+                        request.hasPromptTokens()
+                                ? Optional.of(
+                                        new PromptSize(
+                                                request.getPromptTokens(),
+                                                request.getMaxOutputTokens()))
+                                : Optional.empty(),
+                        Duration.ofMillis(request.getObjectiveMillis()),
+                        Duration.ofMillis(request.getMaxEventGapMillis()),
+                        Set.copyOf(request.getExcludedList())),
+                WorkUpdateCodec.decodeUpdates(request.getNoticesList()));
+    }
+
+    static PlacementReply encode(PeerMessage.PlacementReply reply) {
+        PlacementReply.Builder builder = PlacementReply.newBuilder().setCost((float) reply.cost());
+        reply.work().map(WorkUpdateCodec::encodeWork).ifPresent(builder::setWork);
+        return builder.build();
+    }
+
+    static PeerMessage.PlacementReply decode(PlacementReply reply) {
+        return new PeerMessage.PlacementReply(
+                reply.hasWork()
+                        ? Optional.of(WorkUpdateCodec.decodeWork(reply.getWork()))
+                        : Optional.empty(),
+                reply.getCost());
+    }
+}
--- a/connectors/src/main/java/org/rattanport/connectors/peer/WorkUpdateCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/WorkUpdateCodec.java
@@ -1,5 +1,6 @@
 package org.rattanport.connectors.peer;
 
+import java.util.List;
 import java.util.Optional;
 import org.rattanport.connectors.peer.protocol.WorkShare;
 import org.rattanport.kernel.gateway.EngineShare;
@@ -14,35 +15,48 @@
     static org.rattanport.connectors.peer.protocol.WorkNews encode(
             PeerMessage.WorkUpdates updates) {
         return org.rattanport.connectors.peer.protocol.WorkNews.newBuilder()
-                .addAllNotices(
-                        updates.updates().stream().map(WorkUpdateCodec::encodeUpdate).toList())
+                .addAllNotices(encodeUpdates(updates.updates()))
                 .build();
     }
 
+    static List<org.rattanport.connectors.peer.protocol.WorkNotice> encodeUpdates(
+            List<WorkUpdate> updates) {
+        return updates.stream().map(WorkUpdateCodec::encodeUpdate).toList();
+    }
+
     private static org.rattanport.connectors.peer.protocol.WorkNotice encodeUpdate(
             WorkUpdate update) {
         var builder =
                 org.rattanport.connectors.peer.protocol.WorkNotice.newBuilder()
                         .setId(update.attemptId());
         switch (update) {
-            case WorkUpdate.Placed placed ->
-                    builder.setKind(org.rattanport.connectors.peer.protocol.WorkNotice.Kind.PLACED)
-                            .addAllShares(
-                                    placed.work().shares().stream()
-                                            .map(WorkUpdateCodec::encodeShare)
-                                            .toList())
-                            .setFirstEventMillis((float) placed.work().predictedFirstEventMillis())
-                            .setAnswerMillis((float) placed.work().predictedDecodeMillis())
-                            .setPauseMillis((float) placed.work().maxEventGapMillis())
-                            .setWeight((float) placed.work().weight());
+            case WorkUpdate.Placed placed -> {
+                return encodeWork(placed.work());
+            }
             case WorkUpdate.Decoding decoding ->
                     builder.setKind(org.rattanport.connectors.peer.protocol.WorkNotice.Kind.WRITES);
             case WorkUpdate.Ended ended ->
                     builder.setKind(org.rattanport.connectors.peer.protocol.WorkNotice.Kind.ENDED);
+            case WorkUpdate.EngineFailed failed ->
+                    builder.setKind(org.rattanport.connectors.peer.protocol.WorkNotice.Kind.FAILED)
+                            .addShares(WorkShare.newBuilder().setEngine(failed.engineId()))
+                            .setWeight((float) failed.weight());
         }
         return builder.build();
     }
 
+    static org.rattanport.connectors.peer.protocol.WorkNotice encodeWork(EngineWork work) {
+        return org.rattanport.connectors.peer.protocol.WorkNotice.newBuilder()
+                .setId(work.attemptId())
+                .setKind(org.rattanport.connectors.peer.protocol.WorkNotice.Kind.PLACED)
+                .addAllShares(work.shares().stream().map(WorkUpdateCodec::encodeShare).toList())
+                .setFirstEventMillis((float) work.predictedFirstEventMillis())
+                .setAnswerMillis((float) work.predictedDecodeMillis())
+                .setPauseMillis((float) work.maxEventGapMillis())
+                .setWeight((float) work.weight())
+                .build();
+    }
+
     private static WorkShare encodeShare(EngineShare share) {
         return WorkShare.newBuilder()
                 .setEngine(share.engineId())
@@ -54,35 +68,47 @@
     }
 
     static PeerMessage.WorkUpdates decode(org.rattanport.connectors.peer.protocol.WorkNews news) {
-        return new PeerMessage.WorkUpdates(
-                news.getNoticesList().stream()
-                        .map(WorkUpdateCodec::decodeNotice)
-                        .flatMap(Optional::stream)
-                        .toList());
+        return new PeerMessage.WorkUpdates(decodeUpdates(news.getNoticesList()));
+    }
+
+    static List<WorkUpdate> decodeUpdates(
+            List<org.rattanport.connectors.peer.protocol.WorkNotice> notices) {
+        return notices.stream()
+                .map(WorkUpdateCodec::decodeNotice)
+                .flatMap(Optional::stream)
+                .toList();
     }
 
     /** Decodes a notice; one of an unknown kind comes from a newer instance and is ignored. */
     private static Optional<WorkUpdate> decodeNotice(
             org.rattanport.connectors.peer.protocol.WorkNotice notice) {
         return switch (notice.getKind()) {
-            case PLACED ->
-                    Optional.of(
-                            new WorkUpdate.Placed(
-                                    new EngineWork(
-                                            notice.getId(),
-                                            notice.getSharesList().stream()
-                                                    .map(WorkUpdateCodec::decodeShare)
-                                                    .toList(),
-                                            notice.getFirstEventMillis(),
-                                            notice.getAnswerMillis(),
-                                            notice.getPauseMillis(),
-                                            notice.getWeight())));
+            case PLACED -> Optional.of(new WorkUpdate.Placed(decodeWork(notice)));
             case WRITES -> Optional.of(new WorkUpdate.Decoding(notice.getId()));
             case ENDED -> Optional.of(new WorkUpdate.Ended(notice.getId()));
+            case FAILED ->
+                    notice.getSharesList().stream()
+                            .findFirst()
+                            .map(
+                                    share ->
+                                            new WorkUpdate.EngineFailed(
+                                                    notice.getId(),
+                                                    share.getEngine(),
+                                                    notice.getWeight()));
             case UNRECOGNIZED -> Optional.empty();
         };
     }
 
+    static EngineWork decodeWork(org.rattanport.connectors.peer.protocol.WorkNotice notice) {
+        return new EngineWork(
+                notice.getId(),
+                notice.getSharesList().stream().map(WorkUpdateCodec::decodeShare).toList(),
+                notice.getFirstEventMillis(),
+                notice.getAnswerMillis(),
+                notice.getPauseMillis(),
+                notice.getWeight());
+    }
+
     private static EngineShare decodeShare(WorkShare share) {
         return new EngineShare(
                 share.getEngine(),
--- a/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
@@ -6,20 +6,32 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.rattanport.connectors.peer.protocol.Frame;
 import org.rattanport.kernel.environment.DocumentVersion;
 import org.rattanport.kernel.environment.Stage;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.EngineGroup;
 import org.rattanport.kernel.gateway.EngineShare;
 import org.rattanport.kernel.gateway.EngineWork;
+import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
+import org.rattanport.kernel.gateway.FleetUpdate;
+import org.rattanport.kernel.gateway.PlacementDemand;
+import org.rattanport.kernel.gateway.PromptSize;
 import org.rattanport.kernel.gateway.WorkUpdate;
 import org.rattanport.kernel.model.Fingerprint;
 import org.rattanport.kernel.model.InstanceId;
@@ -151,7 +163,22 @@
                                     List.of(
                                             new WorkUpdate.Placed(work()),
                                             new WorkUpdate.Decoding("attempt-1"),
-                                            new WorkUpdate.Ended("attempt-1"))),
+                                            new WorkUpdate.Ended("attempt-1"),
+                                            new WorkUpdate.EngineFailed("attempt-1", "e", 2))),
+                            new PeerMessage.PlacementRequest(
+                                    demand(Optional.of(new PromptSize(5_000, 300))),
+                                    List.of(new WorkUpdate.Ended("attempt-0"))),
+                            new PeerMessage.PlacementRequest(demand(Optional.empty()), List.of()),
+                            new PeerMessage.PlacementReply(Optional.of(work()), 0.5),
+                            new PeerMessage.PlacementReply(Optional.empty(), 0),
+                            new PeerMessage.PendingPrefillRequest("engine"),
+                            new PeerMessage.PendingPrefillReply(120),
+                            new PeerMessage.FleetRequest(7, -1, 500),
+                            new PeerMessage.FleetReply(
+                                    new FleetUpdate(false, Optional.empty(), Optional.empty())),
+                            new PeerMessage.FleetReply(
+                                    new FleetUpdate(
+                                            true, Optional.empty(), Optional.of(registry()))),
                             new PeerMessage.Received(),
                             new PeerMessage.Unhandled())
                     .forEach(
@@ -161,6 +188,23 @@
         }
     }
 
+    private static PlacementDemand demand(Optional<PromptSize> size) {
+        return new PlacementDemand(
+                "attempt-1",
+                "service",
+                new EngineGroup(2, 7),
+                size,
+                Duration.ofMillis(300),
+                Duration.ofMillis(200),
+                Set.of("engine"));
+    }
+
+    private static FleetUpdate.RegistryUpdate registry() {
+        BackEnd backEnd = new BackEnd("e", 9, "service", "10.0.0.1:80", "dc", 8, true);
+        return new FleetUpdate.RegistryUpdate(
+                new RegistryChange(12, List.of(backEnd), List.of("gone")), true, true);
+    }
+
     private static EngineWork work() {
         return new EngineWork(
                 "attempt-1",
@@ -171,6 +215,42 @@
                 1);
     }
 
+    @Nested
+    final class RoutingDocuments {
+        @Test
+        void shouldArriveByteForByte() {
+            PeerCodec codec = new PeerCodec();
+            byte[] document = "{\"version\": 3}".repeat(5_000).getBytes(StandardCharsets.UTF_8);
+            Frame frame =
+                    codec.encode(
+                                    new PeerMessage.FleetReply(
+                                            new FleetUpdate(
+                                                    true, Optional.of(document), Optional.empty())))
+                            .build();
+            assertThat(frame.getSerializedSize()).isLessThan(document.length / 10);
+            PeerMessage.FleetReply reply =
+                    (PeerMessage.FleetReply) codec.decode(frame).orElseThrow();
+            assertThat(reply.update().documentSource().orElseThrow()).isEqualTo(document);
+        }
+    }
+
+    @Nested
+    final class LostPeers {
+        @Test
+        void shouldBeReportedWhenTheirConnectionBreaks() throws InterruptedException {
+            CountDownLatch isReported = new CountDownLatch(1);
+            try (NettyPeerNetwork client = new NettyPeerNetwork(ANY_PORT, SECRET, mTime)) {
+                String address = mServer.boundAddress();
+                client.lostPeers()
+                        .filter(address::equals)
+                        .subscribe(lost -> isReported.countDown());
+                client.call(address, new PeerMessage.IndirectPing("x"), deadline());
+                mServer.close();
+                assertThat(isReported.await(20, TimeUnit.SECONDS)).isTrue();
+            }
+        }
+    }
+
     @Nested
     final class OneWayMessages {
         @Test
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
@@ -135,6 +135,11 @@
         return Optional.ofNullable(mBackEnds.get(id));
     }
 
+    /** Returns the back end if it accepts requests. */
+    public Optional<BackEnd> findAvailable(String id) {
+        return find(id).filter(each -> !each.isDraining());
+    }
+
     /** Whether the registry was read in full at least once. */
     public synchronized boolean isInitialized() {
         return mIsInitialized;
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatorDirectory.java
@@ -0,0 +1,79 @@
+package org.rattanport.decisions.gateway;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.rattanport.decisions.membership.MemberTable;
+import org.rattanport.kernel.gateway.EngineGroup;
+import org.rattanport.kernel.model.RendezvousHash;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.peer.MemberState;
+import org.rattanport.kernel.time.TimeSource;
+
+/**
+ * Chooses the coordinator of each group of engines by rendezvous hashing over the alive members, so
+ * that instances with the same view of the members agree without an election. A coordinator that
+ * does not respond is passed over for a while.
+ */
+final class CoordinatorDirectory {
+    /** Mean number of engines in a group; a prompt is prefilled by up to 17 of them. */
+    private static final int ENGINES_PER_GROUP = 24;
+
+    /** Time for which a silent coordinator is passed over; the failure detector takes longer. */
+    private static final Duration SILENCE_PENALTY = Duration.ofSeconds(1);
+
+    /** Failures in a row after which a coordinator becomes suspect to all members. */
+    private static final int SUSPICION_FAILURES = 2;
+
+    private record Silence(int failures, long lastNanos) {}
+
+    private final MemberTable mMembers;
+    private final TimeSource mTime;
+    private final Map<String, Silence> mSilences = new ConcurrentHashMap<>();
+
+    CoordinatorDirectory(MemberTable members, TimeSource time) {
+        mMembers = members;
+        mTime = time;
+    }
+
+    /** Number of groups for a service with that many engines. */
+    static int groupCount(int engines) {
+        return Math.max(1, Math.round((float) engines / ENGINES_PER_GROUP));
+    }
+
+    /** Returns the members that may coordinate the group, the preferred one first. */
+    List<Member> candidates(String service, EngineGroup group) {
+        List<Member> responsive =
+                mMembers.aliveMembers().stream().filter(each -> !isSilent(each)).toList();
+        return RendezvousHash.order(
+                service + "/" + group.index(), responsive, each -> each.id().name());
+    }
+
+    boolean isSelf(Member member) {
+        return member.id().equals(mMembers.self().id());
+    }
+
+    private boolean isSilent(Member member) {
+        Silence silence = mSilences.get(member.peerAddress());
+        return silence != null
+                && mTime.nanoTime() - silence.lastNanos() < SILENCE_PENALTY.toNanos();
+    }
+
+    void recordResponse(Member member) {
+        mSilences.remove(member.peerAddress());
+    }
+
+    /** Records that the member did not respond; repeated silence makes it suspect. */
+    void recordSilence(Member member) {
+        Silence silence =
+                mSilences.merge(
+                        member.peerAddress(),
+                        new Silence(1, mTime.nanoTime()),
+                        (old, added) -> new Silence(old.failures() + 1, added.lastNanos()));
+        if (silence.failures() >= SUSPICION_FAILURES) {
+            mSilences.remove(member.peerAddress());
+            mMembers.markState(member.id(), MemberState.SUSPECT);
+        }
+    }
+}
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/FleetFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/FleetFollower.java
@@ -1,6 +1,7 @@
 package org.rattanport.decisions.gateway;
 
 import java.time.Duration;
+import java.util.Random;
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.event.LogLine;
@@ -8,124 +9,114 @@
 import org.rattanport.kernel.gateway.FleetSource.HistoryLostException;
 import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
 import org.rattanport.kernel.gateway.FleetSource.Versioned;
-import org.rattanport.kernel.gateway.RoutingDocument;
+import org.rattanport.kernel.gateway.SourcedDocument;
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
- * Follows the store with one task for the routing document and one for the back-end registry. Each
- * task reads in full, then waits for changes, and reads in full again when the history has a gap or
- * the store was unavailable.
+ * Follows the store while this instance has the role of a reader, with one task for the routing
+ * document and one for the back-end registry. Each task reads in full, then waits for changes, and
+ * reads in full again when the history has a gap or the store was unavailable.
  */
 public final class FleetFollower {
     private static final Logger LOGGER = Logger.getLogger(FleetFollower.class);
 
-    /** Maximum duration of one long poll for changes; the store has the same limit. */
-    private static final Duration MAX_LONG_POLL = Duration.ofSeconds(30);
+    /** Maximum duration of one long poll for changes; bounds the silence of a dead connection. */
+    private static final Duration MAX_LONG_POLL = Duration.ofSeconds(5);
 
     /** Timeout of a full read; a healthy store responds within a few milliseconds. */
     private static final Duration READ_TIMEOUT = Duration.ofMillis(900);
 
-    /** Delay after a failed read; well below the time in which changes must become active. */
-    private static final Duration RETRY_DELAY = Duration.ofMillis(400);
-
     /** Delay that batches the next changes of the registry into one read, to save calls. */
     private static final Duration BATCH_DELAY = Duration.ofMillis(300);
 
     private final FleetSource mSource;
-    private final ActiveRouting mRouting;
-    private final BackEndRegistry mRegistry;
-    private final Runnable mOnUpdate;
+    private final FleetState mState;
+    private final ReaderRole mRole;
     private final TimeSource mTime;
+    private final Random mRandom;
     private final Dependency mDocumentStore = new Dependency("store of the document");
     private final Dependency mRegistryStore = new Dependency("store of the register");
-    private volatile boolean mIsClosed;
-
-    /** Whether the next full read follows an outage, in which registrations may have lapsed. */
-    private boolean mIsNextReadRecovery;
 
-    public FleetFollower(
-            FleetSource source,
-            ActiveRouting routing,
-            BackEndRegistry registry,
-            Runnable onUpdate,
-            TimeSource time) {
+    FleetFollower(
+            FleetSource source, FleetState state, ReaderRole role, TimeSource time, Random random) {
         mSource = source;
-        mRouting = routing;
-        mRegistry = registry;
-        mOnUpdate = onUpdate;
+        mState = state;
+        mRole = role;
         mTime = time;
+        mRandom = random;
     }
 
     public void close() {
-        mIsClosed = true;
+        mRole.close();
     }
 
     /** Body of the task that follows the routing document. */
     public void followDocument() {
-        followWithRetries(mDocumentStore, this::followDocumentUntilGap);
+        followWithRetries(FleetState.Part.DOCUMENT, mDocumentStore, this::followDocumentUntilGap);
     }
 
     /** Body of the task that follows the registry. */
     public void followRegistry() {
-        followWithRetries(mRegistryStore, this::followRegistryUntilGap);
+        followWithRetries(FleetState.Part.REGISTRY, mRegistryStore, this::followRegistryUntilGap);
     }
 
-    private void followWithRetries(Dependency dependency, Runnable followUntilGap) {
-        while (!mIsClosed) {
+    private void followWithRetries(
+            FleetState.Part part, Dependency dependency, Runnable followUntilGap) {
+        while (!mRole.isClosed()) {
             try {
+                mRole.awaitReading();
                 followUntilGap.run();
             } catch (HistoryLostException e) {
                 LOGGER.info(LogLine.of("store-history-lost").with("reason", e.getMessage()));
                 continue;
             } catch (RattanportException e) {
                 dependency.markLost(String.valueOf(e.getMessage()));
+                mState.recordOutage();
             } catch (RuntimeException e) {
                 LOGGER.error("unexpected error while following the store; retrying", e);
             }
-            if (!mIsClosed) {
-                mTime.sleep(RETRY_DELAY);
+            mState.setAvailable(part, false);
+            if (!mRole.isClosed() && mRole.isReading()) {
+                mTime.sleep(withJitter(mRole.retryDelay()));
             }
         }
     }
 
+    /** Adds up to the same duration again, so that instances do not retry together. */
+    private Duration withJitter(Duration delay) {
+        return delay.plusNanos((long) (mRandom.nextDouble() * delay.toNanos()));
+    }
+
+    private boolean isActive() {
+        return !mRole.isClosed() && mRole.isReading();
+    }
+
+    private void markAvailable(FleetState.Part part, Dependency dependency) {
+        dependency.markAvailable();
+        mState.setAvailable(part, true);
+    }
+
     private void followDocumentUntilGap() {
-        Versioned<RoutingDocument> reading =
+        Versioned<SourcedDocument> reading =
                 mSource.readDocument(Deadline.after(mTime, READ_TIMEOUT));
-        while (!mIsClosed) {
-            mDocumentStore.markAvailable();
-            reading.value().ifPresent(mRouting::activateIfNewer);
-            mOnUpdate.run();
+        while (isActive()) {
+            markAvailable(FleetState.Part.DOCUMENT, mDocumentStore);
+            reading.value().ifPresent(mState::recordDocument);
             reading = mSource.awaitDocument(reading.version(), MAX_LONG_POLL);
         }
     }
 
     private void followRegistryUntilGap() {
         RegistryChange snapshot = mSource.readRegistry(Deadline.after(mTime, READ_TIMEOUT));
-        mRegistryStore.markAvailable();
-        if (mIsNextReadRecovery) {
-            mRegistry.recordStoreRecovery();
-        }
-        mIsNextReadRecovery = true;
-        mRegistry.replace(snapshot.present());
-        mOnUpdate.run();
+        markAvailable(FleetState.Part.REGISTRY, mRegistryStore);
+        mState.recordFullRead(snapshot, mState.hadOutage());
         long version = snapshot.version();
-        while (!mIsClosed) {
-            RegistryChange change = awaitRegistryChange(version);
-            mRegistry.apply(change.present(), change.removed());
+        while (isActive()) {
+            RegistryChange change = mSource.awaitRegistryChange(version, MAX_LONG_POLL);
+            mState.recordChange(change, false);
             version = change.version();
             mTime.sleep(BATCH_DELAY);
         }
     }
-
-    private RegistryChange awaitRegistryChange(long version) {
-        try {
-            return mSource.awaitRegistryChange(version, MAX_LONG_POLL);
-        } catch (HistoryLostException e) {
-            // The store responds, so back ends that the next full read lacks did not lapse in an
-            // outage.
-            mIsNextReadRecovery = false;
-            throw e;
-        }
-    }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -14,8 +14,10 @@
 import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.CallerExchange;
 import org.rattanport.kernel.gateway.CallerRequest;
+import org.rattanport.kernel.gateway.EngineGroup;
 import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.GatewayAccount;
+import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.ResponseHead;
 import org.rattanport.kernel.gateway.Route;
@@ -160,13 +162,16 @@
                 mService.engineSpec().isPresent()
                         ? mComponents.promptPlacement()
                         : mComponents.servicePlacement();
-        return policy.place(
-                new PlacementQuery(
-                        mService,
-                        mRequest,
+        PlacementDemand demand =
+                new PlacementDemand(
+                        mRequest.attemptId(),
+                        mService.name(),
+                        EngineGroup.ALL,
+                        mRequest.promptSize(),
                         mRoute.latencyObjective(),
                         mRoute.maxEventGap(),
-                        mExcluded));
+                        Set.copyOf(mExcluded));
+        return policy.place(new PlacementQuery(mService, demand));
     }
 
     /** Sends the request to one back end; returns whether the request has ended for the caller. */
@@ -178,7 +183,6 @@
         mLastBackEndId = Optional.of(backEnd.id());
         mHasReachedBackEnd = false;
         mComponents.loadTable().requestSent(backEnd.id());
-        placement.work().ifPresent(mComponents.workNotifier()::placed);
         try (UncheckedCloseable lease = acquireLeases(placement);
                 BackEndExchange exchange = send(placement)) {
             AutoCloseable cancelHook = mCaller.disconnectSignal().onCancel(exchange::abort);
@@ -289,7 +293,7 @@
     /** Predicted time until the last chosen back end finishes its prefill work. */
     private Duration remainingPrefill() {
         return mLastBackEndId
-                .map(mComponents.workTracker()::remainingPrefill)
+                .map(id -> mComponents.workNotifier().remainingPrefill(mRequest.attemptId(), id))
                 .orElse(Duration.ZERO);
     }
 
@@ -306,7 +310,11 @@
         if (head.isMisdirected()) {
             mComponents.registry().removeReplaced(faultyEngine);
         }
-        mComponents.outcomes().recordRefusal(faultyEngine, head.faultyEngineAddress().isPresent());
+        double weight =
+                mComponents
+                        .outcomes()
+                        .recordRefusal(faultyEngine, head.faultyEngineAddress().isPresent());
+        mComponents.workNotifier().engineFailed(mRequest.attemptId(), faultyEngine.id(), weight);
     }
 
     /** Rejects a response to another attempt, and a successful response without a signature. */
@@ -354,7 +362,8 @@
             mExcluded.remove(backEnd.id());
             return false;
         }
-        mComponents.outcomes().recordFailure(backEnd, mFingerprint, error);
+        double weight = mComponents.outcomes().recordFailure(backEnd, mFingerprint, error);
+        mComponents.workNotifier().engineFailed(mRequest.attemptId(), backEnd.id(), weight);
         boolean hadConnection = error.verdict() != Verdict.NOT_RUN;
         mHasReachedBackEnd |= hadConnection;
         if (hadConnection && mRuns == runsBefore) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayComponents.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayComponents.java
@@ -15,7 +15,6 @@
         OutcomeRecorder outcomes,
         LoadTable loadTable,
         WorkNotifier workNotifier,
-        WorkTracker workTracker,
         ServiceRetryBudget retryBudget,
         EventStreams events,
         TimeSource time) {}
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayMembershipPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayMembershipPlugin.java
@@ -37,6 +37,7 @@
 
     private Optional<TaskGroup> mTasks = Optional.empty();
     private Disposable mSettingsSubscription = Disposable.disposed();
+    private Disposable mLostPeersSubscription = Disposable.disposed();
 
     @Override
     public String name() {
@@ -105,6 +106,7 @@
                         context.require(MemberDirectory.class),
                         table,
                         gossip,
+                        new StoreReaders(table)::isReader,
                         time);
         mSettingsSubscription =
                 context.events().stream(GatewaySettings.class)
@@ -113,6 +115,7 @@
         tasks.schedule("probe-members", timings.probePeriod(), prober::runRound);
         tasks.schedule("join-members", timings.listPeriod(), search::runRound);
         mTasks = Optional.of(tasks);
+        mLostPeersSubscription = peers.lostPeers().subscribe(prober::probeLostPeer);
     }
 
     private static Member self(PluginContext context) {
@@ -130,6 +133,7 @@
     @Override
     public void stop(Deadline deadline) {
         mSettingsSubscription.dispose();
+        mLostPeersSubscription.dispose();
         mTasks.ifPresent(TaskGroup::close);
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -28,7 +28,7 @@
 public final class GatewayPlugin implements Plugin {
     private Optional<FleetFollower> mFollower = Optional.empty();
     private final CompositeDisposable mSubscriptions = new CompositeDisposable();
-    private Optional<PeerWorkNotifier> mWorkNotifier = Optional.empty();
+    private Optional<WorkUpdateSender> mUpdateSender = Optional.empty();
 
     @Override
     public String name() {
@@ -68,67 +68,107 @@
         ActiveRouting routing = context.require(ActiveRouting.class);
         BackEndRegistry registry = new BackEndRegistry(time);
         WorkTracker tracker = new WorkTracker(time);
-        PeerWorkNotifier notifier =
-                new PeerWorkNotifier(
-                        tracker,
-                        context.require(MemberTable.class),
-                        context.require(PeerNetwork.class),
-                        time);
-        notifier.registerHandler();
+        BackEndHealth health = new BackEndHealth(time);
         GatewayService service =
                 new GatewayService(
-                        components(context, settings, registry, tracker, notifier), new Random());
+                        components(
+                                context,
+                                settings,
+                                registry,
+                                health,
+                                placement(context, registry, health, tracker)),
+                        new Random());
         Readiness readiness =
                 new Readiness(
                         routing,
                         registry,
                         context.require(MemberTable.class),
                         context.require(Drain.class)::isDraining);
-        FleetFollower follower =
-                new FleetFollower(
-                        context.require(FleetSource.class),
-                        routing,
-                        registry,
-                        readiness::update,
-                        time);
-        Tasks.start("follow-document", follower::followDocument);
-        Tasks.start("follow-register", follower::followRegistry);
+        mFollower =
+                Optional.of(
+                        startFollowing(
+                                context,
+                                new FleetState(routing, registry, readiness::update, time)));
         RequestLog log = new RequestLog(time);
         mSubscriptions.add(
                 context.events().stream(RequestOutcome.class).subscribe(log::logOutcome));
         mSubscriptions.add(
                 context.events().stream(AttemptFailure.class).subscribe(log::logFailure));
-        mFollower = Optional.of(follower);
-        mWorkNotifier = Optional.of(notifier);
         context.provide(Readiness.class, readiness);
         context.provide(BackEndRegistry.class, registry);
         context.provide(GatewayService.class, service);
     }
 
+    private CoordinatedPlacement placement(
+            PluginContext context,
+            BackEndRegistry registry,
+            BackEndHealth health,
+            WorkTracker tracker) {
+        TimeSource time = context.time();
+        PeerNetwork peers = context.require(PeerNetwork.class);
+        PlacementCoordinator coordinator =
+                new PlacementCoordinator(
+                        context.require(ActiveRouting.class),
+                        new PromptPlacement(
+                                registry, health, tracker, PlacementTuning.DEFAULTS, new Random()),
+                        tracker,
+                        health);
+        coordinator.registerHandlers(peers);
+        WorkUpdateSender sender = new WorkUpdateSender(peers, time);
+        mUpdateSender = Optional.of(sender);
+        return new CoordinatedPlacement(
+                registry,
+                coordinator,
+                new CoordinatorDirectory(context.require(MemberTable.class), time),
+                tracker,
+                peers,
+                sender,
+                context.events()::publish,
+                time,
+                new Random());
+    }
+
+    private static FleetFollower startFollowing(PluginContext context, FleetState state) {
+        TimeSource time = context.time();
+        FleetSource source = context.require(FleetSource.class);
+        ReaderRole role = new ReaderRole();
+        ReaderFollower readers =
+                new ReaderFollower(
+                        new StoreReaders(context.require(MemberTable.class)),
+                        role,
+                        state,
+                        source,
+                        context.require(PeerNetwork.class),
+                        time);
+        readers.registerHandler();
+        FleetFollower follower = new FleetFollower(source, state, role, time, new Random());
+        Tasks.start("follow-readers", readers::followUntilClosed);
+        Tasks.start("follow-document", follower::followDocument);
+        Tasks.start("follow-register", follower::followRegistry);
+        return follower;
+    }
+
     private static GatewayComponents components(
             PluginContext context,
             GatewaySettings settings,
             BackEndRegistry registry,
-            WorkTracker tracker,
-            WorkNotifier notifier) {
+            BackEndHealth health,
+            CoordinatedPlacement placement) {
         TimeSource time = context.time();
-        Random random = new Random();
-        BackEndHealth health = new BackEndHealth(time);
         LoadTable loadTable = new LoadTable(time);
         Membership membership = context.require(Membership.class);
         String dataCentre = context.require(InstanceSettings.class).dataCentre();
         return new GatewayComponents(
                 context.require(ActiveRouting.class),
                 registry,
-                new PromptPlacement(registry, health, tracker, PlacementTuning.DEFAULTS, random),
-                new LeastLoadedPlacement(dataCentre, registry, health, loadTable, random),
+                placement,
+                new LeastLoadedPlacement(dataCentre, registry, health, loadTable, new Random()),
                 context.require(BackEndClient.class),
                 new MemoryLeases(context.require(EngineMemoryClient.class), time),
                 new OutcomeRecorder(
                         health, SuspicionTable.withRumors(time, context.require(RumorHub.class))),
                 loadTable,
-                notifier,
-                tracker,
+                placement,
                 new ServiceRetryBudget(
                         time,
                         settings.retryBudgetWindow(),
@@ -143,6 +183,6 @@
     public void stop(Deadline deadline) {
         mSubscriptions.dispose();
         mFollower.ifPresent(FleetFollower::close);
-        mWorkNotifier.ifPresent(PeerWorkNotifier::close);
+        mUpdateSender.ifPresent(WorkUpdateSender::close);
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/LeastLoadedPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/LeastLoadedPlacement.java
@@ -41,7 +41,7 @@
                         .toList();
         return candidates.stream()
                 .min(Comparator.comparingDouble(this::cost))
-                .map(each -> new Placement(each, List.of(), List.of(), Optional.empty()));
+                .map(each -> new Placement(each, List.of(), List.of(), Optional.empty(), 0));
     }
 
     private double cost(BackEnd backEnd) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/MemberSearch.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/MemberSearch.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.jboss.logging.Logger;
 import org.rattanport.decisions.membership.Gossip;
 import org.rattanport.decisions.membership.MemberTable;
@@ -13,12 +14,18 @@
 
 /**
  * Discovers other instances through seeds, and through the directory while no other instance is
- * alive. Each instance registers once in the directory, which costs the store one write per start.
+ * alive. Only the instances that read the store register in the directory, and those that find no
+ * other one, which costs the store few writes.
  */
 final class MemberSearch {
     private static final Logger LOGGER = Logger.getLogger(MemberSearch.class);
     private static final Duration JOIN_TIMEOUT = Duration.ofMillis(800);
 
+    /** Delay between attempts to join while no other instance is known; seeds may be starting. */
+    private static final Duration JOIN_RETRY_DELAY = Duration.ofMillis(150);
+
+    private static final int MAX_JOIN_RETRIES = 4;
+
     /** Rounds without another alive member after which the directory is read. */
     private static final int MAX_ISOLATED_ROUNDS = 2;
 
@@ -27,6 +34,7 @@
     private final MemberTable mTable;
     private final Gossip mGossip;
     private final TimeSource mTime;
+    private final BooleanSupplier mIsReader;
     private boolean mIsRegistered;
     private int mIsolatedRounds;
 
@@ -35,11 +43,13 @@
             MemberDirectory directory,
             MemberTable table,
             Gossip gossip,
+            BooleanSupplier isReader,
             TimeSource time) {
         mSeeds = seeds;
         mDirectory = directory;
         mTable = table;
         mGossip = gossip;
+        mIsReader = isReader;
         mTime = time;
     }
 
@@ -51,14 +61,25 @@
     /** Body of a periodic task. */
     void runRound() {
         joinThrough(mSeeds);
-        register();
+        for (int i = 0; i < MAX_JOIN_RETRIES && !hasPeers(); i++) {
+            mTime.sleep(JOIN_RETRY_DELAY);
+            joinThrough(mSeeds);
+        }
         mIsolatedRounds = hasAlivePeers() ? 0 : mIsolatedRounds + 1;
-        if (mIsolatedRounds >= MAX_ISOLATED_ROUNDS) {
+        boolean isIsolated = mIsolatedRounds >= MAX_ISOLATED_ROUNDS;
+        if (isIsolated || (hasPeers() && mIsReader.getAsBoolean())) {
+            register();
+        }
+        if (isIsolated) {
             mIsolatedRounds = 0;
             joinThrough(mDirectory.peerAddresses(Deadline.after(mTime, JOIN_TIMEOUT)));
         }
     }
 
+    private boolean hasPeers() {
+        return mTable.members().size() > 1;
+    }
+
     private boolean hasAlivePeers() {
         return mTable.aliveMembers().stream()
                 .anyMatch(each -> !each.id().equals(mTable.self().id()));
@@ -75,7 +96,10 @@
 
     private void joinThrough(List<String> addresses) {
         List<String> knownAddresses = mTable.members().stream().map(Member::peerAddress).toList();
-        addresses.stream().filter(each -> !knownAddresses.contains(each)).forEach(this::tryJoin);
+        addresses.stream()
+                .filter(each -> !each.equals(mTable.self().peerAddress()))
+                .filter(each -> !knownAddresses.contains(each))
+                .forEach(this::tryJoin);
     }
 
     private void tryJoin(String address) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/OutcomeRecorder.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/OutcomeRecorder.java
@@ -39,14 +39,17 @@
     }
 
     /**
-     * Records a refusal; one that another back end reports weighs more than that of a full back
-     * end.
+     * Records a refusal and returns its weight in the health of the back end; one that another back
+     * end reports weighs more than that of a full back end.
      */
-    void recordRefusal(BackEnd backEnd, boolean isReportedByAnother) {
-        mHealth.recordFailure(backEnd.id(), isReportedByAnother ? BROKEN_WEIGHT : REFUSAL_WEIGHT);
+    double recordRefusal(BackEnd backEnd, boolean isReportedByAnother) {
+        double weight = isReportedByAnother ? BROKEN_WEIGHT : REFUSAL_WEIGHT;
+        mHealth.recordFailure(backEnd.id(), weight);
+        return weight;
     }
 
-    void recordFailure(BackEnd backEnd, Fingerprint request, RattanportException error) {
+    /** Records a failure and returns its weight in the health of the back end. */
+    double recordFailure(BackEnd backEnd, Fingerprint request, RattanportException error) {
         double weight =
                 switch (error.verdict()) {
                     case NOT_RUN -> NO_CONNECTION_WEIGHT;
@@ -59,5 +62,6 @@
         if (mayHaveDied) {
             mSuspicions.recordDeath(request, new TargetId(backEnd.id(), backEnd.startWallMillis()));
         }
+        return weight;
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Placement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Placement.java
@@ -1,9 +1,13 @@
 package org.rattanport.decisions.gateway;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.EngineShare;
 import org.rattanport.kernel.gateway.EngineWork;
 
 /**
@@ -14,12 +18,49 @@
  * @param reservations memory that the prefill engines lease for their parts; empty if none is
  *     needed
  * @param work the share of each engine; empty for plain services
+ * @param cost predicted cost in units of the weight of the work
  */
 public record Placement(
         BackEnd backEnd,
         List<BackEnd> prefillEngines,
         List<Reservation> reservations,
-        Optional<EngineWork> work) {
+        Optional<EngineWork> work,
+        double cost) {
+    /**
+     * Returns the placement of the work; empty if one of its engines is unknown.
+     *
+     * @param find returns the engine with an id
+     */
+    static Optional<Placement> of(
+            EngineWork work, double cost, Function<String, Optional<BackEnd>> find) {
+        List<BackEnd> prefillEngines = new ArrayList<>();
+        List<Reservation> reservations = new ArrayList<>();
+        Optional<BackEnd> decodeEngine = Optional.empty();
+        // Each attempt has new lease ids, as engines may still be ending an earlier attempt.
+        String leasePrefix =
+                work.attemptId()
+                        + "-"
+                        + Long.toString(
+                                ThreadLocalRandom.current().nextLong() >>> 1, Character.MAX_RADIX);
+        for (EngineShare share : work.shares()) {
+            Optional<BackEnd> engine = find.apply(share.engineId());
+            if (engine.isEmpty()) {
+                return Optional.empty();
+            }
+            if (share.isDecodeEngine()) {
+                decodeEngine = engine;
+                continue;
+            }
+            prefillEngines.add(engine.get());
+            if (share.memoryTokens() > 0) {
+                String id = leasePrefix + "-" + reservations.size();
+                reservations.add(new Reservation(engine.get(), id, share.memoryTokens()));
+            }
+        }
+        return decodeEngine.map(
+                each -> new Placement(each, prefillEngines, reservations, Optional.of(work), cost));
+    }
+
     /** The lease id of a prefill engine, if it leases memory. */
     public Optional<String> leaseId(BackEnd prefillEngine) {
         return reservations.stream()
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/PlacementCoordinator.java
@@ -0,0 +1,80 @@
+package org.rattanport.decisions.gateway;
+
+import java.util.Optional;
+import org.rattanport.kernel.gateway.BackEndService;
+import org.rattanport.kernel.gateway.PlacementDemand;
+import org.rattanport.kernel.gateway.WorkUpdate;
+import org.rattanport.kernel.peer.PeerMessage;
+import org.rattanport.kernel.peer.PeerNetwork;
+
+/**
+ * Places prompts for the instances that choose this one as the coordinator of a group of engines.
+ * One decision at a time sees all earlier ones, so that two prompts never take the same free
+ * engine. Two coordinators of a group only make the load estimates less exact.
+ */
+final class PlacementCoordinator {
+    private final ActiveRouting mRouting;
+    private final BackEndPlacement mPlacement;
+    private final WorkTracker mTracker;
+    private final BackEndHealth mHealth;
+
+    PlacementCoordinator(
+            ActiveRouting routing,
+            BackEndPlacement placement,
+            WorkTracker tracker,
+            BackEndHealth health) {
+        mRouting = routing;
+        mPlacement = placement;
+        mTracker = tracker;
+        mHealth = health;
+    }
+
+    /** Registers the handlers of placements and work updates with the peer network. */
+    void registerHandlers(PeerNetwork peers) {
+        peers.registerHandler(PeerMessage.PlacementRequest.class, this::handle);
+        peers.registerHandler(
+                PeerMessage.WorkUpdates.class,
+                batch -> {
+                    batch.updates().forEach(this::apply);
+                    return new PeerMessage.Received();
+                });
+        peers.registerHandler(
+                PeerMessage.PendingPrefillRequest.class,
+                request ->
+                        new PeerMessage.PendingPrefillReply(
+                                mTracker.remainingPrefill(request.engineId()).toMillis()));
+    }
+
+    /** Places the prompt and records its work. */
+    synchronized Optional<Placement> place(PlacementQuery query) {
+        Optional<Placement> placement = mPlacement.place(query);
+        placement.flatMap(Placement::work).ifPresent(mTracker::placed);
+        return placement;
+    }
+
+    private PeerMessage handle(PeerMessage.PlacementRequest request) {
+        request.updates().forEach(this::apply);
+        PlacementDemand demand = request.demand();
+        Optional<BackEndService> service =
+                mRouting.current()
+                        .flatMap(table -> table.service(demand.service()))
+                        .filter(each -> each.engineSpec().isPresent());
+        if (service.isEmpty()) {
+            return new PeerMessage.Unhandled();
+        }
+        Optional<Placement> placement = place(new PlacementQuery(service.get(), demand));
+        return new PeerMessage.PlacementReply(
+                placement.flatMap(Placement::work),
+                placement.map(Placement::cost).orElse(Double.MAX_VALUE));
+    }
+
+    private void apply(WorkUpdate update) {
+        switch (update) {
+            case WorkUpdate.Placed placed -> mTracker.placed(placed.work());
+            case WorkUpdate.Decoding started -> mTracker.decodeStarted(started.attemptId());
+            case WorkUpdate.Ended ended -> mTracker.ended(ended.attemptId());
+            case WorkUpdate.EngineFailed failed ->
+                    mHealth.recordFailure(failed.engineId(), failed.weight());
+        }
+    }
+}
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/PromptPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/PromptPlacement.java
@@ -3,9 +3,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineShare;
 import org.rattanport.kernel.gateway.EngineSpec;
@@ -39,7 +43,7 @@
     private record Prompt(
             PlacementQuery query, ForwardPassModel model, PromptSize size, double weight) {
         double maxGapMillis() {
-            return query.maxEventGap().toMillis();
+            return query.demand().maxEventGap().toMillis();
         }
 
         double partMillis(int parts) {
@@ -51,6 +55,9 @@
         }
     }
 
+    /** A candidate with its cost as the prefill engine of a part. */
+    private record RatedCandidate(Candidate candidate, double cost) {}
+
     private record Plan(
             Candidate decodeEngine,
             List<Candidate> prefillEngines,
@@ -66,6 +73,7 @@
     private final WorkTracker mTracker;
     private final PlacementTuning mTuning;
     private final Random mRandom;
+    private final EngineGroupIndex mGroups = new EngineGroupIndex();
 
     public PromptPlacement(
             BackEndRegistry registry,
@@ -82,7 +90,7 @@
 
     @Override
     public Optional<Placement> place(PlacementQuery query) {
-        PromptSize size = query.request().promptSize().orElse(DEFAULT_SIZE);
+        PromptSize size = query.demand().size().orElse(DEFAULT_SIZE);
         double weight =
                 Math.max(1, Math.pow(size.promptTokens() / REFERENCE_TOKENS, WEIGHT_EXPONENT));
         Prompt prompt =
@@ -103,6 +111,7 @@
         List<Candidate> all =
                 mRegistry.available(query.service().name()).stream()
                         .filter(each -> !query.excluded().contains(each.id()))
+                        .filter(each -> mGroups.contains(query.demand().group(), each.id()))
                         .map(
                                 each ->
                                         new Candidate(
@@ -122,24 +131,36 @@
 
     private Plan plan(Prompt prompt, List<Candidate> candidates, int parts) {
         double partMillis = prompt.partMillis(parts);
-        Candidate decodeEngine =
+        List<RatedCandidate> rated =
                 candidates.stream()
-                        .min(
-                                Comparator.comparingDouble(
-                                        each -> decodeCost(prompt, each, parts, partMillis)))
+                        .map(
+                                each ->
+                                        new RatedCandidate(
+                                                each, prefillCost(prompt, each, partMillis)))
+                        .toList();
+        RatedCandidate decode =
+                rated.stream()
+                        .map(
+                                each ->
+                                        new RatedCandidate(
+                                                each.candidate(),
+                                                each.cost()
+                                                        + decodeExtraCost(
+                                                                prompt, each.candidate(), parts)))
+                        .min(Comparator.comparingDouble(RatedCandidate::cost))
                         .orElseThrow();
+        Candidate decodeEngine = decode.candidate();
         List<Candidate> prefillEngines =
-                candidates.stream()
-                        .filter(each -> each != decodeEngine)
-                        .sorted(
-                                Comparator.comparingDouble(
-                                        each -> prefillCost(prompt, each, partMillis)))
-                        .limit(parts - 1L)
-                        .toList();
+                parts == 1
+                        ? List.of()
+                        : rated.stream()
+                                .filter(each -> each.candidate() != decodeEngine)
+                                .sorted(Comparator.comparingDouble(RatedCandidate::cost))
+                                .limit(parts - 1L)
+                                .map(RatedCandidate::candidate)
+                                .toList();
         double firstEventMillis = prefillFinishMillis(prompt, decodeEngine, partMillis);
-        double cost =
-                decodeCost(prompt, decodeEngine, parts, partMillis)
-                        - latenessCost(prompt, firstEventMillis);
+        double cost = decode.cost() - latenessCost(prompt, firstEventMillis);
         for (Candidate prefillEngine : prefillEngines) {
             firstEventMillis =
                     Math.max(
@@ -172,7 +193,7 @@
     /** Cost of a first event at that time for the request. */
     private double latenessCost(Prompt prompt, double firstEventMillis) {
         double objectiveShare =
-                firstEventMillis / Math.max(1, prompt.query().objective().toMillis());
+                firstEventMillis / Math.max(1, prompt.query().demand().objective().toMillis());
         double scaled = (objectiveShare - mTuning.objectiveMidpoint()) / mTuning.objectiveSpread();
         return prompt.weight()
                 * (1 / (1 + Math.exp(-scaled)) + mTuning.latencyCost() * objectiveShare);
@@ -184,15 +205,15 @@
                 + candidate.penalty();
     }
 
-    private double decodeCost(Prompt prompt, Candidate candidate, int parts, double partMillis) {
+    /** Cost of the decode engine besides that of its prefill part. */
+    private double decodeExtraCost(Prompt prompt, Candidate candidate, int parts) {
         EngineLoadEstimate load = candidate.load();
         EngineSpec spec = prompt.model().spec();
         double slotUsage = (load.decodes().size() + 1.0) / spec.slots();
         double slotCost = mTuning.slotUsageCost() * Math.pow(slotUsage, 4);
         boolean isFull = slotUsage > 1 || lacksMemory(prompt, load, parts);
         boolean isFirstDecode = !load.hasDecodeWithMaxGap(prompt.maxGapMillis());
-        return prefillCost(prompt, candidate, partMillis)
-                + slotCost
+        return slotCost
                 + (isFull ? mTuning.noCapacityCost() : 0)
                 + (isFirstDecode ? mTuning.firstDecodeCost() : 0);
     }
@@ -223,35 +244,37 @@
                                 > freeMemoryTokens(prompt, plan.decodeEngine().load());
         int leasedTokens = isLeased ? partTokens : 0;
         int decodeEngineTokens = (int) prompt.neededTokens() - leasedTokens * (parts - 1);
-        String attemptId = prompt.query().request().attemptId();
         List<EngineShare> shares = new ArrayList<>();
-        List<Reservation> reservations = new ArrayList<>();
-        // Each attempt has new lease ids, as engines may still be ending an earlier attempt.
-        String leasePrefix =
-                attemptId + "-" + Long.toString(mRandom.nextLong() >>> 1, Character.MAX_RADIX);
-        BackEnd decodeBackEnd = plan.decodeEngine().backEnd();
         shares.add(
                 new EngineShare(
-                        decodeBackEnd.id(), partTokens, partMillis, decodeEngineTokens, true));
+                        plan.decodeEngine().backEnd().id(),
+                        partTokens,
+                        partMillis,
+                        decodeEngineTokens,
+                        true));
         for (Candidate prefillEngine : plan.prefillEngines()) {
-            BackEnd engine = prefillEngine.backEnd();
-            shares.add(new EngineShare(engine.id(), partTokens, partMillis, leasedTokens, false));
-            if (isLeased) {
-                String id = leasePrefix + "-" + reservations.size();
-                reservations.add(new Reservation(engine, id, leasedTokens));
-            }
+            shares.add(
+                    new EngineShare(
+                            prefillEngine.backEnd().id(),
+                            partTokens,
+                            partMillis,
+                            leasedTokens,
+                            false));
         }
         EngineWork work =
                 new EngineWork(
-                        attemptId,
+                        prompt.query().demand().attemptId(),
                         shares,
                         plan.firstEventMillis(),
                         decodeMillis(prompt, plan.decodeEngine(), decodeEngineTokens),
                         prompt.maxGapMillis(),
                         prompt.weight());
-        List<BackEnd> prefillEngines =
-                plan.prefillEngines().stream().map(Candidate::backEnd).toList();
-        return new Placement(decodeBackEnd, prefillEngines, reservations, Optional.of(work));
+        Map<String, BackEnd> engines =
+                Stream.concat(Stream.of(plan.decodeEngine()), plan.prefillEngines().stream())
+                        .map(Candidate::backEnd)
+                        .collect(Collectors.toMap(BackEnd::id, Function.identity()));
+        return Placement.of(work, plan.cost(), id -> Optional.ofNullable(engines.get(id)))
+                .orElseThrow();
     }
 
     private static double decodeMillis(
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/StoreReaders.java
@@ -0,0 +1,63 @@
+package org.rattanport.decisions.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
+import org.rattanport.decisions.membership.MemberTable;
+import org.rattanport.kernel.model.RendezvousHash;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.peer.MemberState;
+
+/**
+ * Chooses the instances that read the store for the others: one in each data centre, by rendezvous
+ * hashing over the members. Members that start or drain count, as they read the store anyway or
+ * still respond.
+ */
+final class StoreReaders {
+    private static final String KEY = "store-reader";
+
+    private final MemberTable mMembers;
+
+    StoreReaders(MemberTable members) {
+        mMembers = members;
+    }
+
+    /** Whether this instance is the reader of its data centre. */
+    boolean isReader() {
+        return readers().stream().anyMatch(each -> each.id().equals(mMembers.self().id()));
+    }
+
+    /** The other readers; that of this instance's data centre is the first. */
+    List<Member> others() {
+        Member self = mMembers.self();
+        List<Member> others =
+                readers().stream().filter(each -> !each.id().equals(self.id())).toList();
+        List<Member> ordered =
+                new ArrayList<>(
+                        RendezvousHash.order(self.id().name(), others, each -> each.id().name()));
+        ordered.sort((one, other) -> Boolean.compare(isRemote(one, self), isRemote(other, self)));
+        return ordered;
+    }
+
+    private static boolean isRemote(Member member, Member self) {
+        return !member.dataCentre().equals(self.dataCentre());
+    }
+
+    private List<Member> readers() {
+        Map<String, List<Member>> byDataCentre =
+                mMembers.members().stream()
+                        .filter(
+                                each ->
+                                        each.state() == MemberState.ALIVE
+                                                || each.state() == MemberState.LEAVING)
+                        .collect(
+                                Collectors.groupingBy(
+                                        Member::dataCentre, TreeMap::new, Collectors.toList()));
+        return byDataCentre.values().stream()
+                .map(members -> RendezvousHash.order(KEY, members, each -> each.id().name()))
+                .map(List::getFirst)
+                .toList();
+    }
+}
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/WorkNotifier.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/WorkNotifier.java
@@ -1,15 +1,21 @@
 package org.rattanport.decisions.gateway;
 
-import org.rattanport.kernel.gateway.EngineWork;
+import java.time.Duration;
 
-/** Receives the progress of this instance's requests at engines, to record it and notify peers. */
+/**
+ * Receives the progress of this instance's prompts at engines, for the load estimates by which
+ * later prompts are placed.
+ */
 public interface WorkNotifier {
-    /** The request was placed on its engines. */
-    void placed(EngineWork work);
-
     /** The first event of the request arrived. */
     void decodeStarted(String attemptId);
 
     /** The request ended at its engines. */
     void ended(String attemptId);
+
+    /** The engine failed the request; the weight is that in the health of the engine. */
+    void engineFailed(String attemptId, String engineId, double weight);
+
+    /** Predicts how long the engine of the request still prefills. */
+    Duration remainingPrefill(String attemptId, String engineId);
 }
--- a/decisions/src/main/java/org/rattanport/decisions/membership/Prober.java
+++ b/decisions/src/main/java/org/rattanport/decisions/membership/Prober.java
@@ -14,6 +14,7 @@
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.model.RendezvousHash;
 import org.rattanport.kernel.peer.Member;
 import org.rattanport.kernel.peer.MemberState;
 import org.rattanport.kernel.peer.PeerMessage;
@@ -25,15 +26,19 @@
 import org.rattanport.kernel.time.TimeSource;
 
 /**
- * The SWIM failure detector. Each round probes one member, in a shuffled order that covers all
- * members, so the cost of a round does not grow with the cluster. A member that acknowledges
- * neither a direct ping nor an indirect one becomes suspect, and dead if it does not refute the
- * suspicion in time. The timeout is counted in local rounds, so an instance that was paused does
- * not declare members dead for the time of its own pause.
+ * The SWIM failure detector. Each round probes one member. An instance probes only the members at
+ * distances of powers of two from it, in a ring that all instances order alike: each member is
+ * probed equally often, rumors reach all members in few rounds, and the connections of an instance
+ * grow with the logarithm of the cluster. A member that acknowledges neither a direct ping nor an
+ * indirect one becomes suspect, and dead if it does not refute the suspicion in time. The timeout
+ * is counted in local rounds, so an instance that was paused does not declare members dead for the
+ * time of its own pause.
  */
 public final class Prober {
     private static final Logger LOGGER = Logger.getLogger(Prober.class);
 
+    private static final String RING_KEY = "probe-ring";
+
     private final MemberTable mTable;
     private final Gossip mGossip;
     private final PeerNetwork mPeers;
@@ -71,10 +76,7 @@
 
     private java.util.Optional<Member> nextMember() {
         if (mProbeOrder.isEmpty()) {
-            List<String> names = new ArrayList<>();
-            mTable.members().stream()
-                    .filter(each -> !each.id().equals(mTable.self().id()))
-                    .forEach(each -> names.add(each.id().name()));
+            List<String> names = ringNeighbours();
             Collections.shuffle(names, mRandom);
             mProbeOrder.addAll(names);
         }
@@ -83,6 +85,33 @@
                 .filter(each -> each.state() != MemberState.DEAD);
     }
 
+    private List<String> ringNeighbours() {
+        List<String> ring =
+                RendezvousHash.order(RING_KEY, mTable.members(), each -> each.id().name()).stream()
+                        .map(each -> each.id().name())
+                        .toList();
+        int position = ring.indexOf(mTable.self().id().name());
+        List<String> neighbours = new ArrayList<>();
+        for (int distance = 1; distance < ring.size(); distance *= 2) {
+            neighbours.add(ring.get((position + distance) % ring.size()));
+        }
+        return neighbours;
+    }
+
+    /** Probes at once the member to which a connection broke, as its process may have ended. */
+    public void probeLostPeer(String peerAddress) {
+        mTable.aliveMembers().stream()
+                .filter(each -> each.peerAddress().equals(peerAddress))
+                .filter(each -> !each.id().equals(mTable.self().id()))
+                .forEach(each -> Tasks.start("probe-lost-peer", () -> probeLost(each)));
+    }
+
+    private void probeLost(Member member) {
+        if (!ping(member)) {
+            mTable.markState(member.id(), MemberState.SUSPECT);
+        }
+    }
+
     private void probe(Member member) {
         if (!ping(member) && !pingIndirectly(member)) {
             LOGGER.debugf(
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -17,6 +18,7 @@
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.FleetSource;
 import org.rattanport.kernel.gateway.RoutingDocument;
+import org.rattanport.kernel.gateway.SourcedDocument;
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.ManualTimeSource;
 
@@ -26,15 +28,22 @@
     private final ActiveRouting mRouting = new ActiveRouting(new EventStreams());
     private final BackEndRegistry mRegistry = new BackEndRegistry(mTime);
     private final ScriptedSource mSource = new ScriptedSource();
+    private final FleetState mState = new FleetState(mRouting, mRegistry, () -> {}, mTime);
+    private final ReaderRole mRole = new ReaderRole();
     private final FleetFollower mFollower =
-            new FleetFollower(mSource, mRouting, mRegistry, () -> {}, mTime);
+            new FleetFollower(mSource, mState, mRole, mTime, new Random(1));
+
+    FleetFollowerTest() {
+        mRole.set(ReaderRole.Role.READER);
+    }
+
     private final BackEnd mOne = TestFleet.backEnd("one", TestFleet.CALLS, false);
     private final BackEnd mTwo = TestFleet.backEnd("two", TestFleet.CALLS, false);
 
     /** Returns scripted results; closes the follower when the script ends. */
     private final class ScriptedSource implements FleetSource {
         private final Deque<Supplier<RegistryChange>> mRegistryScript = new ArrayDeque<>();
-        private final Deque<Supplier<Versioned<RoutingDocument>>> mDocumentScript =
+        private final Deque<Supplier<Versioned<SourcedDocument>>> mDocumentScript =
                 new ArrayDeque<>();
         private final List<String> mCalls = new ArrayList<>();
 
@@ -47,17 +56,22 @@
         }
 
         @Override
-        public Versioned<RoutingDocument> readDocument(Deadline deadline) {
+        public Versioned<SourcedDocument> readDocument(Deadline deadline) {
             mCalls.add("read");
             return next(mDocumentScript, new Versioned<>(0, Optional.empty()));
         }
 
         @Override
-        public Versioned<RoutingDocument> awaitDocument(long after, Duration maxWait) {
+        public Versioned<SourcedDocument> awaitDocument(long after, Duration maxWait) {
             mCalls.add("await " + after);
             return next(mDocumentScript, new Versioned<>(after, Optional.empty()));
         }
 
+        @Override
+        public RoutingDocument parseDocument(byte[] source) {
+            throw new UnsupportedOperationException("only readers' updates are parsed again");
+        }
+
         @Override
         public RegistryChange readRegistry(Deadline deadline) {
             mCalls.add("read");
@@ -88,10 +102,12 @@
         return () -> new FleetSource.RegistryChange(version, present, List.of(removed));
     }
 
-    private static Supplier<FleetSource.Versioned<RoutingDocument>> document(
+    private static Supplier<FleetSource.Versioned<SourcedDocument>> document(
             long position, long version) {
         return () ->
-                new FleetSource.Versioned<>(position, Optional.of(TestFleet.document(version)));
+                new FleetSource.Versioned<>(
+                        position,
+                        Optional.of(new SourcedDocument(TestFleet.document(version), new byte[0])));
     }
 
     @Nested
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FleetStateTest.java
@@ -0,0 +1,130 @@
+package org.rattanport.decisions.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
+import org.rattanport.kernel.gateway.FleetUpdate;
+import org.rattanport.kernel.gateway.FleetUpdate.RegistryUpdate;
+import org.rattanport.kernel.gateway.SourcedDocument;
+import org.rattanport.kernel.time.ManualTimeSource;
+
+/** What an instance passes on to others, and what it accepts from them. */
+final class FleetStateTest {
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final Node mReader = new Node();
+    private final Node mFollower = new Node();
+    private final BackEnd mOne = TestFleet.backEnd("one", TestFleet.CALLS, false);
+    private final BackEnd mTwo = TestFleet.backEnd("two", TestFleet.CALLS, false);
+    private final BackEnd mTwoDraining = TestFleet.backEnd("two", TestFleet.CALLS, true);
+
+    /** The state of one instance. */
+    private final class Node {
+        private final ActiveRouting mRouting = new ActiveRouting(new EventStreams());
+        private final BackEndRegistry mRegistry = new BackEndRegistry(mTime);
+        private final FleetState mState = new FleetState(mRouting, mRegistry, () -> {}, mTime);
+
+        private FleetUpdate updateFor(Node other) {
+            return mState.await(
+                    other.mState.documentVersion(), other.mState.registryVersion(), Duration.ZERO);
+        }
+
+        private void take(FleetUpdate update) {
+            update.registry().ifPresent(mState::recordPeerUpdate);
+        }
+    }
+
+    @BeforeEach
+    void setUp() {
+        mReader.mState.recordFullRead(change(10, List.of(mOne, mTwo)), false);
+        mFollower.take(mReader.updateFor(mFollower));
+    }
+
+    private static RegistryChange change(long version, List<BackEnd> present, String... removed) {
+        return new RegistryChange(version, present, List.of(removed));
+    }
+
+    @Nested
+    final class Registry {
+        @Test
+        void shouldReachAnInstanceThatReadsNothingItself() {
+            assertThat(mFollower.mRegistry.available(TestFleet.CALLS)).containsExactly(mOne, mTwo);
+            assertThat(mFollower.mRegistry.isInitialized()).isTrue();
+        }
+
+        @Test
+        void shouldPassOnOnlyChanges() {
+            mReader.mState.recordChange(change(12, List.of(mTwoDraining)), false);
+            RegistryUpdate update = mReader.updateFor(mFollower).registry().orElseThrow();
+            assertThat(update.isFull()).isFalse();
+            assertThat(update.change().present()).containsExactly(mTwoDraining);
+            mFollower.mState.recordPeerUpdate(update);
+            assertThat(mFollower.mRegistry.available(TestFleet.CALLS)).containsExactly(mOne);
+        }
+
+        @Test
+        void shouldPassOnTheLastOfSeveralChanges() {
+            mReader.mState.recordChange(change(12, List.of(), "two"), false);
+            mReader.mState.recordChange(change(14, List.of(mTwo), "one"), false);
+            mFollower.take(mReader.updateFor(mFollower));
+            assertThat(mFollower.mRegistry.available(TestFleet.CALLS)).containsExactly(mTwo);
+        }
+
+        @Test
+        void shouldNotGoBackThroughAReaderThatIsBehind() {
+            Node stale = new Node();
+            stale.mState.recordFullRead(change(9, List.of(mOne)), false);
+            mFollower.mState.recordChange(change(12, List.of(), "one"), false);
+            assertThat(stale.updateFor(mFollower).registry()).isEqualTo(Optional.empty());
+            mFollower.mState.recordPeerUpdate(
+                    new RegistryUpdate(change(9, List.of(mOne)), true, false));
+            assertThat(mFollower.mRegistry.available(TestFleet.CALLS)).containsExactly(mTwo);
+        }
+
+        @Test
+        void shouldPassOnAllEntriesToAnInstanceFarBehind() {
+            LongStream.range(20, 1_000)
+                    .forEach(
+                            version ->
+                                    mReader.mState.recordChange(
+                                            change(version, List.of(mTwo)), false));
+            mReader.mState.recordChange(change(1_000, List.of(), "one"), false);
+            RegistryUpdate update = mReader.updateFor(mFollower).registry().orElseThrow();
+            assertThat(update.isFull()).isTrue();
+            mFollower.mState.recordPeerUpdate(update);
+            assertThat(mFollower.mRegistry.available(TestFleet.CALLS)).containsExactly(mTwo);
+        }
+
+        @Test
+        void shouldGrantLapsedEntriesTheirGracePeriodEverywhere() {
+            mReader.mState.recordFullRead(change(20, List.of(mTwo)), true);
+            mFollower.take(mReader.updateFor(mFollower));
+            assertThat(mFollower.mRegistry.available(TestFleet.CALLS)).containsExactly(mOne, mTwo);
+            mTime.advance(Duration.ofSeconds(3));
+            assertThat(mFollower.mRegistry.available(TestFleet.CALLS)).containsExactly(mTwo);
+        }
+    }
+
+    @Nested
+    final class Document {
+        @Test
+        void shouldBePassedOnOnlyToInstancesWithAnEarlierOne() {
+            byte[] source = {1, 2, 3};
+            mReader.mState.recordDocument(new SourcedDocument(TestFleet.document(4), source));
+            assertThat(mReader.updateFor(mFollower).documentSource().orElseThrow())
+                    .isEqualTo(source);
+            mFollower.mState.recordDocument(new SourcedDocument(TestFleet.document(5), source));
+            assertThat(mReader.updateFor(mFollower).documentSource()).isEqualTo(Optional.empty());
+            mFollower.mState.recordDocument(new SourcedDocument(TestFleet.document(4), source));
+            assertThat(mFollower.mState.documentVersion()).isEqualTo(5);
+        }
+    }
+}
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -26,7 +26,6 @@
 import org.rattanport.kernel.gateway.BackEndExchange;
 import org.rattanport.kernel.gateway.CallerExchange;
 import org.rattanport.kernel.gateway.EngineMemoryClient;
-import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.ResponseHead;
 import org.rattanport.kernel.gateway.RouteKind;
@@ -99,7 +98,6 @@
                         new OutcomeRecorder(mHealth, new SuspicionTable(mTime, rumor -> {})),
                         loadTable,
                         new NoOpWorkNotifier(),
-                        new WorkTracker(mTime),
                         retryBudget,
                         mEvents,
                         mTime);
@@ -362,14 +360,19 @@
     }
 
     private static final class NoOpWorkNotifier implements WorkNotifier {
-        @Override
-        public void placed(EngineWork work) {}
-
         @Override
         public void decodeStarted(String id) {}
 
         @Override
         public void ended(String id) {}
+
+        @Override
+        public void engineFailed(String id, String engineId, double weight) {}
+
+        @Override
+        public Duration remainingPrefill(String id, String engineId) {
+            return Duration.ZERO;
+        }
     }
 
     private static final class GrantingMemoryClient implements EngineMemoryClient {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/PromptPlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/PromptPlacementTest.java
@@ -5,7 +5,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
-import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -38,10 +37,7 @@
                 .place(
                         new PlacementQuery(
                                 TestFleet.engineService(),
-                                TestFleet.request("/", tokens),
-                                objective,
-                                maxGap,
-                                Set.of(excluded)))
+                                TestFleet.demand(tokens, objective, maxGap, excluded)))
                 .orElseThrow();
     }
 
@@ -176,10 +172,8 @@
                             mPlacement.place(
                                     new PlacementQuery(
                                             TestFleet.engineService(),
-                                            TestFleet.request("/", 5_000),
-                                            SHORT_OBJECTIVE,
-                                            SHORT_OBJECTIVE,
-                                            Set.of())))
+                                            TestFleet.demand(
+                                                    5_000, SHORT_OBJECTIVE, SHORT_OBJECTIVE))))
                     .isEmpty();
         }
     }
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ReaderFollowerTest.java
@@ -0,0 +1,188 @@
+package org.rattanport.decisions.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.membership.MemberTable;
+import org.rattanport.decisions.membership.RumorQueue;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.gateway.FleetSource;
+import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
+import org.rattanport.kernel.gateway.FleetUpdate;
+import org.rattanport.kernel.gateway.FleetUpdate.RegistryUpdate;
+import org.rattanport.kernel.gateway.RoutingDocument;
+import org.rattanport.kernel.gateway.SourcedDocument;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.peer.MemberState;
+import org.rattanport.kernel.peer.PeerHandler;
+import org.rattanport.kernel.peer.PeerMessage;
+import org.rattanport.kernel.peer.PeerNetwork;
+import org.rattanport.kernel.task.Tasks;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.ManualTimeSource;
+
+/** Reads by peers, and the moment at which an instance reads the store itself. */
+final class ReaderFollowerTest {
+    private static final RegistryChange CHANGE =
+            new RegistryChange(
+                    10, List.of(TestFleet.backEnd("one", TestFleet.CALLS, false)), List.of());
+
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final MemberTable mMembers =
+            new MemberTable(member("self"), new RumorQueue(), new EventStreams());
+    private final BackEndRegistry mRegistry = new BackEndRegistry(mTime);
+    private final FleetState mState =
+            new FleetState(new ActiveRouting(new EventStreams()), mRegistry, () -> {}, mTime);
+    private final ReaderRole mRole = new ReaderRole();
+    private final ScriptedReaders mPeers = new ScriptedReaders();
+    private final ReaderFollower mFollower =
+            new ReaderFollower(
+                    new StoreReaders(mMembers), mRole, mState, new NoSource(), mPeers, mTime);
+
+    private static Member member(String name) {
+        return new Member(new InstanceId(name, 1), "c-" + name, name, name, MemberState.ALIVE, 0);
+    }
+
+    /** Readers that respond, have no store, or are silent. */
+    private final class ScriptedReaders implements PeerNetwork {
+        private boolean mIsSilent;
+        private boolean mHasStore = true;
+        private Optional<RegistryUpdate> mUpdate = Optional.empty();
+        private int mCallsUntilClose = 20;
+
+        @Override
+        public PeerMessage call(String peerAddress, PeerMessage request, Deadline deadline) {
+            if (--mCallsUntilClose == 0) {
+                mRole.close();
+            }
+            mTime.advance(Duration.ofMillis(500));
+            if (mIsSilent) {
+                throw new RattanportException(ErrorCode.PEER_UNREACHABLE, "silent");
+            }
+            return new PeerMessage.FleetReply(
+                    new FleetUpdate(mHasStore, Optional.empty(), mUpdate));
+        }
+
+        @Override
+        public void send(String peerAddress, PeerMessage message, Deadline deadline) {}
+
+        @Override
+        public <T extends PeerMessage> void registerHandler(
+                Class<T> type, PeerHandler<T> handler) {}
+    }
+
+    private static final class NoSource implements FleetSource {
+        @Override
+        public Versioned<SourcedDocument> readDocument(Deadline deadline) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Versioned<SourcedDocument> awaitDocument(long after, Duration maxWait) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public RoutingDocument parseDocument(byte[] source) {
+            return TestFleet.document(source[0]);
+        }
+
+        @Override
+        public RegistryChange readRegistry(Deadline deadline) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public RegistryChange awaitRegistryChange(long after, Duration maxWait) {
+            throw new UnsupportedOperationException();
+        }
+    }
+
+    /** Adds a reader in this instance's data centre, so that this instance is none. */
+    private void addReaders() {
+        mMembers.markState(mMembers.self().id(), MemberState.ALIVE);
+        mMembers.merge(
+                new Member(
+                        new InstanceId("reader-b", 1), "c", "reader-b", "b", MemberState.ALIVE, 0));
+        for (int i = 0; new StoreReaders(mMembers).isReader(); i++) {
+            mMembers.merge(
+                    new Member(
+                            new InstanceId("reader-" + i, 1),
+                            "c",
+                            "reader-" + i,
+                            "self",
+                            MemberState.ALIVE,
+                            0));
+        }
+    }
+
+    @Nested
+    final class Follower {
+        @Test
+        void shouldApplyWhatAReaderHasRead() {
+            addReaders();
+            mPeers.mUpdate = Optional.of(new RegistryUpdate(CHANGE, true, false));
+            mFollower.followUntilClosed();
+            assertThat(mRegistry.available(TestFleet.CALLS))
+                    .containsExactlyElementsIn(CHANGE.present());
+            assertThat(mRole.current()).isEqualTo(ReaderRole.Role.FOLLOWER);
+        }
+
+        @Test
+        void shouldReadTheStoreWhenReadersAreSilent() {
+            addReaders();
+            mPeers.mIsSilent = true;
+            mFollower.followUntilClosed();
+            assertThat(mRole.current()).isEqualTo(ReaderRole.Role.STAND_IN);
+        }
+
+        @Test
+        void shouldReadTheStoreWhenItRespondsToNoReader() {
+            addReaders();
+            mPeers.mHasStore = false;
+            mFollower.followUntilClosed();
+            assertThat(mRole.current()).isEqualTo(ReaderRole.Role.STAND_IN);
+        }
+    }
+
+    @Nested
+    final class Reader {
+        @Test
+        void shouldReadTheStoreAlthoughOtherReadersRespond() {
+            mMembers.merge(member("b"));
+            mFollower.followUntilClosed();
+            assertThat(mRole.current()).isEqualTo(ReaderRole.Role.READER);
+        }
+    }
+
+    @Nested
+    final class WaitingForTheRole {
+        @AfterEach
+        void close() {
+            mRole.close();
+        }
+
+        @Test
+        void shouldEndWhenTheInstanceBecomesAReader() throws InterruptedException {
+            CountDownLatch isReading = new CountDownLatch(1);
+            Tasks.start(
+                    "wait",
+                    () -> {
+                        mRole.awaitReading();
+                        isReading.countDown();
+                    });
+            mRole.set(ReaderRole.Role.READER);
+            assertThat(isReading.await(20, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+}
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/StoreReadersTest.java
@@ -0,0 +1,81 @@
+package org.rattanport.decisions.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.membership.MemberTable;
+import org.rattanport.decisions.membership.RumorQueue;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.peer.MemberState;
+
+/** Which instances read the store for the others. */
+final class StoreReadersTest {
+    private static final List<String> DATA_CENTRES = List.of("a", "b", "c");
+    private static final int MEMBERS = 30;
+
+    private final List<MemberTable> mTables = new ArrayList<>();
+
+    StoreReadersTest() {
+        for (int i = 0; i < MEMBERS; i++) {
+            MemberTable table = new MemberTable(member(i), new RumorQueue(), new EventStreams());
+            for (int j = 0; j < MEMBERS; j++) {
+                table.merge(member(j));
+            }
+            mTables.add(table);
+        }
+    }
+
+    private static Member member(int index) {
+        return new Member(
+                new InstanceId("instance-" + index, 1),
+                "c-" + index,
+                "p-" + index,
+                DATA_CENTRES.get(index % DATA_CENTRES.size()),
+                MemberState.ALIVE,
+                0);
+    }
+
+    private List<MemberTable> readers() {
+        return mTables.stream().filter(each -> new StoreReaders(each).isReader()).toList();
+    }
+
+    @Nested
+    final class AgreeingMembers {
+        @Test
+        void shouldChooseOneReaderInEachDataCentre() {
+            assertThat(readers().stream().map(each -> each.self().dataCentre()))
+                    .containsExactlyElementsIn(DATA_CENTRES);
+        }
+
+        @Test
+        void shouldNameTheReaderOfTheOwnDataCentreFirst() {
+            for (MemberTable table : mTables) {
+                List<Member> others = new StoreReaders(table).others();
+                boolean isReader = new StoreReaders(table).isReader();
+                assertThat(others).hasSize(isReader ? 2 : 3);
+                assertThat(others.getFirst().dataCentre().equals(table.self().dataCentre()))
+                        .isEqualTo(!isReader);
+            }
+        }
+    }
+
+    @Nested
+    final class FailedReader {
+        @Test
+        void shouldBeReplacedInTheViewOfEachInstance() {
+            InstanceId failed = readers().getFirst().self().id();
+            mTables.forEach(each -> each.markState(failed, MemberState.SUSPECT));
+            for (MemberTable table : mTables) {
+                if (!table.self().id().equals(failed)) {
+                    assertThat(new StoreReaders(table).others().stream().map(Member::id))
+                            .doesNotContain(failed);
+                }
+            }
+        }
+    }
+}
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
@@ -10,8 +10,10 @@
 import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.CallerLimits;
 import org.rattanport.kernel.gateway.CallerRequest;
+import org.rattanport.kernel.gateway.EngineGroup;
 import org.rattanport.kernel.gateway.EngineSpec;
 import org.rattanport.kernel.gateway.GatewayAccount;
+import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.PromptSize;
 import org.rattanport.kernel.gateway.Route;
 import org.rattanport.kernel.gateway.RouteKind;
@@ -68,6 +70,21 @@
                 CallerLimits.DEFAULTS);
     }
 
+    /** A prompt to place at the engines; zero tokens for one without a declared size. */
+    static PlacementDemand demand(
+            int promptTokens, Duration objective, Duration maxGap, String... excluded) {
+        return new PlacementDemand(
+                "attempt-" + promptTokens,
+                ENGINES,
+                EngineGroup.ALL,
+                promptTokens == 0
+                        ? Optional.empty()
+                        : Optional.of(new PromptSize(promptTokens, 1_500)),
+                objective,
+                maxGap,
+                Set.of(excluded));
+    }
+
     static CallerRequest request(String path, int promptTokens) {
         return new CallerRequest(
                 "POST",
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/FleetSource.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/FleetSource.java
@@ -34,10 +34,13 @@
     }
 
     /** Reads the latest document. */
-    Versioned<RoutingDocument> readDocument(Deadline deadline);
+    Versioned<SourcedDocument> readDocument(Deadline deadline);
 
     /** Waits for a document that is newer than the version; the value is empty on timeout. */
-    Versioned<RoutingDocument> awaitDocument(long after, Duration maxWait);
+    Versioned<SourcedDocument> awaitDocument(long after, Duration maxWait);
+
+    /** Parses the bytes of a document that another instance passed on. */
+    RoutingDocument parseDocument(byte[] source);
 
     /** Reads the entries of all back ends. */
     RegistryChange readRegistry(Deadline deadline);
--- /dev/null
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/FleetUpdate.java
@@ -0,0 +1,30 @@
+package org.rattanport.kernel.gateway;
+
+import java.util.Optional;
+import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
+
+/**
+ * What another instance has read from the store after the versions that this instance has.
+ *
+ * @param isStoreAvailable whether the store responds to the other instance
+ * @param documentSource bytes of a newer routing document
+ * @param registry newer entries of the back-end registry
+ */
+public record FleetUpdate(
+        boolean isStoreAvailable,
+        Optional<byte[]> documentSource,
+        Optional<RegistryUpdate> registry) {
+    /**
+     * Newer entries of the registry.
+     *
+     * @param change the changes, or all back ends if the update is full
+     * @param isFull whether back ends that are not present are gone
+     * @param followsOutage whether registrations may have lapsed in an outage of the store
+     */
+    public record RegistryUpdate(RegistryChange change, boolean isFull, boolean followsOutage) {}
+
+    /** Whether the update contains anything new. */
+    public boolean isEmpty() {
+        return documentSource.isEmpty() && registry.isEmpty();
+    }
+}
--- /dev/null
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/PlacementDemand.java
@@ -0,0 +1,25 @@
+package org.rattanport.kernel.gateway;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * A prompt to place at the engines of a group.
+ *
+ * @param attemptId attempt id of the request
+ * @param service name of its service
+ * @param group engines that may run it
+ * @param size declared size of the prompt
+ * @param objective time within which the first event is on time
+ * @param maxEventGap longest gap between events that is on time
+ * @param excluded ids of engines that may not be used, because they failed or refused the request
+ */
+public record PlacementDemand(
+        String attemptId,
+        String service,
+        EngineGroup group,
+        Optional<PromptSize> size,
+        Duration objective,
+        Duration maxEventGap,
+        Set<String> excluded) {}
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/WorkUpdate.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/WorkUpdate.java
@@ -1,8 +1,8 @@
 package org.rattanport.kernel.gateway;
 
 /**
- * A work update that an instance sends to its peers about a request at engines, so that the load
- * estimates of all instances agree.
+ * A work update that an instance sends about its request to the instance that coordinates the
+ * placements at the engines.
  */
 public sealed interface WorkUpdate {
     /** Attempt id of the request. */
@@ -21,4 +21,13 @@
 
     /** The request no longer runs on any engine. */
     record Ended(String attemptId) implements WorkUpdate {}
+
+    /**
+     * An engine failed the request.
+     *
+     * @param attemptId attempt id of the request
+     * @param engineId id of the engine
+     * @param weight weight of the failure in the health of the engine
+     */
+    record EngineFailed(String attemptId, String engineId, double weight) implements WorkUpdate {}
 }
--- a/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
+++ b/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
@@ -1,8 +1,12 @@
 package org.rattanport.kernel.peer;
 
 import java.util.List;
+import java.util.Optional;
 import org.rattanport.kernel.environment.DocumentVersion;
 import org.rattanport.kernel.environment.Stage;
+import org.rattanport.kernel.gateway.EngineWork;
+import org.rattanport.kernel.gateway.FleetUpdate;
+import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.WorkUpdate;
 import org.rattanport.kernel.request.Explanation;
 
@@ -51,8 +55,45 @@
     /** The explanation: none or one element. */
     record ExplainReply(List<Explanation> explanations) implements PeerMessage {}
 
+    /** A message that only gateway instances exchange. */
+    sealed interface GatewayMessage extends PeerMessage {}
+
     /** Carries work updates about requests at engines. */
-    record WorkUpdates(List<WorkUpdate> updates) implements PeerMessage {}
+    record WorkUpdates(List<WorkUpdate> updates) implements GatewayMessage {}
+
+    /**
+     * Requests a placement from the coordinator of a group of engines, and carries work updates
+     * that it applies first.
+     */
+    record PlacementRequest(PlacementDemand demand, List<WorkUpdate> updates)
+            implements GatewayMessage {}
+
+    /**
+     * The placement: none if the group has no usable engine.
+     *
+     * @param work the work on each engine, the decode engine first
+     * @param cost predicted cost in units of the weight of the work
+     */
+    record PlacementReply(Optional<EngineWork> work, double cost) implements GatewayMessage {}
+
+    /** Requests the predicted duration of the prefill work that is pending at an engine. */
+    record PendingPrefillRequest(String engineId) implements GatewayMessage {}
+
+    /** The predicted duration in milliseconds. */
+    record PendingPrefillReply(long millis) implements GatewayMessage {}
+
+    /**
+     * Requests what the store has changed since these versions. The response waits for a change.
+     *
+     * @param documentVersion version of the sender's routing document
+     * @param registryVersion version of the store that the sender's registry is as of
+     * @param maxWaitMillis longest time to wait for a change
+     */
+    record FleetRequest(long documentVersion, long registryVersion, long maxWaitMillis)
+            implements GatewayMessage {}
+
+    /** What the store has changed, as far as the responding instance has read it. */
+    record FleetReply(FleetUpdate update) implements GatewayMessage {}
 
     /** The message was accepted; the response carries no data. */
     record Received() implements PeerMessage {}
--- a/kernel/src/main/java/org/rattanport/kernel/peer/PeerNetwork.java
+++ b/kernel/src/main/java/org/rattanport/kernel/peer/PeerNetwork.java
@@ -1,5 +1,6 @@
 package org.rattanport.kernel.peer;
 
+import io.reactivex.rxjava3.core.Flowable;
 import org.rattanport.kernel.time.Deadline;
 
 /** Sends messages between instances over authenticated connections. */
@@ -19,6 +20,11 @@
      */
     void send(String peerAddress, PeerMessage message, Deadline connectDeadline);
 
+    /** Addresses of the instances to which a connection broke. */
+    default Flowable<String> lostPeers() {
+        return Flowable.never();
+    }
+
     /** Registers the handler of one type of message. */
     <T extends PeerMessage> void registerHandler(Class<T> type, PeerHandler<T> handler);
 }
