Send no attempt after the deadline or after the caller has left

Cause: the deadline and the caller were checked before a back end was chosen and memory was leased, which can take a second, but not before the request was sent. A silent engine could also hold a request until a few milliseconds before its deadline, and the next one got it without a chance to respond.

Change: both are checked just before the request is sent, and an attempt needs 20 ms. The trace names a back end only if it was sent the request.

Three tests failed before.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -37,6 +37,9 @@
     /** Connect timeout: several round trips, and less than the retransmission of a lost packet. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
+    /** Time below which no back end can respond. */
+    private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(20);
+
     /** Delay after which a refused caller may retry; short requests end within it. */
     private static final Duration RETRY_AFTER = Duration.ofMillis(200);
 
@@ -132,11 +135,8 @@
             if (mCaller.disconnectSignal().isCancelled()) {
                 throw callerDisconnected();
             }
-            if (mDeadline.hasPassed(mComponents.time())) {
-                mLastError =
-                        new RattanportException(
-                                ErrorCode.DEADLINE_EXCEEDED,
-                                "the deadline of the request has passed");
+            if (!hasTimeForAttempt()) {
+                mLastError = deadlineExceeded();
                 break;
             }
             if (mHasReachedBackEnd && !mComponents.retryBudget().tryAcquire(mService.name())) {
@@ -157,6 +157,17 @@
         endWithoutResponse();
     }
 
+    private boolean hasTimeForAttempt() {
+        return mDeadline.remaining(mComponents.time()).compareTo(MIN_ATTEMPT_TIME) >= 0;
+    }
+
+    private static RattanportException deadlineExceeded() {
+        return new RattanportException(
+                ErrorCode.DEADLINE_EXCEEDED,
+                "the deadline of the request has passed, or too little time is left for a"
+                        + " response");
+    }
+
     private Optional<Placement> place() {
         BackEndPlacement policy =
                 mService.engineSpec().isPresent()
@@ -179,7 +190,6 @@
         BackEnd backEnd = placement.backEnd();
         int runsBefore = mRuns;
         mExcluded.add(backEnd.id());
-        mTrace.attemptSent(placement);
         mLastBackEndId = Optional.of(backEnd.id());
         mHasReachedBackEnd = false;
         mComponents.loadTable().requestSent(backEnd.id());
@@ -215,7 +225,15 @@
         mExcluded.add(engine.id());
     }
 
+    /** Sends the request, unless the caller left or the time ran out during the preparations. */
     private BackEndExchange send(Placement placement) {
+        if (mCaller.disconnectSignal().isCancelled()) {
+            throw callerDisconnected();
+        }
+        if (!hasTimeForAttempt()) {
+            throw deadlineExceeded();
+        }
+        mTrace.attemptSent(placement);
         Attempt attempt =
                 new Attempt(
                         mRequest,
@@ -343,19 +361,14 @@
         if (error.code() == ErrorCode.CANCELLED) {
             throw callerDisconnected();
         }
-        mTrace.attemptFailed(
-                backEnd,
-                error.code().wireName(),
-                error.verdict(),
-                mRelay.hasStarted(),
-                String.valueOf(error.getMessage()));
-        if (error.code() == ErrorCode.DEADLINE_EXCEEDED
-                && mDeadline.hasPassed(mComponents.time())) {
+        if (error.code() == ErrorCode.DEADLINE_EXCEEDED && !hasTimeForAttempt()) {
             mVerdict = mVerdict.combinedWith(error.verdict());
             mLastError = error;
+            traceFailure(backEnd, error);
             endWithoutResponse();
             return true;
         }
+        traceFailure(backEnd, error);
         mLastError = error;
         if (error.code() == ErrorCode.TARGET_REFUSED) {
             // A prefill engine granted no memory lease; the decode engine is not at fault.
@@ -373,6 +386,15 @@
         return false;
     }
 
+    private void traceFailure(BackEnd backEnd, RattanportException error) {
+        mTrace.attemptFailed(
+                backEnd,
+                error.code().wireName(),
+                error.verdict(),
+                mRelay.hasStarted(),
+                String.valueOf(error.getMessage()));
+    }
+
     /**
      * Ends the request: truncates a response that has started, and throws the last error otherwise.
      */
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -62,6 +62,9 @@
     private final FakeCaller mCaller = new FakeCaller();
     private int mSlack = 100;
 
+    /** What happens while a back end is chosen. */
+    private Runnable mDuringPlacement = () -> {};
+
     @BeforeEach
     void setUp() {
         List<BackEnd> backEnds = new ArrayList<>();
@@ -84,6 +87,11 @@
         Random random = new Random(1);
         BackEndPlacement calls =
                 new LeastLoadedPlacement("zone", mRegistry, mHealth, loadTable, random);
+        BackEndPlacement delayedCalls =
+                query -> {
+                    mDuringPlacement.run();
+                    return calls.place(query);
+                };
         MemoryLeases leases = new MemoryLeases(new GrantingMemoryClient(), mTime);
         ServiceRetryBudget retryBudget =
                 new ServiceRetryBudget(mTime, Duration.ofSeconds(10), 0.2, mSlack, () -> 1);
@@ -91,8 +99,8 @@
                 new GatewayComponents(
                         mRouting,
                         mRegistry,
-                        calls,
-                        calls,
+                        delayedCalls,
+                        delayedCalls,
                         new ScriptedClient(),
                         leases,
                         new OutcomeRecorder(mHealth, new SuspicionTable(mTime, rumor -> {})),
@@ -216,6 +224,34 @@
         }
     }
 
+    @Nested
+    final class LateAttempts {
+        @Test
+        void shouldNotBeSentAfterTheDeadlinePassedDuringPlacement() {
+            mDuringPlacement = () -> mTime.advance(Duration.ofSeconds(4));
+            RattanportException error = serveExpectingError("/stream/a");
+            assertThat(error.code()).isEqualTo(ErrorCode.DEADLINE_EXCEEDED);
+            assertThat(error.verdict()).isEqualTo(Verdict.NOT_RUN);
+            assertThat(mAttempts).isEmpty();
+        }
+
+        @Test
+        void shouldNotBeSentAfterTheCallerLeftDuringPlacement() {
+            mDuringPlacement = mCaller.mDisconnect::cancel;
+            RattanportException error = serveExpectingError("/stream/a");
+            assertThat(error.code()).isEqualTo(ErrorCode.CANCELLED);
+            assertThat(mAttempts).isEmpty();
+        }
+
+        @Test
+        void shouldNotBeSentWithTooLittleTimeLeftForAnyResponse() {
+            mDuringPlacement = () -> mTime.advance(Duration.ofMillis(2_990));
+            RattanportException error = serveExpectingError("/read/a");
+            assertThat(error.code()).isEqualTo(ErrorCode.DEADLINE_EXCEEDED);
+            assertThat(mAttempts).isEmpty();
+        }
+    }
+
     @Nested
     final class PoisonRequests {
         @Test
