Renew memory only while the decode engine of the prompt lives

Change: after a second without an event the decode engine is asked for its report before each renewal; after two failed checks the memory is released. Worked out: released 2.7 s after the engine fell silent at the latest.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -55,6 +55,7 @@
     private final RequestTrace mTrace;
     private final Fingerprint mFingerprint;
     private Optional<String> mLastBackEndId = Optional.empty();
+    private Optional<MemoryLeases.Lease> mLease = Optional.empty();
     private int mRuns;
     private boolean mIsTruncated;
     private boolean mHasReachedBackEnd;
@@ -104,6 +105,7 @@
 
     private void onForwarded() {
         mTrace.partForwarded();
+        mLease.ifPresent(MemoryLeases.Lease::recordSignOfLife);
         mComponents.workNotifier().decodeStarted(mRequest.attemptId());
     }
 
@@ -193,7 +195,7 @@
         mLastBackEndId = Optional.of(backEnd.id());
         mHasReachedBackEnd = false;
         mComponents.loadTable().requestSent(backEnd.id());
-        try (UncheckedCloseable lease = acquireLeases(placement);
+        try (UncheckedCloseable leases = acquireLeases(placement);
                 BackEndExchange exchange = send(placement)) {
             AutoCloseable cancelHook = mCaller.disconnectSignal().onCancel(exchange::abort);
             try {
@@ -216,9 +218,18 @@
     }
 
     private UncheckedCloseable acquireLeases(Placement placement) {
-        return placement.reservations().isEmpty()
-                ? () -> {}
-                : mComponents.leases().acquire(placement.reservations(), this::exclude)::close;
+        if (placement.reservations().isEmpty()) {
+            return () -> {};
+        }
+        MemoryLeases.Lease lease =
+                mComponents
+                        .leases()
+                        .acquire(placement.reservations(), placement.backEnd(), this::exclude);
+        mLease = Optional.of(lease);
+        return () -> {
+            mLease = Optional.empty();
+            lease.close();
+        };
     }
 
     private void exclude(BackEnd engine) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/MemoryLeases.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/MemoryLeases.java
@@ -10,6 +10,7 @@
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineMemoryClient;
 import org.rattanport.kernel.task.Tasks;
@@ -18,8 +19,8 @@
 
 /**
  * Leases engine memory for one prompt: all of it or none. A request never waits for memory, so two
- * prompts cannot deadlock with half of their memory each. Leases are short and renewed while in
- * use; those of a crashed instance expire.
+ * prompts cannot deadlock with half of their memory each. Leases are short and renewed while the
+ * decode engine is known to live; those of a crashed instance expire.
  */
 public final class MemoryLeases {
     private static final Logger LOGGER = Logger.getLogger(MemoryLeases.class);
@@ -33,6 +34,18 @@
     /** Timeout of one order; an engine responds within a round trip. */
     private static final Duration ORDER_TIMEOUT = Duration.ofMillis(500);
 
+    /**
+     * Silence of the decode engine after which it must prove that it lives before a renewal. Unused
+     * memory must be free again within four seconds.
+     */
+    private static final Duration MAX_SILENCE = Duration.ofMillis(1_000);
+
+    /** Timeout of one check whether the decode engine lives. */
+    private static final Duration CHECK_TIMEOUT = Duration.ofMillis(400);
+
+    /** Failed checks in a row after which the decode engine counts as dead; one may be lost. */
+    private static final int MAX_FAILED_CHECKS = 2;
+
     private final EngineMemoryClient mClient;
     private final TimeSource mTime;
     private final Duration mRenewalInterval;
@@ -50,8 +63,12 @@
     /** Leased memory, held until closed. One task per engine renews the lease and releases it. */
     public final class Lease implements AutoCloseable {
         private final CountDownLatch mClosed = new CountDownLatch(1);
+        private final BackEnd mDecodeEngine;
+        private volatile long mLastSignNanos;
 
-        private Lease(List<Reservation> reservations) {
+        private Lease(List<Reservation> reservations, BackEnd decodeEngine) {
+            mDecodeEngine = decodeEngine;
+            recordSignOfLife();
             reservations.forEach(each -> Tasks.start("hold-memory", () -> renewUntilClosed(each)));
         }
 
@@ -61,7 +78,8 @@
          */
         private void renewUntilClosed(Reservation reservation) {
             try {
-                while (!mClosed.await(mRenewalInterval.toNanos(), TimeUnit.NANOSECONDS)) {
+                while (!mClosed.await(mRenewalInterval.toNanos(), TimeUnit.NANOSECONDS)
+                        && isDecodeEngineAlive()) {
                     sendOrder(reservation, true);
                 }
             } catch (InterruptedException e) {
@@ -72,6 +90,35 @@
             sendOrder(reservation, false);
         }
 
+        /** Records that the decode engine has sent something. */
+        void recordSignOfLife() {
+            mLastSignNanos = mTime.nanoTime();
+        }
+
+        /** One check serves the tasks of all engines until the engine is silent again. */
+        private synchronized boolean isDecodeEngineAlive() {
+            if (mTime.nanoTime() - mLastSignNanos < MAX_SILENCE.toNanos()) {
+                return true;
+            }
+            for (int i = 0; i < MAX_FAILED_CHECKS && mClosed.getCount() > 0; i++) {
+                if (isReachable(mDecodeEngine)) {
+                    recordSignOfLife();
+                    return true;
+                }
+            }
+            LOGGER.info(
+                    LogLine.of("memory-given-up")
+                            .with("back_end", mDecodeEngine.id())
+                            .with("silent_millis", silence().toMillis())
+                            .with("reason", "the decode engine does not respond"));
+            close();
+            return false;
+        }
+
+        private Duration silence() {
+            return Duration.ofNanos(mTime.nanoTime() - mLastSignNanos);
+        }
+
         /** Starts the release without delaying the caller's response. */
         @Override
         public void close() {
@@ -82,11 +129,13 @@
     /**
      * Leases the memory of all reservations, or none.
      *
+     * @param decodeEngine engine whose work needs the memory
      * @param onRefusal receives each engine that did not grant its lease
      * @throws RattanportException {@code TARGET_REFUSED} with the verdict {@code NOT_RUN} when an
      *     engine did not grant its lease
      */
-    public Lease acquire(List<Reservation> reservations, Consumer<BackEnd> onRefusal) {
+    public Lease acquire(
+            List<Reservation> reservations, BackEnd decodeEngine, Consumer<BackEnd> onRefusal) {
         Queue<Reservation> refused = new ConcurrentLinkedQueue<>();
         runConcurrently(
                 reservations,
@@ -96,7 +145,7 @@
                     }
                 });
         if (refused.isEmpty()) {
-            return new Lease(reservations);
+            return new Lease(reservations, decodeEngine);
         }
         refused.forEach(each -> onRefusal.accept(each.engine()));
         // An engine may have granted an order whose response was lost, so all leases are released.
@@ -109,6 +158,15 @@
                         + " engines did not grant a memory lease");
     }
 
+    private boolean isReachable(BackEnd engine) {
+        try {
+            return mClient.isReachable(engine.address(), Deadline.after(mTime, CHECK_TIMEOUT));
+        } catch (RattanportException e) {
+            LOGGER.debugf("engine %s does not respond: %s", engine.id(), e.getMessage());
+            return false;
+        }
+    }
+
     private void release(List<Reservation> reservations) {
         runConcurrently(reservations, each -> sendOrder(each, false));
     }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -418,6 +418,11 @@
             return true;
         }
 
+        @Override
+        public boolean isReachable(String address, Deadline deadline) {
+            return true;
+        }
+
         @Override
         public boolean release(String address, String id, Deadline deadline) {
             return true;
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/MemoryLeasesTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/MemoryLeasesTest.java
@@ -17,9 +17,13 @@
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineMemoryClient;
 import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.ManualTimeSource;
 import org.rattanport.kernel.time.SystemTimeSource;
 
 final class MemoryLeasesTest {
+    private static final BackEnd DECODE_ENGINE =
+            TestFleet.backEnd("decode", TestFleet.ENGINES, false);
+
     /** Engine memory: refuses orders for full addresses and stores the granted leases. */
     private static final class FakeMemoryClient implements EngineMemoryClient {
         private final Set<String> mLeased = ConcurrentHashMap.newKeySet();
@@ -28,6 +32,9 @@
         private final CountDownLatch mRenewalsStarted = new CountDownLatch(3);
         private final CountDownLatch mRenewalsMayFinish = new CountDownLatch(1);
         private final CountDownLatch mReleased;
+        private final CountDownLatch mFirstCheck = new CountDownLatch(1);
+        private final CountDownLatch mChecks = new CountDownLatch(2);
+        private volatile boolean mIsDecodeEngineAlive = true;
 
         private FakeMemoryClient(int releases) {
             mReleased = new CountDownLatch(releases);
@@ -47,6 +54,13 @@
             return true;
         }
 
+        @Override
+        public boolean isReachable(String address, Deadline deadline) {
+            mFirstCheck.countDown();
+            mChecks.countDown();
+            return mIsDecodeEngineAlive;
+        }
+
         @Override
         public boolean release(String address, String id, Deadline deadline) {
             mLeased.remove(id);
@@ -80,7 +94,7 @@
             FakeMemoryClient client = new FakeMemoryClient(3);
             MemoryLeases.Lease lease =
                     new MemoryLeases(client, new SystemTimeSource())
-                            .acquire(reservations(), engine -> {});
+                            .acquire(reservations(), DECODE_ENGINE, engine -> {});
             assertThat(client.mLeased).hasSize(3);
             lease.close();
             assertThat(client.mReleased.await(20, TimeUnit.SECONDS)).isTrue();
@@ -92,7 +106,7 @@
             FakeMemoryClient client = new FakeMemoryClient(3);
             MemoryLeases.Lease lease =
                     new MemoryLeases(client, new SystemTimeSource(), Duration.ofMillis(1))
-                            .acquire(reservations(), engine -> {});
+                            .acquire(reservations(), DECODE_ENGINE, engine -> {});
             assertThat(client.mRenewalsStarted.await(20, TimeUnit.SECONDS)).isTrue();
             lease.close();
             client.mRenewalsMayFinish.countDown();
@@ -109,10 +123,58 @@
             RattanportException error =
                     assertThrows(
                             RattanportException.class,
-                            () -> leases.acquire(reservations(), refused::add));
+                            () -> leases.acquire(reservations(), DECODE_ENGINE, refused::add));
             assertThat(refused).containsExactly(reservations().get(1).engine());
             assertThat(error.verdict()).isEqualTo(Verdict.NOT_RUN);
             assertThat(client.mLeased).isEmpty();
         }
     }
+
+    @Nested
+    final class SilentDecodeEngine {
+        private final ManualTimeSource mTime = new ManualTimeSource();
+
+        private MemoryLeases.Lease acquire(FakeMemoryClient client) {
+            client.mRenewalsMayFinish.countDown();
+            return new MemoryLeases(client, mTime, Duration.ofMillis(1))
+                    .acquire(reservations(), DECODE_ENGINE, engine -> {});
+        }
+
+        @Test
+        void shouldLoseItsMemoryWhenItDoesNotRespond() throws InterruptedException {
+            FakeMemoryClient client = new FakeMemoryClient(3);
+            client.mIsDecodeEngineAlive = false;
+            acquire(client);
+            mTime.advance(Duration.ofMillis(1_500));
+            assertThat(client.mReleased.await(20, TimeUnit.SECONDS)).isTrue();
+            assertThat(client.mLeased).isEmpty();
+        }
+
+        @Test
+        void shouldKeepItsMemoryWhileItResponds() throws InterruptedException {
+            FakeMemoryClient client = new FakeMemoryClient(3);
+            MemoryLeases.Lease lease = acquire(client);
+            mTime.advance(Duration.ofMillis(1_500));
+            assertThat(client.mFirstCheck.await(20, TimeUnit.SECONDS)).isTrue();
+            mTime.advance(Duration.ofMillis(1_500));
+            assertThat(client.mChecks.await(20, TimeUnit.SECONDS)).isTrue();
+            assertThat(client.mReleased.getCount()).isEqualTo(3);
+            lease.close();
+            assertThat(client.mReleased.await(20, TimeUnit.SECONDS)).isTrue();
+        }
+
+        @Test
+        void shouldNotBeCheckedWhileItSendsEvents() throws InterruptedException {
+            FakeMemoryClient client = new FakeMemoryClient(3);
+            MemoryLeases.Lease lease = acquire(client);
+            for (int i = 0; i < 10; i++) {
+                lease.recordSignOfLife();
+                mTime.advance(Duration.ofMillis(500));
+                lease.recordSignOfLife();
+            }
+            assertThat(client.mRenewalsStarted.await(20, TimeUnit.SECONDS)).isTrue();
+            assertThat(client.mChecks.getCount()).isEqualTo(2);
+            lease.close();
+        }
+    }
 }
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/EngineMemoryClient.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/EngineMemoryClient.java
@@ -11,6 +11,9 @@
      */
     boolean acquire(String address, String id, int tokens, Duration duration, Deadline deadline);
 
+    /** Whether the engine responds at all. */
+    boolean isReachable(String address, Deadline deadline);
+
     /** Releases a lease; returns whether the engine confirmed the release. */
     boolean release(String address, String id, Deadline deadline);
 }
