Pass over a silent coordinator without suspecting it

Cause: two timeouts of 60 ms made a coordinator suspect to all members.

Change: silence of a coordinator stays local knowledge; a broken connection leads to a full probe, with indirect pings, as in each round.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatorDirectory.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatorDirectory.java
@@ -8,7 +8,6 @@
 import org.rattanport.kernel.gateway.EngineGroup;
 import org.rattanport.kernel.model.RendezvousHash;
 import org.rattanport.kernel.peer.Member;
-import org.rattanport.kernel.peer.MemberState;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
@@ -23,14 +22,9 @@
     /** Time for which a silent coordinator is passed over; the failure detector takes longer. */
     private static final Duration SILENCE_PENALTY = Duration.ofSeconds(1);
 
-    /** Failures in a row after which a coordinator becomes suspect to all members. */
-    private static final int SUSPICION_FAILURES = 2;
-
-    private record Silence(int failures, long lastNanos) {}
-
     private final MemberTable mMembers;
     private final TimeSource mTime;
-    private final Map<String, Silence> mSilences = new ConcurrentHashMap<>();
+    private final Map<String, Long> mSilenceNanos = new ConcurrentHashMap<>();
 
     CoordinatorDirectory(MemberTable members, TimeSource time) {
         mMembers = members;
@@ -55,25 +49,19 @@
     }
 
     private boolean isSilent(Member member) {
-        Silence silence = mSilences.get(member.peerAddress());
-        return silence != null
-                && mTime.nanoTime() - silence.lastNanos() < SILENCE_PENALTY.toNanos();
+        Long silenceNanos = mSilenceNanos.get(member.peerAddress());
+        return silenceNanos != null && mTime.nanoTime() - silenceNanos < SILENCE_PENALTY.toNanos();
     }
 
     void recordResponse(Member member) {
-        mSilences.remove(member.peerAddress());
+        mSilenceNanos.remove(member.peerAddress());
     }
 
-    /** Records that the member did not respond; repeated silence makes it suspect. */
+    /**
+     * Records that the member did not respond. It is passed over, but not suspected: a slow member
+     * misses this timeout long before the one of the failure detector.
+     */
     void recordSilence(Member member) {
-        Silence silence =
-                mSilences.merge(
-                        member.peerAddress(),
-                        new Silence(1, mTime.nanoTime()),
-                        (old, added) -> new Silence(old.failures() + 1, added.lastNanos()));
-        if (silence.failures() >= SUSPICION_FAILURES) {
-            mSilences.remove(member.peerAddress());
-            mMembers.markState(member.id(), MemberState.SUSPECT);
-        }
+        mSilenceNanos.put(member.peerAddress(), mTime.nanoTime());
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/membership/Prober.java
+++ b/decisions/src/main/java/org/rattanport/decisions/membership/Prober.java
@@ -103,13 +103,7 @@
         mTable.aliveMembers().stream()
                 .filter(each -> each.peerAddress().equals(peerAddress))
                 .filter(each -> !each.id().equals(mTable.self().id()))
-                .forEach(each -> Tasks.start("probe-lost-peer", () -> probeLost(each)));
-    }
-
-    private void probeLost(Member member) {
-        if (!ping(member)) {
-            mTable.markState(member.id(), MemberState.SUSPECT);
-        }
+                .forEach(each -> Tasks.start("probe-lost-peer", () -> probe(each)));
     }
 
     private void probe(Member member) {
