--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -13,16 +13,29 @@
 options="$(sed -n 's/^run = "[^ ]* \(.*\) -jar .*/\1/p' deploy/system.toml | sed 's/-XX:SharedArchiveFile=[^ ]*//')"
 target/jre/bin/java $options -Xshare:dump >/dev/null 2>&1
 
-# The archive only shortens the start; the gateway also runs without it.
-settings="$PWD/target/training.conf"
-rm -f "$settings"
+# The archive only shortens the start; the gateway also runs without it. TrainingLoad tells when the
+# other gateways, with which the recorded one exchanges messages, start and stop.
+training="$PWD/target/training"
+rm -rf "$training"
+mkdir -p "$training"
+gateway=(-jar target/lib/gateway.jar gateway --settings)
 "$JAVA_HOME/bin/java" -cp "target/lib/*:platform/target/test-classes" \
-    org.rattanport.platform.standin.TrainingLoad "$settings" &
+    org.rattanport.platform.standin.TrainingLoad "$training" >"$training/load.log" 2>&1 &
 load=$!
-for _ in $(seq 100); do [ -s "$settings" ] && break; sleep 0.1; done
+for _ in $(seq 100); do [ -e "$training/settings-are-written" ] && break; sleep 0.1; done
+target/jre/bin/java $options "${gateway[@]}" "$training/first-peer.conf" >"$training/first-peer.log" 2>&1 &
+coordinator=$!
+target/jre/bin/java $options "${gateway[@]}" "$training/helper.conf" >"$training/helper.log" 2>&1 &
+helper=$!
 target/jre/bin/java $options -XX:ArchiveClassesAtExit=target/gateway.jsa \
-    -jar target/lib/gateway.jar gateway --settings "$settings" --metrics-port 28524 >target/training.log 2>&1 &
-gateway=$!
-wait "$load" || echo "the training load failed; see target/training.log" >&2
-kill -TERM "$gateway" 2>/dev/null || true
-wait "$gateway" || true
+    "${gateway[@]}" "$training/recorded.conf" --metrics-port 28524 >"$training/recorded.log" 2>&1 &
+recorded=$!
+for _ in $(seq 400); do
+    [ -e "$training/coordinator-may-stop" ] && break
+    kill -0 "$load" 2>/dev/null || break
+    sleep 0.1
+done
+kill -TERM "$coordinator" 2>/dev/null || true
+wait "$load" || echo "the training load failed; see $training" >&2
+kill -TERM "$recorded" "$helper" 2>/dev/null || true
+wait "$recorded" "$helper" "$coordinator" || true
