Give duties for others to the larger machines

Cause: coordinators and readers were chosen without regard to machines of 0.12 to 1.5 cores, and a slow one delays all that ask it.

Change: members tell their processor capacity; rendezvous hashing weights by its square, as all members take equal shares of callers' requests.

--- a/connectors/src/main/java/org/rattanport/connectors/peer/PeerCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PeerCodec.java
@@ -170,6 +170,7 @@
                 .setDataCentre(member.dataCentre())
                 .setState(member.state().ordinal())
                 .setStateNumber(member.stateNumber())
+                .setCapacityMillicores(member.capacityMillicores())
                 .build();
     }
 
@@ -181,7 +182,8 @@
                 member.getPeerAddress(),
                 member.getDataCentre(),
                 states[Math.clamp(member.getState(), 0, states.length - 1)],
-                member.getStateNumber());
+                member.getStateNumber(),
+                member.getCapacityMillicores());
     }
 
     private static org.rattanport.connectors.peer.protocol.Rumor rumor(Rumor rumor) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatorDirectory.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatorDirectory.java
@@ -11,9 +11,9 @@
 import org.rattanport.kernel.time.TimeSource;
 
 /**
- * Chooses the coordinator of each group of engines by rendezvous hashing over the alive members, so
- * that instances with the same view of the members agree without an election. A coordinator that
- * does not respond is passed over for a while.
+ * Chooses the coordinator of each group of engines by rendezvous hashing over the alive members,
+ * weighted by the capacity of their machines, so that instances with the same view of the members
+ * agree without an election. A coordinator that does not respond is passed over for a while.
  */
 final class CoordinatorDirectory {
     /** Mean number of engines in a group; a prompt is prefilled by up to 17 of them. */
@@ -40,8 +40,11 @@
     List<Member> candidates(String service, EngineGroup group) {
         List<Member> responsive =
                 mMembers.aliveMembers().stream().filter(each -> !isSilent(each)).toList();
-        return RendezvousHash.order(
-                service + "/" + group.index(), responsive, each -> each.id().name());
+        return RendezvousHash.orderByCapacity(
+                service + "/" + group.index(),
+                responsive,
+                each -> each.id().name(),
+                Member::dutyWeight);
     }
 
     boolean isSelf(Member member) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayMembershipPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayMembershipPlugin.java
@@ -127,7 +127,8 @@
                 context.require(InstanceSettings.class).dataCentre(),
                 // Keeps callers away until this instance has a routing document and the registry.
                 MemberState.LEAVING,
-                0);
+                0,
+                context.require(GatewaySettings.class).capacityMillicores());
     }
 
     @Override
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/StoreReaders.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/StoreReaders.java
@@ -56,7 +56,10 @@
                                 Collectors.groupingBy(
                                         Member::dataCentre, TreeMap::new, Collectors.toList()));
         return byDataCentre.values().stream()
-                .map(members -> RendezvousHash.order(KEY, members, each -> each.id().name()))
+                .map(
+                        members ->
+                                RendezvousHash.orderByCapacity(
+                                        KEY, members, each -> each.id().name(), Member::dutyWeight))
                 .map(List::getFirst)
                 .toList();
     }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/StoreReadersTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/StoreReadersTest.java
@@ -64,6 +64,36 @@
         }
     }
 
+    @Nested
+    final class UnequalMachines {
+        @Test
+        void shouldPreferTheLargerOnes() {
+            MemberTable table = new MemberTable(member(0), new RumorQueue(), new EventStreams());
+            int larger = 0;
+            for (int data = 0; data < 200; data++) {
+                table = new MemberTable(member(0), new RumorQueue(), new EventStreams());
+                table.merge(sized("large-" + data, "x" + data, 1_500));
+                table.merge(sized("small-" + data, "x" + data, 360));
+                larger +=
+                        new StoreReaders(table)
+                                        .others().stream()
+                                                .anyMatch(
+                                                        each ->
+                                                                each.id()
+                                                                        .name()
+                                                                        .startsWith("large"))
+                                ? 1
+                                : 0;
+            }
+            assertThat(larger).isAtLeast(170);
+        }
+
+        private Member sized(String name, String dataCentre, int capacity) {
+            return new Member(
+                    new InstanceId(name, 1), "c", "p", dataCentre, MemberState.ALIVE, 0, capacity);
+        }
+    }
+
     @Nested
     final class FailedReader {
         @Test
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/GatewaySettings.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/GatewaySettings.java
@@ -16,6 +16,7 @@
  * @param retryBudgetSlack retries that the retry budget allows in one window in addition to the
  *     ratio
  * @param retryBudgetWindow length of the window in which the retry budget counts attempts
+ * @param capacityMillicores processor capacity of the machine, in thousandths of a core
  */
 public record GatewaySettings(
         String discoveryAddress,
@@ -24,4 +25,5 @@
         List<String> memberSeeds,
         double retryBudgetRatio,
         int retryBudgetSlack,
-        Duration retryBudgetWindow) {}
+        Duration retryBudgetWindow,
+        int capacityMillicores) {}
--- a/kernel/src/main/java/org/rattanport/kernel/model/RendezvousHash.java
+++ b/kernel/src/main/java/org/rattanport/kernel/model/RendezvousHash.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.Function;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Rendezvous (highest random weight) hashing: all instances that see the same candidates agree on
@@ -13,6 +14,11 @@
     private static final long FNV_OFFSET = 0xcbf29ce484222325L;
     private static final long FNV_PRIME = 0x100000001b3L;
 
+    /** Bits of a hash beyond the precision of a double. */
+    private static final int UNUSED_HASH_BITS = 11;
+
+    private static final double UNIT_OF_HASH = 0x1p-53;
+
     private RendezvousHash() {}
 
     /** Returns the candidates in descending order of their weight for the key. */
@@ -29,6 +35,36 @@
                 .toList();
     }
 
+    /**
+     * Returns the candidates in an order in which each one is the first for a share of the keys
+     * that is proportional to its capacity.
+     */
+    public static <T> List<T> orderByCapacity(
+            String key,
+            Collection<T> candidates,
+            Function<T, String> name,
+            ToDoubleFunction<T> capacity) {
+        record Scored<T>(T candidate, double score, String name) {}
+        return candidates.stream()
+                .map(
+                        each ->
+                                new Scored<>(
+                                        each,
+                                        -Math.log(unitInterval(weight(key, name.apply(each))))
+                                                / capacity.applyAsDouble(each),
+                                        name.apply(each)))
+                .sorted(
+                        Comparator.comparingDouble((Scored<T> each) -> each.score())
+                                .thenComparing(Scored::name))
+                .map(Scored::candidate)
+                .toList();
+    }
+
+    /** Maps a hash to a number between zero and one, excluding both. */
+    private static double unitInterval(long hash) {
+        return ((hash >>> UNUSED_HASH_BITS) + 0.5) * UNIT_OF_HASH;
+    }
+
     /** Returns the weight of one candidate for one key. */
     public static long weight(String key, String candidate) {
         long hash = FNV_OFFSET;
