Compare the placement of prompts with its definition

300 decisions over 24 engines under a random load choose the same engines as the definition that computes each cost in each comparison, which is kept as a test oracle.

--- a/decisions/src/test/java/org/rattanport/decisions/gateway/PromptPlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/PromptPlacementTest.java
@@ -207,4 +207,54 @@
             assertThat(mTracker.estimateLoad("engine-1")).isEqualTo(EngineLoadEstimate.IDLE);
         }
     }
+
+    @Nested
+    final class ComparedWithItsDefinition {
+        private static final int DECISIONS = 300;
+
+        @Test
+        void shouldChooseTheSameEngines() {
+            Random load = new Random(11);
+            mRegistry.replace(TestFleet.engines(24));
+            for (int i = 0; i < DECISIONS; i++) {
+                int tokens = (int) Math.pow(10, 3 + 3 * load.nextDouble());
+                boolean isShort = tokens < 30_000;
+                PlacementQuery query =
+                        new PlacementQuery(
+                                TestFleet.engineService(),
+                                TestFleet.demand(
+                                        tokens,
+                                        isShort ? SHORT_OBJECTIVE : LONG_OBJECTIVE,
+                                        Duration.ofMillis(isShort ? 200 : 800)));
+                Placement chosen = placementWithSeed(i).place(query).orElseThrow();
+                List<String> expected =
+                        new ReferencePlacement(
+                                        mRegistry,
+                                        mHealth,
+                                        mTracker,
+                                        PlacementTuning.DEFAULTS,
+                                        new Random(i))
+                                .place(query);
+                assertThat(usedEngines(chosen)).isEqualTo(expected);
+                mTracker.placed(withId(chosen.work().orElseThrow(), "attempt-" + i));
+                mHealth.recordFailure("engine-" + load.nextInt(24), 0.3 * load.nextDouble());
+                mTime.advance(Duration.ofMillis(load.nextInt(60)));
+            }
+        }
+
+        private PromptPlacement placementWithSeed(int seed) {
+            return new PromptPlacement(
+                    mRegistry, mHealth, mTracker, PlacementTuning.DEFAULTS, new Random(seed));
+        }
+
+        private EngineWork withId(EngineWork work, String attemptId) {
+            return new EngineWork(
+                    attemptId,
+                    work.shares(),
+                    work.predictedFirstEventMillis(),
+                    work.predictedDecodeMillis(),
+                    work.maxEventGapMillis(),
+                    work.weight());
+        }
+    }
 }
