Check that a request is still wanted after the connection is open

On a machine with 0.12 cores the connect took so long; the caller was checked only before it, and its end was marked by a task that had to be scheduled first.

Change: the client checks once more when it is connected, and the end of a connection is marked at once; only the actions run in a task. The test failed before.

Also fewer messages of an idle instance: beyond 32 members every other round probes, and a reader may be silent for 750 instead of 500 ms.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/NettyBackEndClient.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/NettyBackEndClient.java
@@ -39,9 +39,15 @@
     }
 
     @Override
-    public BackEndExchange send(Attempt attempt, Deadline connectDeadline) {
+    public BackEndExchange send(Attempt attempt, Deadline connectDeadline, Runnable beforeWriting) {
         Duration connectTimeout = connectDeadline.remaining(mTime);
         HttpChannel channel = mTransport.connect(attempt.backEnd().address(), connectTimeout);
+        try {
+            beforeWriting.run();
+        } catch (RattanportException e) {
+            channel.close();
+            throw e;
+        }
         channel.writeAsync(mDialect.encodeRequest(attempt));
         return new NettyBackEndExchange(channel);
     }
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
@@ -210,9 +210,7 @@
         mParts.add(new Closed(mIsBroken, "the connection was closed"));
         signalWriter();
         // Cancellation actions may block on other connections, which the event loop must not do.
-        if (!mDisconnection.isCancelled()) {
-            Tasks.start("connection-closed", mDisconnection::cancel);
-        }
+        mDisconnection.cancel(actions -> Tasks.start("connection-closed", actions));
     }
 
     private void signalWriter() {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -238,13 +238,7 @@
 
     /** Sends the request, unless the caller left or the time ran out during the preparations. */
     private BackEndExchange send(Placement placement) {
-        if (mCaller.disconnectSignal().isCancelled()) {
-            throw callerDisconnected();
-        }
-        if (!hasTimeForAttempt()) {
-            throw deadlineExceeded();
-        }
-        mTrace.attemptSent(placement);
+        requireWorthSending();
         Attempt attempt =
                 new Attempt(
                         mRequest,
@@ -261,7 +255,22 @@
                         mRelay.lastEventId());
         return mComponents
                 .client()
-                .send(attempt, mDeadline.within(mComponents.time(), CONNECT_TIMEOUT));
+                .send(
+                        attempt,
+                        mDeadline.within(mComponents.time(), CONNECT_TIMEOUT),
+                        () -> {
+                            requireWorthSending();
+                            mTrace.attemptSent(placement);
+                        });
+    }
+
+    private void requireWorthSending() {
+        if (mCaller.disconnectSignal().isCancelled()) {
+            throw callerDisconnected();
+        }
+        if (!hasTimeForAttempt()) {
+            throw deadlineExceeded();
+        }
     }
 
     private boolean handleResponse(Placement placement, BackEndExchange exchange) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ReaderFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ReaderFollower.java
@@ -23,7 +23,7 @@
     private static final Logger LOGGER = Logger.getLogger(ReaderFollower.class);
 
     /** Longest wait of one request for changes. */
-    private static final Duration MAX_WAIT = Duration.ofMillis(500);
+    private static final Duration MAX_WAIT = Duration.ofMillis(750);
 
     /** Time beyond the wait after which a reader is silent. */
     private static final Duration RESPONSE_MARGIN = Duration.ofMillis(200);
@@ -32,7 +32,7 @@
     private static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
     /** Time without a reader that has a store after which this instance reads the store. */
-    private static final Duration STAND_IN_DELAY = Duration.ofMillis(1_000);
+    private static final Duration STAND_IN_DELAY = Duration.ofMillis(1_500);
 
     /** Time that the readers have for their first read when all instances start. */
     private static final Duration START_DELAY = Duration.ofMillis(2_500);
--- a/decisions/src/main/java/org/rattanport/decisions/membership/Prober.java
+++ b/decisions/src/main/java/org/rattanport/decisions/membership/Prober.java
@@ -37,6 +37,9 @@
 public final class Prober {
     private static final Logger LOGGER = Logger.getLogger(Prober.class);
 
+    /** Members up to which each round probes one of them; beyond, every other round does. */
+    private static final int MAX_SMALL_CLUSTER = 32;
+
     private static final String RING_KEY = "probe-ring";
 
     private final MemberTable mTable;
@@ -67,7 +70,10 @@
     /** Probes the next member and declares members dead whose suspicion timeout has expired. */
     public void runRound() {
         mRoundCount++;
-        nextMember().ifPresent(this::probe);
+        // A member of a large cluster is probed by more others.
+        if (mTable.members().size() <= MAX_SMALL_CLUSTER || mRoundCount % 2 == 0) {
+            nextMember().ifPresent(this::probe);
+        }
         if (mRoundCount % mSettings.rejoinRounds() == 0) {
             probeDeadMember();
         }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -62,6 +62,9 @@
     private final FakeCaller mCaller = new FakeCaller();
     private int mSlack = 100;
 
+    /** What happens while the connection to a back end is opened. */
+    private Runnable mDuringConnect = () -> {};
+
     /** What happens while a back end is chosen. */
     private Runnable mDuringPlacement = () -> {};
 
@@ -243,6 +246,14 @@
             assertThat(mAttempts).isEmpty();
         }
 
+        @Test
+        void shouldNotBeSentAfterTheCallerLeftDuringTheConnect() {
+            mDuringConnect = mCaller.mDisconnect::cancel;
+            RattanportException error = serveExpectingError("/stream/a");
+            assertThat(error.code()).isEqualTo(ErrorCode.CANCELLED);
+            assertThat(mAttempts).isEmpty();
+        }
+
         @Test
         void shouldNotBeSentWithTooLittleTimeLeftForAnyResponse() {
             mDuringPlacement = () -> mTime.advance(Duration.ofMillis(2_990));
@@ -276,7 +287,10 @@
     /** Reacts to each attempt as scripted. */
     private final class ScriptedClient implements BackEndClient {
         @Override
-        public BackEndExchange send(Attempt attempt, Deadline connectDeadline) {
+        public BackEndExchange send(
+                Attempt attempt, Deadline connectDeadline, Runnable beforeWriting) {
+            mDuringConnect.run();
+            beforeWriting.run();
             mAttempts.add(attempt);
             Reaction reaction = mReactions.removeFirst();
             if (reaction == Reaction.NO_CONNECTION) {
--- a/kernel/src/main/java/org/rattanport/kernel/task/Cancellation.java
+++ b/kernel/src/main/java/org/rattanport/kernel/task/Cancellation.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Executor;
 
 /**
  * Cancels a request from another task: runs the registered actions once. An action that is
@@ -13,6 +14,11 @@
 
     /** Cancels and runs the registered actions; further calls have no effect. */
     public void cancel() {
+        cancel(Runnable::run);
+    }
+
+    /** Cancels at once, and runs the registered actions by the executor. */
+    public void cancel(Executor executor) {
         List<Runnable> actions;
         synchronized (this) {
             if (mIsCancelled) {
@@ -21,7 +27,9 @@
             mIsCancelled = true;
             actions = List.copyOf(mActions);
         }
-        actions.forEach(Runnable::run);
+        if (!actions.isEmpty()) {
+            executor.execute(() -> actions.forEach(Runnable::run));
+        }
     }
 
     public synchronized boolean isCancelled() {
