Hold the port of a stand-in engine while it is down

Cause of "cannot listen at 127.0.0.1:PORT: Address already in use" in the demo: a crashed engine restarts at its former port, which is one of those that the system gives to outgoing connections, and nothing kept it meanwhile.

Change: a socket that is bound and does not listen holds the port for the life of the engine.

--- a/standins/src/main/java/org/rattanport/standins/engine/EngineStandIn.java
+++ b/standins/src/main/java/org/rattanport/standins/engine/EngineStandIn.java
@@ -11,6 +11,7 @@
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.model.InstanceId;
 import org.rattanport.kernel.task.Tasks;
+import org.rattanport.standins.HeldPort;
 import org.rattanport.standins.StandInHttpServer;
 
 /** Stand-in for one model engine: the engine protocol over a simulated batch in scaled time. */
@@ -39,7 +40,10 @@
     private PrefixCache mCache = new PrefixCache();
     private EngineBatch mBatch;
     private Optional<StandInHttpServer> mServer = Optional.empty();
-    private final int mPort;
+
+    /** Held from the first start to the end, so that a restart finds the port free. */
+    private final HeldPort mPort = new HeldPort();
+
     private volatile long mIncarnation = 1;
     private volatile boolean mIsDraining;
     private volatile long mDrainStartNanos;
@@ -57,9 +61,7 @@
         mProfile = profile;
         mChecksFencingNumbers = checksFencingNumbers;
         mBatch = new EngineBatch(profile);
-        StandInHttpServer server = new StandInHttpServer(0, this::addRoutes);
-        mServer = Optional.of(server);
-        mPort = server.port();
+        mServer = Optional.of(new StandInHttpServer(mPort.port(), this::addRoutes));
     }
 
     public String name() {
@@ -67,7 +69,7 @@
     }
 
     public String address() {
-        return "127.0.0.1:" + mPort;
+        return "127.0.0.1:" + mPort.port();
     }
 
     public long incarnation() {
@@ -117,7 +119,7 @@
         mCache = new PrefixCache();
         mBatch = new EngineBatch(mProfile);
         mLastReport = Optional.empty();
-        mServer = Optional.of(new StandInHttpServer(mPort, this::addRoutes));
+        mServer = Optional.of(new StandInHttpServer(mPort.port(), this::addRoutes));
     }
 
     private void addRoutes(Routes routes) {
@@ -412,5 +414,6 @@
     @Override
     public void close() {
         crash();
+        mPort.close();
     }
 }
