Place here when the views of the engines differ

Cause: a coordinator that knew no engine, or chose one that this instance knows to drain or not at all, led to a refusal, although this instance knew usable engines.

Change: the instance then places by its own view. Two tests failed before.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatedPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatedPlacement.java
@@ -162,13 +162,15 @@
                 return placeHere(inGroup, PlacementDecision.Coordinator.SELF);
             }
             Optional<PeerMessage.PlacementReply> reply = request(coordinator, inGroup.demand());
-            if (reply.isPresent()) {
-                Optional<Grant> grant = grant(coordinator, group, reply.get());
-                mOnDecision.accept(
-                        new PlacementDecision(
-                                PlacementDecision.Coordinator.PEER, grant.isPresent()));
+            Optional<Grant> grant = reply.flatMap(each -> grant(coordinator, group, each));
+            if (grant.isPresent()) {
+                mOnDecision.accept(new PlacementDecision(PlacementDecision.Coordinator.PEER, true));
                 return grant;
             }
+            if (reply.isPresent()) {
+                // The views of the engines differ; this instance's view counts for its requests.
+                break;
+            }
         }
         return placeHere(inGroup, PlacementDecision.Coordinator.NONE);
     }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/CoordinatedPlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/CoordinatedPlacementTest.java
@@ -360,6 +360,26 @@
             assertThat(sender.mPlacement.place(query("a", 5_000))).isEmpty();
         }
 
+        @Test
+        void shouldPlaceByItselfWhenTheCoordinatorChoosesAnUnknownEngine() {
+            start(2, 2);
+            Instance coordinator = mInstances.getFirst().coordinatorOf(0);
+            Instance sender = other(coordinator);
+            String chosen = coordinator.place().backEnd().id();
+            sender.mRegistry.apply(List.of(), List.of(chosen));
+            for (int i = 0; i < 3; i++) {
+                assertThat(sender.place().backEnd().id()).isNotEqualTo(chosen);
+            }
+        }
+
+        @Test
+        void shouldPlaceByItselfWhenTheCoordinatorKnowsNoEngine() {
+            start(2, 2);
+            Instance coordinator = mInstances.getFirst().coordinatorOf(0);
+            coordinator.mRegistry.apply(List.of(), List.of("engine-0", "engine-1"));
+            assertThat(other(coordinator).place().backEnd()).isNotNull();
+        }
+
         @Test
         void shouldPlaceThroughTwoCoordinatorsWithoutLosingEnds() {
             start(4, 4);
