Log less and remember choices while a large cluster starts

Change: one line for the first registry; members that start have no line; coordinators and readers are chosen once for each state of the member table.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
@@ -44,10 +44,15 @@
      * grace period has ended.
      */
     public synchronized void replace(List<BackEnd> entries) {
+        if (!mIsInitialized) {
+            entries.forEach(each -> mBackEnds.put(each.id(), each));
+            mIsInitialized = true;
+            LOGGER.info(LogLine.of("registry-known").with("back_ends", mBackEnds.size()));
+            return;
+        }
         Set<String> ids = entries.stream().map(BackEnd::id).collect(Collectors.toSet());
         List<String> missing = mBackEnds.keySet().stream().filter(id -> !ids.contains(id)).toList();
         apply(entries, missing);
-        mIsInitialized = true;
     }
 
     /** Applies changes of the registry. */
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatorDirectory.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatorDirectory.java
@@ -22,8 +22,12 @@
     /** Time for which a silent coordinator is passed over; the failure detector takes longer. */
     private static final Duration SILENCE_PENALTY = Duration.ofSeconds(1);
 
+    /** Members in the order of their preference for a key, as of a state of the member table. */
+    private record Order(long changeCount, List<Member> members) {}
+
     private final MemberTable mMembers;
     private final TimeSource mTime;
+    private final Map<String, Order> mOrders = new ConcurrentHashMap<>();
     private final Map<String, Long> mSilenceNanos = new ConcurrentHashMap<>();
 
     CoordinatorDirectory(MemberTable members, TimeSource time) {
@@ -38,13 +42,27 @@
 
     /** Returns the members that may coordinate the group, the preferred one first. */
     List<Member> candidates(String service, EngineGroup group) {
-        List<Member> responsive =
-                mMembers.aliveMembers().stream().filter(each -> !isSilent(each)).toList();
-        return RendezvousHash.orderByCapacity(
-                service + "/" + group.index(),
-                responsive,
-                each -> each.id().name(),
-                Member::dutyWeight);
+        return order(service + "/" + group.index()).members().stream()
+                .filter(each -> !isSilent(each))
+                .toList();
+    }
+
+    private Order order(String key) {
+        long changeCount = mMembers.changeCount();
+        Order known = mOrders.get(key);
+        if (known != null && known.changeCount() == changeCount) {
+            return known;
+        }
+        Order order =
+                new Order(
+                        changeCount,
+                        RendezvousHash.orderByCapacity(
+                                key,
+                                mMembers.aliveMembers(),
+                                each -> each.id().name(),
+                                Member::dutyWeight));
+        mOrders.put(key, order);
+        return order;
     }
 
     boolean isSelf(Member member) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/FleetState.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/FleetState.java
@@ -90,16 +90,22 @@
                 read.present().stream()
                         .filter(each -> !each.equals(mEntries.get(each.id())))
                         .toList();
-        boolean isFirst = mRegistryVersion == UNREAD;
-        apply(new RegistryChange(read.version(), changed, removed), followsOutage);
-        if (isFirst) {
-            mChanges.clear();
-            mFirstKeptVersion = read.version();
-            mRegistry.replace(read.present());
+        if (mRegistryVersion == UNREAD) {
+            recordFirstRead(read);
+        } else {
+            apply(new RegistryChange(read.version(), changed, removed), followsOutage);
         }
         mOnUpdate.run();
     }
 
+    private void recordFirstRead(RegistryChange read) {
+        mRegistryVersion = read.version();
+        mFirstKeptVersion = read.version();
+        read.present().forEach(each -> mEntries.put(each.id(), each));
+        mRegistry.replace(read.present());
+        notifyAll();
+    }
+
     /** Applies changes that follow a version which this instance has had. */
     public synchronized void recordChange(RegistryChange change, boolean followsOutage) {
         if (change.version() > mRegistryVersion) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/StoreReaders.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/StoreReaders.java
@@ -18,7 +18,11 @@
 final class StoreReaders {
     private static final String KEY = "store-reader";
 
+    /** The readers as of a state of the member table. */
+    private record Choice(long changeCount, List<Member> readers) {}
+
     private final MemberTable mMembers;
+    private volatile Choice mChoice = new Choice(-1, List.of());
 
     StoreReaders(MemberTable members) {
         mMembers = members;
@@ -46,6 +50,16 @@
     }
 
     private List<Member> readers() {
+        long changeCount = mMembers.changeCount();
+        Choice known = mChoice;
+        if (known.changeCount() != changeCount) {
+            known = new Choice(changeCount, chooseReaders());
+            mChoice = known;
+        }
+        return known.readers();
+    }
+
+    private List<Member> chooseReaders() {
         Map<String, List<Member>> byDataCentre =
                 mMembers.members().stream()
                         .filter(
--- a/decisions/src/main/java/org/rattanport/decisions/membership/MemberTable.java
+++ b/decisions/src/main/java/org/rattanport/decisions/membership/MemberTable.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.model.InstanceId;
@@ -27,6 +28,7 @@
     private final RumorQueue mRumors;
     private final EventStreams mEvents;
     private Member mSelf;
+    private long mChangeCount;
 
     public MemberTable(Member self, RumorQueue rumors, EventStreams events) {
         mSelf = self;
@@ -87,7 +89,7 @@
         if (known != null && !received.supersedes(known)) {
             return false;
         }
-        if (known == null || known.state() != received.state()) {
+        if (isNotable(known, received)) {
             LOGGER.info(
                     LogLine.of("member-state")
                             .with("member", received.id())
@@ -97,6 +99,24 @@
         return true;
     }
 
+    /**
+     * Whether a change of a member is worth a log line. Members that start are not: when a large
+     * cluster starts, each instance would log all others twice.
+     */
+    private static boolean isNotable(@Nullable Member known, Member received) {
+        if (received.state() == MemberState.SUSPECT || received.state() == MemberState.DEAD) {
+            return known == null || known.state() != received.state();
+        }
+        return known != null
+                && known.state() != received.state()
+                && known.state() != MemberState.LEAVING;
+    }
+
+    /** Number of changes of this table so far. */
+    public synchronized long changeCount() {
+        return mChangeCount;
+    }
+
     /** Marks a member as suspect or dead because this instance itself could not reach it. */
     public synchronized void markState(InstanceId id, MemberState state) {
         Member known = mMembers.get(id.name());
@@ -116,6 +136,7 @@
     }
 
     private void store(Member member) {
+        mChangeCount++;
         mMembers.put(member.id().name(), member);
         mRumors.add(new MemberRumor(member));
         mEvents.publish(member);
