Wait until a closed listener has freed its port

Cause of "Address already in use" when a stand-in engine restarts: a closed listener keeps its port until the selector of its event loop drops the key.

Change: closing a transport waits until its event loop has ended.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
@@ -29,6 +29,9 @@
 
 /** Opens and accepts connections. One event loop serves them all, and one task reads each. */
 public final class HttpTransport implements AutoCloseable {
+    /** Time that the event loop has to end. */
+    private static final int MAX_CLOSE_SECONDS = 2;
+
     private static final int ACCEPT_BACKLOG = 1_024;
 
     /** Limit of a response's headers; back ends send a few hundred bytes. */
@@ -155,6 +158,9 @@
 
     @Override
     public void close() {
-        mEventLoop.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        // The system frees the port of a listener only when the event loop has dropped its key.
+        mEventLoop
+                .shutdownGracefully(0, 1, TimeUnit.SECONDS)
+                .awaitUninterruptibly(MAX_CLOSE_SECONDS, TimeUnit.SECONDS);
     }
 }
