Let an instance that restarts read the store at once

Change: an instance that no reader has served for 150 ms reads the store itself, and waits 2.5 s only at the first start of the whole system, which the settings tell.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -139,6 +139,7 @@
                         state,
                         source,
                         context.require(PeerNetwork.class),
+                        context.require(GatewaySettings.class).isFirstStart(),
                         time);
         readers.registerHandler();
         FleetFollower follower = new FleetFollower(source, state, role, time, new Random());
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ReaderFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ReaderFollower.java
@@ -34,8 +34,13 @@
     /** Time without a reader that has a store after which this instance reads the store. */
     private static final Duration STAND_IN_DELAY = Duration.ofMillis(1_500);
 
-    /** Time that the readers have for their first read when all instances start. */
-    private static final Duration START_DELAY = Duration.ofMillis(2_500);
+    /**
+     * Time after which a starting instance that no reader has served reads the store. Callers wait
+     * for an instance that restarts, but not when all start for the first time.
+     */
+    private static final Duration RESTART_DELAY = Duration.ofMillis(150);
+
+    private static final Duration FIRST_START_DELAY = Duration.ofMillis(2_500);
 
     /** Time that a starting instance has to find other members. */
     private static final Duration JOIN_DELAY = Duration.ofMillis(600);
@@ -45,6 +50,7 @@
     private final FleetState mState;
     private final FleetSource mSource;
     private final PeerNetwork mPeers;
+    private final boolean mIsFirstStart;
     private final TimeSource mTime;
     private long mLastServedNanos;
     private boolean mHasFoundMembers;
@@ -57,12 +63,14 @@
             FleetState state,
             FleetSource source,
             PeerNetwork peers,
+            boolean isFirstStart,
             TimeSource time) {
         mReaders = readers;
         mRole = role;
         mState = state;
         mSource = source;
         mPeers = peers;
+        mIsFirstStart = isFirstStart;
         mTime = time;
         mLastServedNanos = time.nanoTime();
     }
@@ -154,11 +162,20 @@
 
     private Role role() {
         Duration unserved = Duration.ofNanos(mTime.nanoTime() - mLastServedNanos);
-        boolean mayRead = mHasFoundMembers || unserved.compareTo(JOIN_DELAY) > 0;
-        if (mReaders.isReader() && mayRead) {
+        if (mReaders.isReader() && (mHasFoundMembers || unserved.compareTo(joinDelay()) > 0)) {
             return Role.READER;
         }
-        Duration limit = mWasServed || !mHasFoundMembers ? STAND_IN_DELAY : START_DELAY;
-        return unserved.compareTo(limit) > 0 ? Role.STAND_IN : Role.FOLLOWER;
+        return unserved.compareTo(standInDelay()) > 0 ? Role.STAND_IN : Role.FOLLOWER;
+    }
+
+    private Duration joinDelay() {
+        return mIsFirstStart ? JOIN_DELAY : RESTART_DELAY;
+    }
+
+    private Duration standInDelay() {
+        if (mWasServed) {
+            return STAND_IN_DELAY;
+        }
+        return mIsFirstStart ? FIRST_START_DELAY : RESTART_DELAY;
     }
 }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ReaderFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ReaderFollowerTest.java
@@ -45,9 +45,18 @@
             new FleetState(new ActiveRouting(new EventStreams()), mRegistry, () -> {}, mTime);
     private final ReaderRole mRole = new ReaderRole();
     private final ScriptedReaders mPeers = new ScriptedReaders();
-    private final ReaderFollower mFollower =
-            new ReaderFollower(
-                    new StoreReaders(mMembers), mRole, mState, new NoSource(), mPeers, mTime);
+    private final ReaderFollower mFollower = follower(true);
+
+    private ReaderFollower follower(boolean isFirstStart) {
+        return new ReaderFollower(
+                new StoreReaders(mMembers),
+                mRole,
+                mState,
+                new NoSource(),
+                mPeers,
+                isFirstStart,
+                mTime);
+    }
 
     private static Member member(String name) {
         return new Member(new InstanceId(name, 1), "c-" + name, name, name, MemberState.ALIVE, 0);
@@ -155,6 +164,27 @@
         }
     }
 
+    @Nested
+    final class StartingInstance {
+        private ReaderRole.Role roleAfterTwoRequests(boolean isFirstStart) {
+            addReaders();
+            mPeers.mHasStore = false;
+            mPeers.mCallsUntilClose = 2;
+            follower(isFirstStart).followUntilClosed();
+            return mRole.current();
+        }
+
+        @Test
+        void shouldReadTheStoreAtOnceAfterARestartOfAll() {
+            assertThat(roleAfterTwoRequests(false)).isEqualTo(ReaderRole.Role.STAND_IN);
+        }
+
+        @Test
+        void shouldWaitForReadersAtTheFirstStart() {
+            assertThat(roleAfterTwoRequests(true)).isEqualTo(ReaderRole.Role.FOLLOWER);
+        }
+    }
+
     @Nested
     final class Reader {
         @Test
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/GatewaySettings.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/GatewaySettings.java
@@ -17,6 +17,7 @@
  *     ratio
  * @param retryBudgetWindow length of the window in which the retry budget counts attempts
  * @param capacityMillicores processor capacity of the machine, in thousandths of a core
+ * @param isFirstStart whether the whole system starts for the first time
  */
 public record GatewaySettings(
         String discoveryAddress,
@@ -26,4 +27,5 @@
         double retryBudgetRatio,
         int retryBudgetSlack,
         Duration retryBudgetWindow,
-        int capacityMillicores) {}
+        int capacityMillicores,
+        boolean isFirstStart) {}
