--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ReaderFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ReaderFollower.java
@@ -126,8 +126,8 @@
                         new PeerMessage.FleetRequest(
                                 mState.documentVersion(),
                                 mState.registryVersion(),
-                                MAX_WAIT.toMillis()),
-                        Deadline.after(mTime, MAX_WAIT.plus(RESPONSE_MARGIN)));
+                                maxWait().toMillis()),
+                        Deadline.after(mTime, maxWait().plus(RESPONSE_MARGIN)));
         if (!(reply instanceof PeerMessage.FleetReply fleet)) {
             mTime.sleep(RETRY_DELAY);
             return;
@@ -144,6 +144,11 @@
         }
     }
 
+    /** A starting instance takes what the reader has, and does not wait for a change. */
+    private Duration maxWait() {
+        return mWasServed ? MAX_WAIT : Duration.ZERO;
+    }
+
     /** The first reader and the remaining ones in turn. */
     private Member next(List<Member> others) {
         int round = mRounds++;
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ReaderFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ReaderFollowerTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
@@ -68,12 +69,14 @@
         private boolean mHasStore = true;
         private Optional<RegistryUpdate> mUpdate = Optional.empty();
         private int mCallsUntilClose = 20;
+        private final List<Long> mWaits = new ArrayList<>();
 
         @Override
         public PeerMessage call(String peerAddress, PeerMessage request, Deadline deadline) {
             if (--mCallsUntilClose == 0) {
                 mRole.close();
             }
+            mWaits.add(((PeerMessage.FleetRequest) request).maxWaitMillis());
             mTime.advance(Duration.ofMillis(500));
             if (mIsSilent) {
                 throw new RattanportException(ErrorCode.PEER_UNREACHABLE, "silent");
@@ -179,6 +182,15 @@
             assertThat(roleAfterTwoRequests(false)).isEqualTo(ReaderRole.Role.STAND_IN);
         }
 
+        @Test
+        void shouldNotWaitForAChangeBeforeItHasBeenServed() {
+            addReaders();
+            mPeers.mCallsUntilClose = 2;
+            mFollower.followUntilClosed();
+            assertThat(mPeers.mWaits.getFirst()).isEqualTo(0);
+            assertThat(mPeers.mWaits.getLast()).isGreaterThan(0);
+        }
+
         @Test
         void shouldWaitForReadersAtTheFirstStart() {
             assertThat(roleAfterTwoRequests(true)).isEqualTo(ReaderRole.Role.FOLLOWER);
