Tell a restarted coordinator the open work again

Cause: an instance remembered the coordinator of its open work by address, so one that restarted at its address, and knew nothing, was not told.

Change: the member with its incarnation is remembered. The test failed before.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatedPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatedPlacement.java
@@ -39,9 +39,17 @@
     /** Cost per weight above which a second group is asked; that of a probably late answer. */
     private static final double POOR_COST = 0.5;
 
-    /** A prompt that this instance has placed and that has not ended. */
+    /**
+     * A prompt that was placed for this instance and that has not ended.
+     *
+     * @param coordinator the other instance that placed it; empty if this one did
+     */
     private record OpenWork(
-            EngineWork work, EngineGroup group, long placedNanos, String coordinatorAddress) {}
+            EngineWork work, EngineGroup group, long placedNanos, Optional<Member> coordinator) {
+        boolean isKnownTo(Member member) {
+            return coordinator.filter(each -> each.id().equals(member.id())).isPresent();
+        }
+    }
 
     private record Grant(Placement placement, OpenWork open) {}
 
@@ -124,11 +132,11 @@
     }
 
     private static boolean isSameCoordinator(OpenWork one, OpenWork other) {
-        return one.coordinatorAddress().equals(other.coordinatorAddress());
+        return one.coordinator().map(Member::id).equals(other.coordinator().map(Member::id));
     }
 
     private void withdraw(OpenWork open) {
-        if (open.coordinatorAddress().isEmpty()) {
+        if (open.coordinator().isEmpty()) {
             mTracker.ended(open.work().attemptId());
         }
         sendToCoordinator(open, new WorkUpdate.Ended(open.work().attemptId()));
@@ -139,7 +147,7 @@
         if (!isSameCoordinator(chosen, withdrawn)) {
             return;
         }
-        if (chosen.coordinatorAddress().isEmpty()) {
+        if (chosen.coordinator().isEmpty()) {
             mTracker.placed(chosen.work());
         }
         sendToCoordinator(chosen, new WorkUpdate.Placed(chosen.work()));
@@ -147,7 +155,7 @@
 
     private void record(Grant grant) {
         EngineWork work = grant.open().work();
-        if (!grant.open().coordinatorAddress().isEmpty()) {
+        if (grant.open().coordinator().isPresent()) {
             mTracker.placed(work);
         }
         mOpen.put(work.attemptId(), grant.open());
@@ -199,7 +207,7 @@
                                                         each.work().get(),
                                                         query.demand().group(),
                                                         mTime.nanoTime(),
-                                                        "")));
+                                                        Optional.empty())));
         mOnDecision.accept(new PlacementDecision(coordinator, grant.isPresent()));
         return grant;
     }
@@ -207,7 +215,7 @@
     private Optional<PeerMessage.PlacementReply> request(
             Member coordinator, PlacementDemand demand) {
         List<WorkUpdate> updates = new ArrayList<>(mSender.takePending(coordinator.peerAddress()));
-        updates.addAll(handOver(demand.group(), coordinator.peerAddress()));
+        updates.addAll(handOver(demand.group(), coordinator));
         try {
             PeerMessage reply =
                     mPeers.call(
@@ -230,15 +238,19 @@
     }
 
     /** Announces work that another coordinator placed in the group, as of now. */
-    private List<WorkUpdate> handOver(EngineGroup group, String address) {
+    private List<WorkUpdate> handOver(EngineGroup group, Member coordinator) {
         List<WorkUpdate> updates = new ArrayList<>();
         for (OpenWork open : mOpen.values()) {
-            if (open.group().equals(group) && !open.coordinatorAddress().equals(address)) {
+            if (open.group().equals(group) && !open.isKnownTo(coordinator)) {
                 updates.add(new WorkUpdate.Placed(remaining(open)));
                 mOpen.replace(
                         open.work().attemptId(),
                         open,
-                        new OpenWork(open.work(), open.group(), open.placedNanos(), address));
+                        new OpenWork(
+                                open.work(),
+                                open.group(),
+                                open.placedNanos(),
+                                Optional.of(coordinator)));
             }
         }
         return updates;
@@ -265,7 +277,7 @@
             return Optional.empty();
         }
         EngineWork work = reply.work().get();
-        OpenWork open = new OpenWork(work, group, mTime.nanoTime(), coordinator.peerAddress());
+        OpenWork open = new OpenWork(work, group, mTime.nanoTime(), Optional.of(coordinator));
         Optional<Placement> placement = Placement.of(work, reply.cost(), mRegistry::findAvailable);
         if (placement.isEmpty()) {
             sendToCoordinator(open, new WorkUpdate.Ended(work.attemptId()));
@@ -274,9 +286,7 @@
     }
 
     private void sendToCoordinator(OpenWork open, WorkUpdate update) {
-        if (!open.coordinatorAddress().isEmpty()) {
-            mSender.send(open.coordinatorAddress(), update);
-        }
+        open.coordinator().ifPresent(each -> mSender.send(each.peerAddress(), update));
     }
 
     /** Recorded locally only: the coordinator predicts the first event from the placement. */
@@ -306,13 +316,13 @@
     public Duration remainingPrefill(String attemptId, String engineId) {
         Duration known = mTracker.remainingPrefill(engineId);
         OpenWork open = mOpen.get(attemptId);
-        if (open == null || open.coordinatorAddress().isEmpty()) {
+        if (open == null || open.coordinator().isEmpty()) {
             return known;
         }
         try {
             PeerMessage reply =
                     mPeers.call(
-                            open.coordinatorAddress(),
+                            open.coordinator().get().peerAddress(),
                             new PeerMessage.PendingPrefillRequest(engineId),
                             Deadline.after(mTime, COORDINATOR_TIMEOUT));
             return reply instanceof PeerMessage.PendingPrefillReply pending
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/CoordinatedPlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/CoordinatedPlacementTest.java
@@ -243,6 +243,26 @@
             assertThat(sender.place().backEnd()).isNotNull();
         }
 
+        @Test
+        void shouldLearnOpenWorkAgainAfterItsRestartAtTheSameAddress() {
+            start(2, 4);
+            Instance first = mInstances.getFirst().coordinatorOf(0);
+            Instance sender = other(first);
+            sender.place("open", 5_000);
+            first.mTracker.ended("open");
+            Member before = first.mMembers.self();
+            sender.mMembers.merge(
+                    new Member(
+                            new InstanceId(before.id().name(), 2),
+                            before.callerAddress(),
+                            before.peerAddress(),
+                            before.dataCentre(),
+                            MemberState.ALIVE,
+                            0));
+            sender.place("next", 5_000);
+            assertThat(first.mTracker.size()).isEqualTo(2);
+        }
+
         @Test
         void shouldStayAMemberWhenItIsOnlySlow() {
             start(3, 4);
