Share the merge of registry changes and skip a difference at start

The first full read compared all back ends with none; the difference is computed only when there is something to compare with. PlacementDemand makes its own copy for a group.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatedPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatedPlacement.java
@@ -162,8 +162,7 @@
     }
 
     private Optional<Grant> placeInGroup(PlacementQuery query, EngineGroup group) {
-        PlacementQuery inGroup =
-                new PlacementQuery(query.service(), inGroup(query.demand(), group));
+        PlacementQuery inGroup = new PlacementQuery(query.service(), query.demand().inGroup(group));
         List<Member> candidates = mDirectory.candidates(query.service().name(), group);
         for (Member coordinator : candidates.stream().limit(MAX_COORDINATORS).toList()) {
             if (mDirectory.isSelf(coordinator)) {
@@ -183,17 +182,6 @@
         return placeHere(inGroup, PlacementDecision.Coordinator.NONE);
     }
 
-    private static PlacementDemand inGroup(PlacementDemand demand, EngineGroup group) {
-        return new PlacementDemand(
-                demand.attemptId(),
-                demand.service(),
-                group,
-                demand.size(),
-                demand.objective(),
-                demand.maxEventGap(),
-                demand.excluded());
-    }
-
     private Optional<Grant> placeHere(
             PlacementQuery query, PlacementDecision.Coordinator coordinator) {
         Optional<Grant> grant =
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/FleetState.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/FleetState.java
@@ -2,15 +2,15 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.jboss.logging.Logger;
+import java.util.stream.Collectors;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
@@ -25,8 +25,6 @@
  * only what they lack. A version is never replaced by an earlier one.
  */
 public final class FleetState {
-    private static final Logger LOGGER = Logger.getLogger(FleetState.class);
-
     /** Recent changes that are kept; an instance that lacks more gets all entries. */
     private static final int MAX_CHANGES = 256;
 
@@ -84,20 +82,25 @@
         if (read.version() < mRegistryVersion) {
             return;
         }
-        List<String> ids = read.present().stream().map(BackEnd::id).toList();
-        List<String> removed = mEntries.keySet().stream().filter(id -> !ids.contains(id)).toList();
-        List<BackEnd> changed =
-                read.present().stream()
-                        .filter(each -> !each.equals(mEntries.get(each.id())))
-                        .toList();
         if (mRegistryVersion == UNREAD) {
             recordFirstRead(read);
         } else {
-            apply(new RegistryChange(read.version(), changed, removed), followsOutage);
+            apply(difference(read), followsOutage);
         }
         mOnUpdate.run();
     }
 
+    /** The change that leads from the known entries to those of the full read. */
+    private RegistryChange difference(RegistryChange read) {
+        Set<String> ids = read.present().stream().map(BackEnd::id).collect(Collectors.toSet());
+        return new RegistryChange(
+                read.version(),
+                read.present().stream()
+                        .filter(each -> !each.equals(mEntries.get(each.id())))
+                        .toList(),
+                mEntries.keySet().stream().filter(id -> !ids.contains(id)).toList());
+    }
+
     private void recordFirstRead(RegistryChange read) {
         mRegistryVersion = read.version();
         mFirstKeptVersion = read.version();
@@ -237,11 +240,6 @@
             each.change().present().forEach(entry -> last.put(entry.id(), Optional.of(entry)));
             each.change().removed().forEach(id -> last.put(id, Optional.empty()));
         }
-        List<BackEnd> present = new ArrayList<>();
-        List<String> removed = new ArrayList<>();
-        last.forEach((id, entry) -> entry.ifPresentOrElse(present::add, () -> removed.add(id)));
-        LOGGER.debugf(
-                "passing on %d present and %d removed back ends", present.size(), removed.size());
-        return new RegistryChange(mRegistryVersion, present, removed);
+        return RegistryChange.of(mRegistryVersion, last);
     }
 }
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/FleetSource.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/FleetSource.java
@@ -1,7 +1,9 @@
 package org.rattanport.kernel.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.rattanport.kernel.time.Deadline;
 
@@ -22,7 +24,20 @@
      * @param present back ends that were added or changed
      * @param removed ids of back ends that were removed
      */
-    record RegistryChange(long version, List<BackEnd> present, List<String> removed) {}
+    record RegistryChange(long version, List<BackEnd> present, List<String> removed) {
+        /**
+         * Returns the change that leads to the last states.
+         *
+         * @param lastStates the entry of each changed back end; empty if it was removed
+         */
+        public static RegistryChange of(long version, Map<String, Optional<BackEnd>> lastStates) {
+            List<BackEnd> present = new ArrayList<>();
+            List<String> removed = new ArrayList<>();
+            lastStates.forEach(
+                    (id, entry) -> entry.ifPresentOrElse(present::add, () -> removed.add(id)));
+            return new RegistryChange(version, present, removed);
+        }
+    }
 
     /** Thrown when the store no longer has the change history after the requested version. */
     final class HistoryLostException extends RuntimeException {
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/PlacementDemand.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/PlacementDemand.java
@@ -22,4 +22,10 @@
         Optional<PromptSize> size,
         Duration objective,
         Duration maxEventGap,
-        Set<String> excluded) {}
+        Set<String> excluded) {
+    /** Returns the same demand for the engines of a group. */
+    public PlacementDemand inGroup(EngineGroup newGroup) {
+        return new PlacementDemand(
+                attemptId, service, newGroup, size, objective, maxEventGap, excluded);
+    }
+}
