--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -85,6 +85,7 @@
                         route,
                         service.name(),
                         account.map(GatewayAccount::name).orElse("-"),
+                        request.sharedParts(),
                         components.routing().version());
         mTrace = new RequestTrace(info, components.events(), components.time());
         mRelay = createRelay();
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RequestLog.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RequestLog.java
@@ -37,6 +37,7 @@
                         .with("code", failure.errorCode())
                         .with("verdict", failure.verdict().wireName())
                         .with("has_started", failure.hasResponseStarted())
+                        .with("shared_parts", String.join(",", failure.sharedParts()))
                         .with("reason", failure.reason()));
     }
 
@@ -82,6 +83,7 @@
                 .with("status", outcome.status())
                 .with("millis", outcome.durationMillis())
                 .with("readers", outcome.prefillEngineCount())
+                .with("shared_parts", String.join(",", outcome.sharedParts()))
                 .with("predicted_first_event_millis", outcome.timing().predictedFirstEventMillis())
                 .with("first_event_millis", outcome.timing().firstEventMillis())
                 .with("longest_pause_millis", outcome.timing().longestGapMillis())
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RequestTrace.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RequestTrace.java
@@ -19,7 +19,12 @@
 final class RequestTrace {
     /** Properties of the request that do not change. */
     record RequestInfo(
-            String attemptId, Route route, String service, String account, long documentVersion) {}
+            String attemptId,
+            Route route,
+            String service,
+            String account,
+            List<String> sharedParts,
+            long documentVersion) {}
 
     private final RequestInfo mInfo;
     private final EventStreams mEvents;
@@ -80,7 +85,13 @@
             BackEnd backEnd, String code, Verdict verdict, boolean hasStarted, String reason) {
         mEvents.publish(
                 new AttemptFailure(
-                        mInfo.attemptId(), backEnd.id(), code, verdict, hasStarted, reason));
+                        mInfo.attemptId(),
+                        backEnd.id(),
+                        code,
+                        verdict,
+                        hasStarted,
+                        mInfo.sharedParts(),
+                        reason));
     }
 
     void ended(String outcome, Verdict verdict, int runs, String reason) {
@@ -97,6 +108,7 @@
                         mStatus,
                         Duration.ofNanos(mTime.nanoTime() - mStartNanos).toMillis(),
                         mPrefillEngineCount,
+                        mInfo.sharedParts(),
                         timing(),
                         mInfo.documentVersion(),
                         reason));
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
@@ -96,6 +96,7 @@
                 promptTokens == 0
                         ? Optional.empty()
                         : Optional.of(new PromptSize(promptTokens, 1_500)),
+                List.of(),
                 Optional.empty(),
                 List.of(),
                 new byte[0]);
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/AttemptFailure.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/AttemptFailure.java
@@ -1,5 +1,6 @@
 package org.rattanport.kernel.gateway;
 
+import java.util.List;
 import org.rattanport.kernel.error.Verdict;
 
 /**
@@ -10,6 +11,7 @@
  * @param errorCode error code, in its wire form
  * @param verdict whether the back end may have run the request
  * @param hasResponseStarted whether the caller had received a part of the response
+ * @param sharedParts ids of the prompt's parts that other prompts may contain too
  * @param reason error message
  */
 public record AttemptFailure(
@@ -18,4 +20,5 @@
         String errorCode,
         Verdict verdict,
         boolean hasResponseStarted,
+        List<String> sharedParts,
         String reason) {}
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/CallerRequest.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/CallerRequest.java
@@ -15,6 +15,8 @@
  * @param accountKey account key, if the caller sent one
  * @param waitLimit time that the caller waits for a response, if it sent a limit
  * @param promptSize size of the prompt, if the request carries one
+ * @param sharedParts ids of the prompt's parts that other prompts may contain too, in order; the
+ *     last part of a prompt belongs to it alone and is left out
  * @param lastEventId id of the last event that the caller received of an interrupted stream
  * @param headers headers that are forwarded to the back end
  * @param body the whole body
@@ -27,6 +29,7 @@
         Optional<String> accountKey,
         Optional<Duration> waitLimit,
         Optional<PromptSize> promptSize,
+        List<String> sharedParts,
         Optional<String> lastEventId,
         List<Header> headers,
         byte[] body) {
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/RequestOutcome.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/RequestOutcome.java
@@ -17,6 +17,7 @@
  * @param status status of the last response from a back end, or 0 if there was none
  * @param durationMillis time from the arrival of the request to its end
  * @param prefillEngineCount number of prefill engines besides the back end in the last attempt
+ * @param sharedParts ids of the prompt's parts that other prompts may contain too
  * @param timing when the caller received the response
  * @param documentVersion version of the document that routed the request
  * @param reason reason for the failure of the last attempt, or an empty string
@@ -33,6 +34,7 @@
         int status,
         long durationMillis,
         int prefillEngineCount,
+        List<String> sharedParts,
         ResponseTiming timing,
         long documentVersion,
         String reason) {
