Add a failing test: a part on which engines crashed reaches engines again

Four crashes with one part in common and then a prompt with that part: expected POISON_REQUEST, was TARGET_FAILED.

--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -14,6 +14,7 @@
 import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.rattanport.decisions.poison.SuspicionTable;
 import org.rattanport.kernel.error.ErrorCode;
@@ -45,6 +46,8 @@
         UNSIGNED,
         OTHER_ATTEMPT,
         SILENT,
+        /** Streams one event. */
+        STREAM,
         /** Streams one event, stalls, and streams the next. */
         STALL
     }
@@ -284,6 +287,41 @@
         }
     }
 
+    @Nested
+    final class CrashingPromptParts {
+        private final GatewayService mService = service();
+        private int mSent;
+
+        @Tag("known-red")
+        @Test
+        void shouldNotReachEnginesOnceEnginesCrashedOnOneOfTheirParts() {
+            serveWith(List.of("companion"), Reaction.STREAM);
+            fail(List.of("companion", "deadly"), Reaction.LOSE_RESPONSE, Reaction.LOSE_RESPONSE);
+            fail(List.of("companion", "deadly"), Reaction.LOSE_RESPONSE, Reaction.LOSE_RESPONSE);
+            mTime.advance(Duration.ofSeconds(3));
+            int attemptsBefore = mAttempts.size();
+            ErrorCode code =
+                    fail(
+                            List.of("deadly", "other"),
+                            Reaction.LOSE_RESPONSE,
+                            Reaction.LOSE_RESPONSE);
+            assertThat(code).isEqualTo(ErrorCode.POISON_REQUEST);
+            assertThat(mAttempts).hasSize(attemptsBefore);
+        }
+
+        private ErrorCode fail(List<String> parts, Reaction... reactions) {
+            return assertThrows(RattanportException.class, () -> serveWith(parts, reactions))
+                    .code();
+        }
+
+        private void serveWith(List<String> parts, Reaction... reactions) {
+            mReactions.clear();
+            mReactions.addAll(List.of(reactions));
+            mSent++;
+            mService.serve(TestFleet.request("/stream/" + mSent, parts), mCaller);
+        }
+    }
+
     /** Reacts to each attempt as scripted. */
     private final class ScriptedClient implements BackEndClient {
         @Override
@@ -349,7 +387,13 @@
         @Override
         public Optional<byte[]> awaitChunk(Deadline deadline) {
             mChunks++;
-            if (mReaction != Reaction.STALL || mChunks > 2) {
+            int chunkCount =
+                    switch (mReaction) {
+                        case STALL -> 2;
+                        case STREAM -> 1;
+                        default -> 0;
+                    };
+            if (mChunks > chunkCount) {
                 return Optional.empty();
             }
             if (mChunks == 2) {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
@@ -86,6 +86,14 @@
     }
 
     static CallerRequest request(String path, int promptTokens) {
+        return request(path, promptTokens, List.of());
+    }
+
+    static CallerRequest request(String path, List<String> sharedParts) {
+        return request(path, 0, sharedParts);
+    }
+
+    private static CallerRequest request(String path, int promptTokens, List<String> sharedParts) {
         return new CallerRequest(
                 "POST",
                 path,
@@ -96,7 +104,7 @@
                 promptTokens == 0
                         ? Optional.empty()
                         : Optional.of(new PromptSize(promptTokens, 1_500)),
-                List.of(),
+                sharedParts,
                 Optional.empty(),
                 List.of(),
                 new byte[0]);
