Do not take a repeated refusal for the response to the next call

What callers could see: 'not run' for a call that had run, or a call that may not be repeated run at a second target. Reported by other operators.

Calls to targets now open a connection each, as in the gateway. The gateway already did; but it accepted a refusal that names another attempt (ForwardingTest, failed before); it now counts as may have run.

--- a/connectors/src/main/java/org/rattanport/connectors/target/TargetClientPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/target/TargetClientPlugin.java
@@ -32,8 +32,11 @@
 
     @Override
     public void start(PluginContext context) {
+        // Responses of targets name no request: on a connection that is reused, a late copy of an
+        // earlier refusal would look like the response to the next call.
         HttpClient http =
-                HttpClient.withConnectionPool(context.require(HttpTransport.class), context.time());
+                HttpClient.withoutConnectionPool(
+                        context.require(HttpTransport.class), context.time());
         mHttp = Optional.of(http);
         context.provide(EngineClient.class, new HttpEngineClient(http, context.time()));
         context.provide(ServiceClient.class, new HttpServiceClient(http));
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -304,7 +304,7 @@
         mTrace.responseReceived(head.status());
         mHasReachedBackEnd = true;
         head.load().ifPresent(load -> mComponents.loadTable().recordReport(backEnd.id(), load));
-        if (head.isNotRun()) {
+        if (head.isNotRun() && !isForeign(head)) {
             recordRefusal(placement, head);
             mLastError =
                     RattanportException.builder(
@@ -376,13 +376,15 @@
 
     /** Rejects a response to another attempt, and a successful response without a signature. */
     private void requireMatchingResponse(ResponseHead head) {
-        boolean isForeign =
-                head.attemptId().filter(id -> !id.equals(mRequest.attemptId())).isPresent();
-        if (isForeign || (head.isSuccess() && !head.isSigned())) {
+        if (isForeign(head) || (head.isSuccess() && !head.isSigned())) {
             throw failedRun("the response has no signature or belongs to another attempt");
         }
     }
 
+    private boolean isForeign(ResponseHead head) {
+        return head.attemptId().filter(id -> !id.equals(mRequest.attemptId())).isPresent();
+    }
+
     private static RattanportException failedRun(String reason) {
         return RattanportException.builder(ErrorCode.TARGET_FAILED, reason)
                 .verdict(Verdict.RAN)
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -44,6 +44,7 @@
         FAIL,
         UNSIGNED,
         OTHER_ATTEMPT,
+        REFUSE_OTHER_ATTEMPT,
         SILENT,
         /** Streams one event. */
         STREAM,
@@ -148,6 +149,14 @@
             }
         }
 
+        @Test
+        void shouldNotTakeTheRefusalOfAnotherAttemptForNotRun() {
+            RattanportException error =
+                    serveExpectingError("/book/a", Reaction.REFUSE_OTHER_ATTEMPT);
+            assertThat(error.verdict()).isNotEqualTo(Verdict.NOT_RUN);
+            assertThat(mAttempts).hasSize(1);
+        }
+
         @Test
         void shouldNotRetryAfterRefusalAndLostResponse() {
             RattanportException error =
@@ -355,7 +364,7 @@
                     mTime.advance(deadline.remaining(mTime));
                     throw failure(ErrorCode.DEADLINE_EXCEEDED);
                 }
-                case REFUSE -> responseHead(503, true, false);
+                case REFUSE, REFUSE_OTHER_ATTEMPT -> responseHead(503, true, false);
                 case FAIL -> responseHead(500, false, true);
                 case UNSIGNED -> responseHead(200, false, false);
                 default -> responseHead(200, false, true);
@@ -363,8 +372,10 @@
         }
 
         private ResponseHead responseHead(int status, boolean isNotRun, boolean isSigned) {
-            String id =
-                    mReaction == Reaction.OTHER_ATTEMPT ? "other" : mAttempt.request().attemptId();
+            boolean isForeign =
+                    mReaction == Reaction.OTHER_ATTEMPT
+                            || mReaction == Reaction.REFUSE_OTHER_ATTEMPT;
+            String id = isForeign ? "other" : mAttempt.request().attemptId();
             return new ResponseHead(
                     status,
                     List.of(),
