Do not let a stream that ends inside an event look complete

What callers could see: a stream whose engine ended in the middle of an event, without a length or chunks, ended as complete, with the torn event; after a broken stream, text of the next engine that is no event stood in the middle, as if it belonged to it.

Cause: the relay passed on whatever followed the last whole event once the body had ended. Such an end now counts as broken off: another engine goes on where the route allows it, else the caller's answer is cut. A stream that ends with its connection before any event counts as broken off too. ForwardingTest.BrokenStreams (4 tests) failed before; an error status of the next engine was already kept out of the stream.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
@@ -5,6 +5,9 @@
 import java.util.OptionalInt;
 import java.util.function.Supplier;
 import org.rattanport.decisions.gateway.EventStreamParser.Event;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
 import org.rattanport.kernel.gateway.BackEndExchange;
 import org.rattanport.kernel.gateway.CallerExchange;
 import org.rattanport.kernel.gateway.ResponseHead;
@@ -44,9 +47,11 @@
     @Override
     public void relay(ResponseHead head, BackEndExchange exchange, Deadline deadline) {
         EventStreamParser parser = new EventStreamParser();
+        boolean hasEvents = false;
         Optional<byte[]> chunk = exchange.awaitChunk(deadline);
         while (chunk.isPresent()) {
             for (Event event : parser.feed(chunk.get())) {
+                hasEvents = true;
                 forward(head, event);
             }
             chunk =
@@ -55,11 +60,26 @@
                                     .await(mTime, deadline, mRemainingPrefill, exchange::awaitChunk)
                             : exchange.awaitChunk(deadline);
         }
+        requireComplete(head, parser, hasEvents);
         start(head);
         mCaller.write(parser.remainder());
         mCaller.finish();
     }
 
+    /** The end of a connection also ends a stream that has broken off. */
+    private static void requireComplete(
+            ResponseHead head, EventStreamParser parser, boolean hasEvents) {
+        if (parser.isInsideEvent() || (head.isCloseDelimited() && !hasEvents)) {
+            throw RattanportException.builder(
+                            ErrorCode.TARGET_FAILED,
+                            parser.isInsideEvent()
+                                    ? "the stream ended inside an event"
+                                    : "the stream ended before its first event")
+                    .verdict(Verdict.MAY_HAVE_RUN)
+                    .build();
+        }
+    }
+
     private void forward(ResponseHead head, Event event) {
         boolean isDuplicate =
                 event.number().isPresent()
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventStreamParser.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/EventStreamParser.java
@@ -43,6 +43,18 @@
         return mPending.toArray();
     }
 
+    /**
+     * Whether a part of an event follows the last complete one; line ends do not begin an event.
+     */
+    public boolean isInsideEvent() {
+        for (byte each : mPending.toArray()) {
+            if (each != '\n' && each != '\r') {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private boolean endsWithBlankLine() {
         return mPending.endsWith((byte) '\n', (byte) '\n')
                 || mPending.endsWith((byte) '\n', (byte) '\r', (byte) '\n');
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -7,6 +7,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -48,6 +49,12 @@
         SILENT,
         /** Streams one event. */
         STREAM,
+        /** Streams one event and breaks off. */
+        BREAK_OFF,
+        /** Streams one event and a part of the next, and ends as if it were complete. */
+        END_INSIDE_EVENT,
+        /** Succeeds with text that is no event. */
+        TEXT,
         /** Streams one event, stalls, and streams the next. */
         STALL
     }
@@ -239,6 +246,49 @@
         }
     }
 
+    @Nested
+    final class BrokenStreams {
+        private static final String FIRST_EVENT = "id: 1\ndata: x\n\n";
+
+        @Test
+        void shouldNotContinueWithTheErrorOfTheNextEngine() {
+            for (Reaction next : List.of(Reaction.FAIL, Reaction.REFUSE, Reaction.TEXT)) {
+                mCaller.mBody.setLength(0);
+                mCaller.mIsAborted = false;
+                mReactions.clear();
+                List<Reaction> reactions = new ArrayList<>(List.of(Reaction.BREAK_OFF));
+                reactions.addAll(Collections.nCopies(3, next));
+                serve("/stream/a", reactions.toArray(Reaction[]::new));
+                assertThat(mCaller.mBody.toString()).isEqualTo(FIRST_EVENT);
+                assertThat(mCaller.mIsFinished).isFalse();
+                assertThat(mCaller.mIsAborted).isTrue();
+            }
+        }
+
+        @Test
+        void shouldNotBeCompleteWhenTheyEndInsideAnEvent() {
+            serve("/stream/a", Reaction.END_INSIDE_EVENT, Reaction.LOSE_RESPONSE);
+            assertThat(mCaller.mBody.toString()).isEqualTo(FIRST_EVENT);
+            assertThat(mCaller.mIsFinished).isFalse();
+            assertThat(mCaller.mIsAborted).isTrue();
+        }
+
+        @Test
+        void shouldGoOnElsewhereWhenTheyEndInsideAnEvent() {
+            serve("/stream/a", Reaction.END_INSIDE_EVENT, Reaction.STREAM);
+            assertThat(mCaller.mBody.toString()).isEqualTo(FIRST_EVENT + "id: 2\ndata: x\n\n");
+            assertThat(mCaller.mIsFinished).isTrue();
+        }
+
+        @Test
+        void shouldNotBeCompleteWhenNoEventCame() {
+            RattanportException error =
+                    serveExpectingError("/stream/a", Reaction.TEXT, Reaction.TEXT);
+            assertThat(error.verdict()).isNotEqualTo(Verdict.NOT_RUN);
+            assertThat(mCaller.mBody.toString()).isEmpty();
+        }
+    }
+
     @Nested
     final class LateAttempts {
         @Test
@@ -397,20 +447,29 @@
         @Override
         public Optional<byte[]> awaitChunk(Deadline deadline) {
             mChunks++;
+            if (mReaction == Reaction.BREAK_OFF && mChunks > 1) {
+                throw failure(ErrorCode.TARGET_FAILED);
+            }
             int chunkCount =
                     switch (mReaction) {
                         case STALL -> 2;
-                        case STREAM -> 1;
+                        case STREAM, BREAK_OFF, END_INSIDE_EVENT, TEXT, FAIL -> 1;
                         default -> 0;
                     };
             if (mChunks > chunkCount) {
                 return Optional.empty();
             }
+            if (mReaction == Reaction.TEXT || mReaction == Reaction.FAIL) {
+                return Optional.of("error text".getBytes(StandardCharsets.UTF_8));
+            }
             if (mChunks == 2) {
                 stall(deadline);
             }
             int last = mAttempt.lastEventId().map(Integer::parseInt).orElse(0);
             String event = "id: " + (last + mChunks) + "\ndata: x\n\n";
+            if (mReaction == Reaction.END_INSIDE_EVENT) {
+                event += "id: " + (last + 2) + "\nda";
+            }
             return Optional.of(event.getBytes(StandardCharsets.UTF_8));
         }
 
