Let an odd entry of the registry name no back end

What callers saw: an entry of another writer with the port 99999 was taken for a back end; each request that was placed there ended with a closed connection and no answer, for a request that had not run (LOST).

Cause: the reader checked the pattern of the address, not its range, and cut numbers that are too large down to a slot count; the connect then threw an error that no caller of it expects. The same cause elsewhere: one target of an unknown kind hid the whole instance list of the prompts edition.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
@@ -63,7 +63,14 @@
                                         accept(channel, maxHeaderBytes.getAsInt(), task);
                                     }
                                 });
-        var bound = server.bind(socketAddress(address)).awaitUninterruptibly();
+        InetSocketAddress local =
+                SocketAddresses.parse(address)
+                        .orElseThrow(
+                                () ->
+                                        new RattanportException(
+                                                ErrorCode.INVALID_SETTINGS,
+                                                "not a valid address: " + address));
+        var bound = server.bind(local).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw RattanportException.builder(
                             ErrorCode.INVALID_SETTINGS,
@@ -92,6 +99,8 @@
      *     server refuses the connection
      */
     public HttpChannel connect(String address, Duration timeout) {
+        InetSocketAddress remote =
+                SocketAddresses.parse(address).orElseThrow(() -> cannotConnect(address));
         HttpChannel[] opened = new HttpChannel[1];
         Bootstrap client =
                 new Bootstrap()
@@ -120,17 +129,20 @@
                                         channel.pipeline().addLast(clientCodec(), opened[0]);
                                     }
                                 });
-        var connecting = client.connect(socketAddress(address));
+        var connecting = client.connect(remote);
         if (!isConnected(connecting, timeout)) {
             connecting.channel().close();
-            throw RattanportException.builder(
-                            ErrorCode.TARGET_FAILED, "cannot connect to " + address)
-                    .verdict(Verdict.NOT_RUN)
-                    .build();
+            throw cannotConnect(address);
         }
         return opened[0];
     }
 
+    private static RattanportException cannotConnect(String address) {
+        return RattanportException.builder(ErrorCode.TARGET_FAILED, "cannot connect to " + address)
+                .verdict(Verdict.NOT_RUN)
+                .build();
+    }
+
     private static boolean isConnected(ChannelFuture connecting, Duration timeout) {
         try {
             return connecting.await(timeout.toNanos(), TimeUnit.NANOSECONDS)
@@ -150,12 +162,6 @@
         return new HttpClientCodec(config, false, false);
     }
 
-    static InetSocketAddress socketAddress(String address) {
-        int colon = address.lastIndexOf(':');
-        return new InetSocketAddress(
-                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-    }
-
     @Override
     public void close() {
         // The system frees the port of a listener only when the event loop has dropped its key.
--- a/connectors/src/main/java/org/rattanport/connectors/peer/NettyPeerNetwork.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/NettyPeerNetwork.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.jboss.logging.Logger;
+import org.rattanport.connectors.http.SocketAddresses;
 import org.rattanport.connectors.peer.protocol.Frame;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
@@ -74,7 +75,9 @@
                                                 "peer-connection", () -> serveConnection(accepted));
                                     }
                                 });
-        var bound = server.bind(socketAddress(address)).awaitUninterruptibly();
+        var bound =
+                server.bind(SocketAddresses.parse(address).orElseThrow(() -> invalid(address)))
+                        .awaitUninterruptibly();
         if (!bound.isSuccess()) {
             mEventLoop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
             throw RattanportException.builder(
@@ -171,19 +174,29 @@
                                         channel[0] = new PeerChannel(created, mTraffic);
                                     }
                                 });
-        var connecting = client.connect(socketAddress(address));
+        var connecting =
+                client.connect(
+                        SocketAddresses.parse(address).orElseThrow(() -> unreachable(address)));
         boolean isDone =
                 connecting.awaitUninterruptibly(
                         deadline.remaining(mTime).toNanos(), TimeUnit.NANOSECONDS);
         if (!isDone || !connecting.isSuccess()) {
             connecting.channel().close();
-            throw new RattanportException(
-                    ErrorCode.PEER_UNREACHABLE, "cannot connect to " + address);
+            throw unreachable(address);
         }
         return PeerLink.open(
                 channel[0], mSecret, mCodec, mTime, () -> mLostPeers.onNext(address), deadline);
     }
 
+    private static RattanportException invalid(String address) {
+        return new RattanportException(
+                ErrorCode.INVALID_SETTINGS, "not a valid address: " + address);
+    }
+
+    private static RattanportException unreachable(String address) {
+        return new RattanportException(ErrorCode.PEER_UNREACHABLE, "cannot connect to " + address);
+    }
+
     private void serveConnection(PeerChannel channel) {
         mAccepted.add(channel);
         try {
@@ -254,12 +267,6 @@
         return handler.handle((T) message);
     }
 
-    private static InetSocketAddress socketAddress(String address) {
-        int colon = address.lastIndexOf(':');
-        return new InetSocketAddress(
-                address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
-    }
-
     @Override
     public void close() {
         mServer.close().awaitUninterruptibly();
--- a/connectors/src/main/java/org/rattanport/connectors/platform/HttpInstanceList.java
+++ b/connectors/src/main/java/org/rattanport/connectors/platform/HttpInstanceList.java
@@ -2,12 +2,15 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Optional;
+import org.jboss.logging.Logger;
 import org.rattanport.connectors.http.BaseUrl;
 import org.rattanport.connectors.http.HttpClient;
 import org.rattanport.connectors.http.HttpClientRequest;
 import org.rattanport.connectors.http.HttpClientResponse;
+import org.rattanport.connectors.http.SocketAddresses;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.model.Target;
@@ -18,6 +21,8 @@
 
 /** Reads the instance list over HTTP; conditional requests avoid resending an unchanged list. */
 public final class HttpInstanceList implements InstanceList {
+    private static final Logger LOGGER = Logger.getLogger(HttpInstanceList.class);
+
     private static final int NOT_MODIFIED = 304;
 
     /** The last listing and its entity tag. */
@@ -57,22 +62,34 @@
         }
     }
 
-    private static Listing listing(JsonNode node) {
+    static Listing listing(JsonNode node) {
         List<Target> targets = new ArrayList<>();
-        node.path("targets").forEach(each -> targets.add(target(each)));
+        node.path("targets").forEach(each -> target(each).ifPresent(targets::add));
         List<ListedInstance> instances = new ArrayList<>();
         node.path("instances").forEach(each -> instances.add(instance(each)));
         return new Listing(targets, instances);
     }
 
-    private static Target target(JsonNode node) {
-        return new Target(
-                new TargetId(node.path("name").asText(), node.path("incarnation").asLong()),
-                TargetKind.valueOf(node.path("kind").asText()),
-                node.path("pool").asText(),
-                node.path("address").asText(),
-                node.path("data_centre").asText(),
-                node.path("leaving").asBoolean());
+    /** Returns the target of an entry; empty for an entry of an unknown kind or address. */
+    private static Optional<Target> target(JsonNode node) {
+        String address = node.path("address").asText();
+        String kindName = node.path("kind").asText();
+        Optional<TargetKind> kind =
+                Arrays.stream(TargetKind.values())
+                        .filter(each -> each.name().equals(kindName))
+                        .findFirst();
+        if (kind.isEmpty() || SocketAddresses.parse(address).isEmpty()) {
+            LOGGER.debugf("entry of the instance list names no target: %s", node.path("name"));
+            return Optional.empty();
+        }
+        return Optional.of(
+                new Target(
+                        new TargetId(node.path("name").asText(), node.path("incarnation").asLong()),
+                        kind.get(),
+                        node.path("pool").asText(),
+                        address,
+                        node.path("data_centre").asText(),
+                        node.path("leaving").asBoolean()));
     }
 
     private static ListedInstance instance(JsonNode node) {
