Bound the bytes of one event of a stream

An engine that sends bytes without the end of an event filled the memory of the instance until the deadline of the request. The relay now gives the engine up at 256 KiB. ForwardingTest.shouldEndWhenTheyNeverCompleteAnEvent failed before (over 1 MiB was read).

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
@@ -20,6 +20,9 @@
  * back end.
  */
 final class EventRelay implements ResponseRelay {
+    /** Bytes without the end of an event, above which a response is no event stream. */
+    private static final int MAX_EVENT_BYTES = 262_144;
+
     private final CallerExchange mCaller;
     private final TimeSource mTime;
     private final Runnable mOnEvent;
@@ -54,6 +57,9 @@
                 hasEvents = true;
                 forward(head, event);
             }
+            if (parser.pendingBytes() > MAX_EVENT_BYTES) {
+                throw brokenOff("an event of the stream is too long");
+            }
             chunk =
                     mHasStarted
                             ? mTimeout.get()
@@ -69,17 +75,20 @@
     /** The end of a connection also ends a stream that has broken off. */
     private static void requireComplete(
             ResponseHead head, EventStreamParser parser, boolean hasEvents) {
-        if (parser.isInsideEvent() || (head.isCloseDelimited() && !hasEvents)) {
-            throw RattanportException.builder(
-                            ErrorCode.TARGET_FAILED,
-                            parser.isInsideEvent()
-                                    ? "the stream ended inside an event"
-                                    : "the stream ended before its first event")
-                    .verdict(Verdict.MAY_HAVE_RUN)
-                    .build();
+        if (parser.isInsideEvent()) {
+            throw brokenOff("the stream ended inside an event");
+        }
+        if (head.isCloseDelimited() && !hasEvents) {
+            throw brokenOff("the stream ended before its first event");
         }
     }
 
+    private static RattanportException brokenOff(String reason) {
+        return RattanportException.builder(ErrorCode.TARGET_FAILED, reason)
+                .verdict(Verdict.MAY_HAVE_RUN)
+                .build();
+    }
+
     private void forward(ResponseHead head, Event event) {
         boolean isDuplicate =
                 event.number().isPresent()
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventStreamParser.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/EventStreamParser.java
@@ -43,6 +43,11 @@
         return mPending.toArray();
     }
 
+    /** Number of bytes after the last complete event. */
+    public int pendingBytes() {
+        return mPending.size();
+    }
+
     /**
      * Whether a part of an event follows the last complete one; line ends do not begin an event.
      */
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -55,10 +55,17 @@
         END_INSIDE_EVENT,
         /** Succeeds with text that is no event. */
         TEXT,
+        /** Streams one event and then bytes without end that complete no event. */
+        ENDLESS,
         /** Streams one event, stalls, and streams the next. */
         STALL
     }
 
+    private static final byte[] ENDLESS_CHUNK = "x".repeat(8_192).getBytes(StandardCharsets.UTF_8);
+
+    /** Bytes of one response that an instance may keep in memory. */
+    private static final int MAX_ENDLESS_BYTES = 1_048_576;
+
     private static final Duration STALL_DURATION = Duration.ofMillis(1_500);
 
     private final ManualTimeSource mTime = new ManualTimeSource();
@@ -71,6 +78,7 @@
     private final List<RequestOutcome> mOutcomes = new ArrayList<>();
     private final FakeCaller mCaller = new FakeCaller();
     private int mSlack = 100;
+    private int mEndlessBytes;
 
     /** What happens while the connection to a back end is opened. */
     private Runnable mDuringConnect = () -> {};
@@ -280,6 +288,13 @@
             assertThat(mCaller.mIsFinished).isTrue();
         }
 
+        @Test
+        void shouldEndWhenTheyNeverCompleteAnEvent() {
+            serve("/stream/a", Reaction.ENDLESS, Reaction.LOSE_RESPONSE);
+            assertThat(mCaller.mBody.toString()).isEqualTo(FIRST_EVENT);
+            assertThat(mCaller.mIsAborted).isTrue();
+        }
+
         @Test
         void shouldNotBeCompleteWhenNoEventCame() {
             RattanportException error =
@@ -447,13 +462,18 @@
         @Override
         public Optional<byte[]> awaitChunk(Deadline deadline) {
             mChunks++;
+            if (mReaction == Reaction.ENDLESS && mChunks > 1) {
+                mEndlessBytes += ENDLESS_CHUNK.length;
+                assertThat(mEndlessBytes).isLessThan(MAX_ENDLESS_BYTES);
+                return Optional.of(ENDLESS_CHUNK);
+            }
             if (mReaction == Reaction.BREAK_OFF && mChunks > 1) {
                 throw failure(ErrorCode.TARGET_FAILED);
             }
             int chunkCount =
                     switch (mReaction) {
                         case STALL -> 2;
-                        case STREAM, BREAK_OFF, END_INSIDE_EVENT, TEXT, FAIL -> 1;
+                        case STREAM, BREAK_OFF, END_INSIDE_EVENT, TEXT, FAIL, ENDLESS -> 1;
                         default -> 0;
                     };
             if (mChunks > chunkCount) {
