Fail a connect at once when the transport is closed

An instance that ends while it releases engine memory printed a stack trace of the event loop (seen once in the demo beside load, after calls to targets open a connection each). The connect now fails as not run.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
@@ -100,7 +100,9 @@
      */
     public HttpChannel connect(String address, Duration timeout) {
         InetSocketAddress remote =
-                SocketAddresses.parse(address).orElseThrow(() -> cannotConnect(address));
+                SocketAddresses.parse(address)
+                        .filter(each -> !mEventLoop.isShuttingDown())
+                        .orElseThrow(() -> cannotConnect(address));
         HttpChannel[] opened = new HttpChannel[1];
         Bootstrap client =
                 new Bootstrap()
