Tell an instance that starts or returns what makes engines crash

An instance that started after the crashes knew none of them, and let prompts with the part at fault through until three more engines had crashed; with a rolling restart of all instances the whole fleet forgets. Instances now spread the suspicions of the contents at fault, not those of bystanders, again when a member becomes alive. CrashAttributionTest.InstancesThatStartLater holds it; it could not have passed before, as there was nothing to call.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -14,6 +14,7 @@
 import org.rattanport.kernel.gateway.FleetSource;
 import org.rattanport.kernel.gateway.GatewaySettings;
 import org.rattanport.kernel.gateway.RequestOutcome;
+import org.rattanport.kernel.peer.MemberState;
 import org.rattanport.kernel.peer.Membership;
 import org.rattanport.kernel.peer.PeerNetwork;
 import org.rattanport.kernel.plugin.Edition;
@@ -149,7 +150,7 @@
         return follower;
     }
 
-    private static GatewayComponents components(
+    private GatewayComponents components(
             PluginContext context,
             GatewaySettings settings,
             BackEndRegistry registry,
@@ -159,6 +160,14 @@
         LoadTable loadTable = new LoadTable(time);
         Membership membership = context.require(Membership.class);
         String dataCentre = context.require(InstanceSettings.class).dataCentre();
+        CrashAttribution crashes =
+                CrashAttribution.withRumors(time, context.require(RumorHub.class), new Random());
+        mSubscriptions.add(
+                membership
+                        .memberChanges()
+                        .filter(member -> member.state() == MemberState.ALIVE)
+                        .filter(member -> !member.id().equals(membership.self().id()))
+                        .subscribe(member -> crashes.retell()));
         return new GatewayComponents(
                 context.require(ActiveRouting.class),
                 registry,
@@ -166,10 +175,7 @@
                 new LeastLoadedPlacement(dataCentre, registry, health, loadTable, new Random()),
                 context.require(BackEndClient.class),
                 new MemoryLeases(context.require(EngineMemoryClient.class), time),
-                new OutcomeRecorder(
-                        health,
-                        CrashAttribution.withRumors(
-                                time, context.require(RumorHub.class), new Random())),
+                new OutcomeRecorder(health, crashes),
                 loadTable,
                 placement,
                 new ServiceRetryBudget(
--- a/decisions/src/main/java/org/rattanport/decisions/poison/CrashAttribution.java
+++ b/decisions/src/main/java/org/rattanport/decisions/poison/CrashAttribution.java
@@ -58,6 +58,7 @@
     private static final int MAX_CRASHES = 512;
     private static final int MAX_SOUND_CONTENTS = 4_096;
     private static final int MAX_OBSERVATIONS = 4_096;
+    private static final int MAX_RETOLD_CONTENTS = 8;
 
     /** Crashes above which a companion may be missing at one of them. */
     private static final int MIN_CRASHES_FOR_EXCEPTION = 5;
@@ -126,6 +127,36 @@
         }
     }
 
+    /**
+     * Spreads the suspicions of the contents at fault again, for an instance that started or was
+     * unreachable when they were new.
+     */
+    public void retell() {
+        List<Rumor> rumors;
+        synchronized (this) {
+            rumors =
+                    mSuspects.entrySet().stream()
+                            .filter(
+                                    entry ->
+                                            isLikeliestCause(
+                                                    entry.getKey(),
+                                                    entry.getValue(),
+                                                    Duration.ZERO))
+                            .limit(MAX_RETOLD_CONTENTS)
+                            .flatMap(
+                                    entry ->
+                                            entry.getValue().mCrashes.keySet().stream()
+                                                    .limit(MIN_CRASHES_AFTER_SOUND_RUN)
+                                                    .<Rumor>map(
+                                                            engine ->
+                                                                    new RequestSuspected(
+                                                                            entry.getKey(),
+                                                                            engine)))
+                            .toList();
+        }
+        rumors.forEach(mRumors);
+    }
+
     private void accuse(Fingerprint content, TargetId engine) {
         Optional<SuspicionWithdrawn> withdrawal;
         synchronized (this) {
@@ -190,9 +221,12 @@
 
     private boolean isAtFault(Fingerprint content, RequestContent request, Duration settleTime) {
         Suspect suspect = mSuspects.get(content);
-        if (suspect == null) {
-            return false;
-        }
+        return suspect != null
+                && isLikeliestCause(content, suspect, settleTime)
+                && companions(content, suspect).allMatch(request::contains);
+    }
+
+    private boolean isLikeliestCause(Fingerprint content, Suspect suspect, Duration settleTime) {
         Optional<SoundRun> soundRun = soundRun(content);
         int needed = soundRun.isPresent() ? MIN_CRASHES_AFTER_SOUND_RUN : MIN_CRASHES;
         if (suspect.mCrashes.size() < needed
@@ -206,7 +240,7 @@
                         .filter(crash -> age(crash.getValue()) >= settleTime.toNanos())
                         .filter(crash -> !hasLikelierSuspect(crash.getKey(), total))
                         .count();
-        return counted >= needed && companions(content, suspect).allMatch(request::contains);
+        return counted >= needed;
     }
 
     private boolean hasLikelierSuspect(TargetId engine, int crashCount) {
--- a/decisions/src/test/java/org/rattanport/decisions/poison/CrashAttributionTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/poison/CrashAttributionTest.java
@@ -233,6 +233,28 @@
         }
     }
 
+    @Nested
+    final class InstancesThatStartLater {
+        @Test
+        void shouldLearnWhatIsAtFaultButNotTheBystanders() {
+            IntStream.range(0, 10)
+                    .forEach(
+                            i ->
+                                    crash(
+                                            mFirst,
+                                            i,
+                                            request("deadly"),
+                                            i < 8 ? request("popular") : request("rare-" + i)));
+            Instance later = new Instance();
+            assertThat(isBlocked(later, request("deadly"))).isFalse();
+            mSecond.mAttribution.retell();
+            deliverRumors();
+            mTime.advance(SETTLED);
+            assertThat(isBlocked(later, request("deadly"))).isTrue();
+            assertThat(isBlocked(later, request("popular"))).isFalse();
+        }
+    }
+
     @Nested
     final class Rumors {
         @Test
