Hurry only news of contents with a second crash

A content at fault has its second crash with the retry of the same request, so nothing is lost for it. CrashAttributionTest.Rumors holds the limit.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayMembershipPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayMembershipPlugin.java
@@ -116,7 +116,7 @@
         tasks.schedule("probe-members", timings.probePeriod(), prober::runRound);
         tasks.schedule("join-members", timings.listPeriod(), search::runRound);
         mTasks = Optional.of(tasks);
-        rumorHub.setOnSpread(new RumorPusher(prober, time)::requestPush);
+        rumorHub.setPush(new RumorPusher(prober, time)::requestPush);
         mLostPeersSubscription = peers.lostPeers().subscribe(prober::probeLostPeer);
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/membership/RumorHub.java
+++ b/decisions/src/main/java/org/rattanport/decisions/membership/RumorHub.java
@@ -9,7 +9,7 @@
 public final class RumorHub {
     private final RumorQueue mQueue;
     private final List<Consumer<Rumor>> mListeners = new CopyOnWriteArrayList<>();
-    private volatile Runnable mOnSpread = () -> {};
+    private volatile Runnable mPush = () -> {};
 
     public RumorHub(RumorQueue queue) {
         mQueue = queue;
@@ -18,12 +18,17 @@
     /** Queues a rumor for dissemination, whether it originates here or was received first. */
     public void spread(Rumor rumor) {
         mQueue.add(rumor);
-        mOnSpread.run();
     }
 
-    /** Sets what runs when a rumor is queued, before the next probe would carry it. */
-    public void setOnSpread(Runnable onSpread) {
-        mOnSpread = onSpread;
+    /** Queues a rumor that should not wait for the next probe. */
+    public void spreadPromptly(Rumor rumor) {
+        mQueue.add(rumor);
+        mPush.run();
+    }
+
+    /** Sets what sends the queued rumors before the next probe. */
+    public void setPush(Runnable push) {
+        mPush = push;
     }
 
     /**
--- a/decisions/src/main/java/org/rattanport/decisions/membership/RumorPusher.java
+++ b/decisions/src/main/java/org/rattanport/decisions/membership/RumorPusher.java
@@ -6,8 +6,8 @@
 import org.rattanport.kernel.time.TimeSource;
 
 /**
- * Pings the ring neighbours as soon as there is a new rumor, so that it reaches all members within
- * a few round trips instead of a few probe periods.
+ * Pings the ring neighbours as soon as there is an urgent rumor, so that it reaches all members
+ * within a few round trips instead of a few probe periods.
  */
 public final class RumorPusher {
     /** Rumors of this time go out together, which bounds the pings under a flood of rumors. */
--- a/decisions/src/main/java/org/rattanport/decisions/poison/CrashAttribution.java
+++ b/decisions/src/main/java/org/rattanport/decisions/poison/CrashAttribution.java
@@ -42,6 +42,9 @@
     /** Crashed engines that block a content. */
     private static final int MIN_CRASHES = 3;
 
+    /** Crashed engines at which the news of a content is urgent; most contents see one crash. */
+    private static final int MIN_URGENT_CRASHES = 2;
+
     /** Crashed engines that block a content which engines ran before. */
     private static final int MIN_CRASHES_AFTER_SOUND_RUN = 5;
 
@@ -65,21 +68,31 @@
 
     private final TimeSource mTime;
     private final Consumer<Rumor> mRumors;
+    private final Consumer<Rumor> mUrgentRumors;
     private final Random mRandom;
     private final Map<TargetId, Crash> mCrashes = new LinkedHashMap<>();
     private final Map<Fingerprint, Suspect> mSuspects = new HashMap<>();
     private final Map<Fingerprint, SoundRun> mSoundRuns = boundedMap(MAX_SOUND_CONTENTS);
     private final Map<Long, Boolean> mObservations = boundedMap(MAX_OBSERVATIONS);
 
-    public CrashAttribution(TimeSource time, Consumer<Rumor> rumors, Random random) {
+    /**
+     * Creates an attribution.
+     *
+     * @param rumors sends a rumor to peers some time
+     * @param urgentRumors sends a rumor to peers at once
+     */
+    public CrashAttribution(
+            TimeSource time, Consumer<Rumor> rumors, Consumer<Rumor> urgentRumors, Random random) {
         mTime = time;
         mRumors = rumors;
+        mUrgentRumors = urgentRumors;
         mRandom = random;
     }
 
     /** Creates an attribution that shares its evidence with peers through rumors. */
     public static CrashAttribution withRumors(TimeSource time, RumorHub hub, Random random) {
-        CrashAttribution attribution = new CrashAttribution(time, hub::spread, random);
+        CrashAttribution attribution =
+                new CrashAttribution(time, hub::spread, hub::spreadPromptly, random);
         hub.addListener(attribution::receive);
         return attribution;
     }
@@ -154,18 +167,20 @@
                                                                             engine)))
                             .toList();
         }
-        rumors.forEach(mRumors);
+        rumors.forEach(mUrgentRumors);
     }
 
     private void accuse(Fingerprint content, TargetId engine) {
         Optional<SuspicionWithdrawn> withdrawal;
+        boolean isUrgent;
         synchronized (this) {
             if (!addSuspect(content, engine)) {
                 return;
             }
             withdrawal = withdrawal(content);
+            isUrgent = crashCount(content) >= MIN_URGENT_CRASHES;
         }
-        mRumors.accept(new RequestSuspected(content, engine));
+        (isUrgent ? mUrgentRumors : mRumors).accept(new RequestSuspected(content, engine));
         withdrawal.ifPresent(mRumors);
     }
 
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -125,7 +125,8 @@
                         new ScriptedClient(),
                         leases,
                         new OutcomeRecorder(
-                                mHealth, new CrashAttribution(mTime, rumor -> {}, random)),
+                                mHealth,
+                                new CrashAttribution(mTime, rumor -> {}, rumor -> {}, random)),
                         loadTable,
                         new NoOpWorkNotifier(),
                         retryBudget,
--- a/decisions/src/test/java/org/rattanport/decisions/poison/CrashAttributionTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/poison/CrashAttributionTest.java
@@ -67,13 +67,20 @@
     private final class Instance {
         private final Deque<Rumor> mRumors = new ArrayDeque<>();
         private final CrashAttribution mAttribution =
-                new CrashAttribution(mTime, mRumors::add, new Random(mInstances.size()));
+                new CrashAttribution(
+                        mTime, mRumors::add, this::addUrgent, new Random(mInstances.size()));
         private int mSentRumors;
+        private int mUrgentRumors;
 
         private Instance() {
             mInstances.add(this);
         }
 
+        private void addUrgent(Rumor rumor) {
+            mUrgentRumors++;
+            mRumors.add(rumor);
+        }
+
         private boolean deliverOne() {
             if (mRumors.isEmpty()) {
                 return false;
@@ -257,6 +264,15 @@
 
     @Nested
     final class Rumors {
+        @Test
+        void shouldBeUrgentOnlyFromTheSecondCrashOfAContent() {
+            crash(mFirst, 1, request("one"), request("other"));
+            assertThat(mFirst.mUrgentRumors + mSecond.mUrgentRumors).isEqualTo(0);
+            crash(mSecond, 2, request("one"));
+            assertThat(mSecond.mUrgentRumors).isEqualTo(1);
+            assertThat(mFirst.mUrgentRumors).isEqualTo(1);
+        }
+
         @Test
         void shouldEndAlsoWhenInstancesContradictEachOther() {
             run(mFirst, request("popular"));
