--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
@@ -0,0 +1,187 @@
+package org.rattanport.decisions.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.gateway.Attempt;
+import org.rattanport.kernel.gateway.BackEndClient;
+import org.rattanport.kernel.gateway.BackEndExchange;
+import org.rattanport.kernel.gateway.ResponseHead;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.ManualTimeSource;
+
+/** Back ends that react to each attempt as scripted. */
+final class ScriptedBackEnds implements BackEndClient {
+    /** How a back end reacts to the next attempt. */
+    enum Reaction {
+        RESPOND,
+        REFUSE,
+        NO_CONNECTION,
+        LOSE_RESPONSE,
+        FAIL,
+        UNSIGNED,
+        OTHER_ATTEMPT,
+        REFUSE_OTHER_ATTEMPT,
+        SILENT,
+        /** Streams one event. */
+        STREAM,
+        /** Streams one event and breaks off. */
+        BREAK_OFF,
+        /** Streams one event and a part of the next, and ends as if it were complete. */
+        END_INSIDE_EVENT,
+        /** Succeeds with text that is no event. */
+        TEXT,
+        /** Streams one event and then bytes without end that complete no event. */
+        ENDLESS,
+        /** Streams one event, stalls, and streams the next. */
+        STALL
+    }
+
+    private static final byte[] ENDLESS_CHUNK = "x".repeat(8_192).getBytes(StandardCharsets.UTF_8);
+
+    /** Bytes of one response that an instance may keep in memory. */
+    private static final int MAX_ENDLESS_BYTES = 1_048_576;
+
+    private static final Duration STALL_DURATION = Duration.ofMillis(1_500);
+
+    private final ManualTimeSource mTime;
+    private final Deque<Reaction> mReactions = new ArrayDeque<>();
+    private final List<Attempt> mAttempts = new ArrayList<>();
+    private int mEndlessBytes;
+
+    /** What happens while the connection to a back end is opened. */
+    Runnable mDuringConnect = () -> {};
+
+    ScriptedBackEnds(ManualTimeSource time) {
+        mTime = time;
+    }
+
+    /** The reactions to the next attempts, in order. */
+    Deque<Reaction> reactions() {
+        return mReactions;
+    }
+
+    /** The attempts that reached a back end. */
+    List<Attempt> attempts() {
+        return mAttempts;
+    }
+
+    @Override
+    public BackEndExchange send(Attempt attempt, Deadline connectDeadline, Runnable beforeWriting) {
+        mDuringConnect.run();
+        beforeWriting.run();
+        mAttempts.add(attempt);
+        Reaction reaction = mReactions.removeFirst();
+        if (reaction == Reaction.NO_CONNECTION) {
+            throw new RattanportException(ErrorCode.TARGET_FAILED, "no connection");
+        }
+        return new ScriptedExchange(attempt, reaction);
+    }
+
+    private final class ScriptedExchange implements BackEndExchange {
+        private final Attempt mAttempt;
+        private final Reaction mReaction;
+        private int mChunks;
+
+        private ScriptedExchange(Attempt attempt, Reaction reaction) {
+            mAttempt = attempt;
+            mReaction = reaction;
+        }
+
+        @Override
+        public ResponseHead awaitHead(Deadline deadline) {
+            return switch (mReaction) {
+                case LOSE_RESPONSE -> throw failure(ErrorCode.TARGET_FAILED);
+                case SILENT -> {
+                    mTime.advance(deadline.remaining(mTime));
+                    throw failure(ErrorCode.DEADLINE_EXCEEDED);
+                }
+                case REFUSE, REFUSE_OTHER_ATTEMPT -> responseHead(503, true, false);
+                case FAIL -> responseHead(500, false, true);
+                case UNSIGNED -> responseHead(200, false, false);
+                default -> responseHead(200, false, true);
+            };
+        }
+
+        private ResponseHead responseHead(int status, boolean isNotRun, boolean isSigned) {
+            boolean isForeign =
+                    mReaction == Reaction.OTHER_ATTEMPT
+                            || mReaction == Reaction.REFUSE_OTHER_ATTEMPT;
+            String id = isForeign ? "other" : mAttempt.request().attemptId();
+            return new ResponseHead(
+                    status,
+                    List.of(),
+                    Optional.of(id),
+                    isSigned,
+                    isNotRun,
+                    false,
+                    false,
+                    Optional.empty(),
+                    Optional.empty());
+        }
+
+        private static RattanportException failure(ErrorCode code) {
+            return RattanportException.builder(code, "scripted")
+                    .verdict(Verdict.MAY_HAVE_RUN)
+                    .build();
+        }
+
+        @Override
+        public Optional<byte[]> awaitChunk(Deadline deadline) {
+            mChunks++;
+            if (mReaction == Reaction.ENDLESS && mChunks > 1) {
+                mEndlessBytes += ENDLESS_CHUNK.length;
+                assertThat(mEndlessBytes).isLessThan(MAX_ENDLESS_BYTES);
+                return Optional.of(ENDLESS_CHUNK);
+            }
+            if (mReaction == Reaction.BREAK_OFF && mChunks > 1) {
+                throw failure(ErrorCode.TARGET_FAILED);
+            }
+            int chunkCount =
+                    switch (mReaction) {
+                        case STALL -> 2;
+                        case STREAM, BREAK_OFF, END_INSIDE_EVENT, TEXT, FAIL, ENDLESS -> 1;
+                        default -> 0;
+                    };
+            if (mChunks > chunkCount) {
+                return Optional.empty();
+            }
+            if (mReaction == Reaction.TEXT || mReaction == Reaction.FAIL) {
+                return Optional.of("error text".getBytes(StandardCharsets.UTF_8));
+            }
+            if (mChunks == 2) {
+                stall(deadline);
+            }
+            int last = mAttempt.lastEventId().map(Integer::parseInt).orElse(0);
+            String event = "id: " + (last + mChunks) + "\ndata: x\n\n";
+            if (mReaction == Reaction.END_INSIDE_EVENT) {
+                event += "id: " + (last + 2) + "\nda";
+            }
+            return Optional.of(event.getBytes(StandardCharsets.UTF_8));
+        }
+
+        private void stall(Deadline deadline) {
+            Duration remaining = deadline.remaining(mTime);
+            if (remaining.compareTo(STALL_DURATION) < 0) {
+                mTime.advance(remaining);
+                throw failure(ErrorCode.DEADLINE_EXCEEDED);
+            }
+            mTime.advance(STALL_DURATION);
+        }
+
+        @Override
+        public void abort() {}
+
+        @Override
+        public void close() {}
+    }
+}
