--- a/connectors/src/test/java/org/rattanport/connectors/platform/HttpInstanceListTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/platform/HttpInstanceListTest.java
@@ -10,7 +10,8 @@
 
 final class HttpInstanceListTest {
     private static String entry(String name, String kind, String address) {
-        return "{\"name\":\"%s\",\"incarnation\":3,\"kind\":\"%s\",\"pool\":\"p\",\"address\":\"%s\"}"
+        return ("{\"name\":\"%s\",\"incarnation\":3,\"kind\":\"%s\",\"pool\":\"p\","
+                        + "\"address\":\"%s\"}")
                 .formatted(name, kind, address);
     }
 
