Choose two readers of the store in each data centre

Cause: the store was silent to four of twelve instances, and the one reader of each data centre was among them. A silent store shows only when a read for changes ends, up to 6 s later, and until then the readers tell the others that nothing has changed.

Each data centre has two readers now, and readers follow each other. StoreReadersTest now asks for two readers instead of one, and for the larger machine among three instead of two, as strict as before.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/StoreReaders.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/StoreReaders.java
@@ -11,13 +11,15 @@
 import org.rattanport.kernel.peer.MemberState;
 
 /**
- * Chooses the instances that read the store for the others: one in each data centre, by rendezvous
- * hashing over the members. Members that start or drain count, as they read the store anyway or
- * still respond.
+ * Chooses the instances that read the store for the others: two in each data centre, by rendezvous
+ * hashing over the members, so that a store that is silent to some instances is not silent to all
+ * readers. Members that start or drain count, as they read the store anyway or still respond.
  */
 final class StoreReaders {
     private static final String KEY = "store-reader";
 
+    private static final int READERS_PER_DATA_CENTRE = 2;
+
     /** The readers as of a state of the member table. */
     private record Choice(long changeCount, List<Member> readers) {}
 
@@ -28,12 +30,12 @@
         mMembers = members;
     }
 
-    /** Whether this instance is the reader of its data centre. */
+    /** Whether this instance is a reader of its data centre. */
     boolean isReader() {
         return readers().stream().anyMatch(each -> each.id().equals(mMembers.self().id()));
     }
 
-    /** The other readers; that of this instance's data centre is the first. */
+    /** The other readers; those of this instance's data centre come first. */
     List<Member> others() {
         Member self = mMembers.self();
         List<Member> others =
@@ -74,7 +76,7 @@
                         members ->
                                 RendezvousHash.orderByCapacity(
                                         KEY, members, each -> each.id().name(), Member::dutyWeight))
-                .map(List::getFirst)
+                .flatMap(members -> members.stream().limit(READERS_PER_DATA_CENTRE))
                 .toList();
     }
 }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/StoreReadersTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/StoreReadersTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.rattanport.decisions.membership.MemberTable;
@@ -47,19 +48,25 @@
     @Nested
     final class AgreeingMembers {
         @Test
-        void shouldChooseOneReaderInEachDataCentre() {
+        void shouldChooseTwoReadersInEachDataCentre() {
             assertThat(readers().stream().map(each -> each.self().dataCentre()))
-                    .containsExactlyElementsIn(DATA_CENTRES);
+                    .containsExactly("a", "a", "b", "b", "c", "c");
         }
 
         @Test
-        void shouldNameTheReaderOfTheOwnDataCentreFirst() {
+        void shouldNameTheReadersOfTheOwnDataCentreFirst() {
             for (MemberTable table : mTables) {
                 List<Member> others = new StoreReaders(table).others();
                 boolean isReader = new StoreReaders(table).isReader();
-                assertThat(others).hasSize(isReader ? 2 : 3);
-                assertThat(others.getFirst().dataCentre().equals(table.self().dataCentre()))
-                        .isEqualTo(!isReader);
+                int local = isReader ? 1 : 2;
+                assertThat(others).hasSize(local + 4);
+                assertThat(
+                                others.stream()
+                                        .map(each -> each.dataCentre())
+                                        .map(table.self().dataCentre()::equals))
+                        .containsExactlyElementsIn(
+                                IntStream.range(0, local + 4).mapToObj(i -> i < local).toList())
+                        .inOrder();
             }
         }
     }
@@ -74,6 +81,7 @@
                 table = new MemberTable(member(0), new RumorQueue(), new EventStreams());
                 table.merge(sized("large-" + data, "x" + data, 1_500));
                 table.merge(sized("small-" + data, "x" + data, 360));
+                table.merge(sized("other-small-" + data, "x" + data, 360));
                 larger +=
                         new StoreReaders(table)
                                         .others().stream()
