--- a/decisions/src/test/java/org/rattanport/decisions/membership/MembershipTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/membership/MembershipTest.java
@@ -13,6 +13,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -180,6 +182,26 @@
             mNodes.values().forEach(node -> assertThat(node.mRumors.take(18)).isEmpty());
         }
 
+        @Test
+        void shouldReachAllMembersWithoutAProbeWhenUrgent() throws InterruptedException {
+            startNodes(60);
+            runRounds(30);
+            CountDownLatch missing = new CountDownLatch(60);
+            mNodes.values()
+                    .forEach(
+                            node ->
+                                    node.mOnNewRumor =
+                                            () -> {
+                                                missing.countDown();
+                                                node.mPusher.requestPush();
+                                            });
+            mNodes.get("node-0")
+                    .receiveRumor(
+                            new Rumor.TargetDraining(
+                                    new org.rattanport.kernel.model.TargetId("e", 1)));
+            assertThat(missing.await(20, TimeUnit.SECONDS)).isTrue();
+        }
+
         @Test
         void shouldLimitRumorsPerMessage() {
             RumorQueue queue = new RumorQueue();
@@ -237,7 +259,9 @@
         private final Prober mProber;
         private final Map<Class<?>, PeerHandler<?>> mHandlers = new HashMap<>();
         private final List<String> mReceivedRumors = new ArrayList<>();
+        private final RumorPusher mPusher;
         private volatile boolean mIsPaused;
+        private volatile Runnable mOnNewRumor = () -> {};
 
         private Node(String name, long incarnation, long seed) {
             mName = name;
@@ -268,6 +292,7 @@
                                     Duration.ofMillis(400), 3, SUSPICION_ROUNDS, REJOIN_ROUNDS),
                             mTime,
                             new Random(seed));
+            mPusher = new RumorPusher(mProber, mTime);
         }
 
         @Override
@@ -283,6 +308,7 @@
             if (!mReceivedRumors.contains(rumor.key())) {
                 mReceivedRumors.add(rumor.key());
                 mRumors.add(rumor);
+                mOnNewRumor.run();
             }
         }
 
