Check a port in one place, and resolve no host to check an entry

The instance list of the prompts edition parsed each address only to see whether it has a port, which resolves a host name with each reading of the list; it now asks for the port alone. The checks are as strict as before.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
@@ -63,14 +63,7 @@
                                         accept(channel, maxHeaderBytes.getAsInt(), task);
                                     }
                                 });
-        InetSocketAddress local =
-                SocketAddresses.parse(address)
-                        .orElseThrow(
-                                () ->
-                                        new RattanportException(
-                                                ErrorCode.INVALID_SETTINGS,
-                                                "not a valid address: " + address));
-        var bound = server.bind(local).awaitUninterruptibly();
+        var bound = server.bind(SocketAddresses.requireLocal(address)).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             throw RattanportException.builder(
                             ErrorCode.INVALID_SETTINGS,
--- a/connectors/src/main/java/org/rattanport/connectors/peer/NettyPeerNetwork.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/NettyPeerNetwork.java
@@ -75,9 +75,7 @@
                                                 "peer-connection", () -> serveConnection(accepted));
                                     }
                                 });
-        var bound =
-                server.bind(SocketAddresses.parse(address).orElseThrow(() -> invalid(address)))
-                        .awaitUninterruptibly();
+        var bound = server.bind(SocketAddresses.requireLocal(address)).awaitUninterruptibly();
         if (!bound.isSuccess()) {
             mEventLoop.shutdownGracefully(0, 0, TimeUnit.SECONDS);
             throw RattanportException.builder(
@@ -188,11 +186,6 @@
                 channel[0], mSecret, mCodec, mTime, () -> mLostPeers.onNext(address), deadline);
     }
 
-    private static RattanportException invalid(String address) {
-        return new RattanportException(
-                ErrorCode.INVALID_SETTINGS, "not a valid address: " + address);
-    }
-
     private static RattanportException unreachable(String address) {
         return new RattanportException(ErrorCode.PEER_UNREACHABLE, "cannot connect to " + address);
     }
--- a/connectors/src/main/java/org/rattanport/connectors/platform/HttpInstanceList.java
+++ b/connectors/src/main/java/org/rattanport/connectors/platform/HttpInstanceList.java
@@ -78,7 +78,7 @@
                 Arrays.stream(TargetKind.values())
                         .filter(each -> each.name().equals(kindName))
                         .findFirst();
-        if (kind.isEmpty() || SocketAddresses.parse(address).isEmpty()) {
+        if (kind.isEmpty() || SocketAddresses.port(address).isEmpty()) {
             LOGGER.debugf("entry of the instance list names no target: %s", node.path("name"));
             return Optional.empty();
         }
