Flatten what CrashAttribution tells again

The nested stream of retell is two named steps, the two places that note a run share one method, and observations are a set. Two tests share their ten crashes; their assertions are unchanged. No behaviour changes.

--- a/decisions/src/main/java/org/rattanport/decisions/poison/CrashAttribution.java
+++ b/decisions/src/main/java/org/rattanport/decisions/poison/CrashAttribution.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -73,7 +74,7 @@
     private final Map<TargetId, Crash> mCrashes = new LinkedHashMap<>();
     private final Map<Fingerprint, Suspect> mSuspects = new HashMap<>();
     private final Map<Fingerprint, SoundRun> mSoundRuns = boundedMap(MAX_SOUND_CONTENTS);
-    private final Map<Long, Boolean> mObservations = boundedMap(MAX_OBSERVATIONS);
+    private final Set<Long> mObservations = Collections.newSetFromMap(boundedMap(MAX_OBSERVATIONS));
 
     /**
      * Creates an attribution.
@@ -124,11 +125,7 @@
 
     /** Records that an engine began to answer these contents. */
     public synchronized void recordSoundRun(Collection<Fingerprint> contents) {
-        for (Fingerprint content : contents) {
-            mSoundRuns.remove(content);
-            mSoundRuns.put(content, new SoundRun(mTime.nanoTime(), true));
-            dismissCrashes(content);
-        }
+        contents.forEach(content -> putSoundRun(content, true));
     }
 
     /** Applies a rumor from a peer, and passes it on if it is news. */
@@ -145,31 +142,28 @@
      * unreachable when they were new.
      */
     public void retell() {
-        List<Rumor> rumors;
+        List<RequestSuspected> rumors;
         synchronized (this) {
             rumors =
-                    mSuspects.entrySet().stream()
-                            .filter(
-                                    entry ->
-                                            isLikeliestCause(
-                                                    entry.getKey(),
-                                                    entry.getValue(),
-                                                    Duration.ZERO))
+                    mSuspects.keySet().stream()
+                            .filter(this::isLikeliestCause)
                             .limit(MAX_RETOLD_CONTENTS)
-                            .flatMap(
-                                    entry ->
-                                            entry.getValue().mCrashes.keySet().stream()
-                                                    .limit(MIN_CRASHES_AFTER_SOUND_RUN)
-                                                    .<Rumor>map(
-                                                            engine ->
-                                                                    new RequestSuspected(
-                                                                            entry.getKey(),
-                                                                            engine)))
+                            .flatMap(this::accusations)
                             .toList();
         }
         rumors.forEach(mUrgentRumors);
     }
 
+    private boolean isLikeliestCause(Fingerprint content) {
+        return isLikeliestCause(content, mSuspects.get(content), Duration.ZERO);
+    }
+
+    private Stream<RequestSuspected> accusations(Fingerprint content) {
+        return mSuspects.get(content).mCrashes.keySet().stream()
+                .limit(MIN_CRASHES_AFTER_SOUND_RUN)
+                .map(engine -> new RequestSuspected(content, engine));
+    }
+
     private void accuse(Fingerprint content, TargetId engine) {
         Optional<SuspicionWithdrawn> withdrawal;
         boolean isUrgent;
@@ -208,21 +202,26 @@
         own.get().mIsUntold = false;
         dismissCrashes(content);
         SuspicionWithdrawn withdrawal = new SuspicionWithdrawn(content, mRandom.nextLong());
-        mObservations.put(withdrawal.observation(), true);
+        mObservations.add(withdrawal.observation());
         return Optional.of(withdrawal);
     }
 
     /** Clears the content; returns whether the withdrawal is news. */
     private synchronized boolean clear(SuspicionWithdrawn withdrawn) {
-        if (mObservations.put(withdrawn.observation(), true) != null) {
+        if (!mObservations.add(withdrawn.observation())) {
             return false;
         }
         Fingerprint content = withdrawn.fingerprint();
         boolean isUntold = soundRun(content).map(run -> run.mIsUntold).orElse(false);
+        putSoundRun(content, isUntold);
+        return true;
+    }
+
+    private void putSoundRun(Fingerprint content, boolean isUntold) {
+        // Makes the content the newest one, as the oldest is dropped first.
         mSoundRuns.remove(content);
         mSoundRuns.put(content, new SoundRun(mTime.nanoTime(), isUntold));
         dismissCrashes(content);
-        return true;
     }
 
     private void dismissCrashes(Fingerprint content) {
--- a/decisions/src/test/java/org/rattanport/decisions/poison/CrashAttributionTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/poison/CrashAttributionTest.java
@@ -48,6 +48,18 @@
         deliverRumors();
     }
 
+    /** Ten crashes with the part at fault, eight of them beside one popular part. */
+    private void crashTenEnginesBesideBystanders() {
+        IntStream.range(0, 10)
+                .forEach(
+                        i ->
+                                crash(
+                                        mFirst,
+                                        i,
+                                        request("deadly"),
+                                        i < 8 ? request("popular") : request("rare-" + i)));
+    }
+
     private void run(Instance instance, RequestContent request) {
         instance.mAttribution.recordSoundRun(request.sharedParts());
     }
@@ -142,14 +154,7 @@
     final class Bystanders {
         @Test
         void shouldNotBeBlockedForCrashesWithALikelierSuspect() {
-            IntStream.range(0, 10)
-                    .forEach(
-                            i ->
-                                    crash(
-                                            mFirst,
-                                            i,
-                                            request("deadly"),
-                                            i < 8 ? request("popular") : request("rare-" + i)));
+            crashTenEnginesBesideBystanders();
             mTime.advance(SETTLED);
             assertThat(isBlocked(mFirst, request("deadly"))).isTrue();
             assertThat(isBlocked(mFirst, request("popular"))).isFalse();
@@ -244,14 +249,7 @@
     final class InstancesThatStartLater {
         @Test
         void shouldLearnWhatIsAtFaultButNotTheBystanders() {
-            IntStream.range(0, 10)
-                    .forEach(
-                            i ->
-                                    crash(
-                                            mFirst,
-                                            i,
-                                            request("deadly"),
-                                            i < 8 ? request("popular") : request("rare-" + i)));
+            crashTenEnginesBesideBystanders();
             Instance later = new Instance();
             assertThat(isBlocked(later, request("deadly"))).isFalse();
             mSecond.mAttribution.retell();
