Add review cases on answers that are joined, cut or lost

Four scripts start gateways over stand-ins: a long answer that is retried (MIXED), an unframed stream through a killed gateway (MIXED), an early answer whose engine crashes (MIXED), and long answers during a planned stop (LOST).

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,7 +3,7 @@
 set -u
 cd "$(dirname "$0")/../.."
 . config/java-home.sh || exit 2
-timeout -k 5 110 "$JAVA_HOME/bin/java" -Xmx512m -cp review/target/classes EarlyAnswerReset "review/2"
+timeout -k 5 100 "$JAVA_HOME/bin/java" -Xmx512m -cp review/target/classes UnframedKilled review/2
 code=$?
 [ "$code" -le 2 ] && exit "$code"
 exit 2
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,8 @@
 set -u
 cd "$(dirname "$0")/../.."
 . config/java-home.sh || exit 2
-timeout -k 5 110 "$JAVA_HOME/bin/java" -Xmx512m -cp review/target/classes LongAnswerRetried "review/3"
+timeout -k 5 100 "$JAVA_HOME/bin/java" -Xmx512m --enable-native-access=ALL-UNNAMED \
+    --add-exports java.base/sun.nio.ch=ALL-UNNAMED -cp review/target/classes EarlyAnswerReset review/3
 code=$?
 [ "$code" -le 2 ] && exit "$code"
 exit 2
--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -1,9 +1,12 @@
 import java.io.ByteArrayOutputStream;
 import java.io.EOFException;
+import java.io.FilterInputStream;
 import java.io.IOException;
 import java.io.InputStream;
+import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -39,17 +42,36 @@
         }
     }
 
-    private final Socket mSocket = new Socket();
+    private final Socket mSocket;
     private final InputStream mInput;
+    private final OutputStream mOutput;
 
+    /** Connects over loopback as it is. */
     Client(String address) throws IOException {
+        mSocket = new Socket();
+        connect(address);
+        mInput = Http.buffered(mSocket.getInputStream());
+        mOutput = mSocket.getOutputStream();
+    }
+
+    /** Connects as over a link with a bandwidth, a window and the segments of Ethernet. */
+    Client(String address, long bytesPerSecond, int window) throws IOException {
+        SocketChannel channel = SocketChannel.open();
+        Ethernet.limitSegments(channel);
+        mSocket = channel.socket();
+        mSocket.setReceiveBufferSize(window);
+        connect(address);
+        mInput = Http.buffered(atBandwidth(mSocket.getInputStream(), bytesPerSecond));
+        mOutput = mSocket.getOutputStream();
+    }
+
+    private void connect(String address) throws IOException {
         int colon = address.lastIndexOf(':');
         mSocket.connect(
                 new InetSocketAddress(
                         address.substring(0, colon), Integer.parseInt(address.substring(colon + 1))),
                 1_000);
         mSocket.setTcpNoDelay(true);
-        mInput = Http.buffered(mSocket.getInputStream());
     }
 
     static String newId() {
@@ -65,9 +87,9 @@
                         + "\r\nX-Rattanport-Key: " + KEY + "\r\n" + headers
                         + (method.equals("GET") ? "" : "Content-Length: " + body.length + "\r\n")
                         + "\r\n";
-        mSocket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
-        mSocket.getOutputStream().write(body);
-        mSocket.getOutputStream().flush();
+        mOutput.write(head.getBytes(StandardCharsets.US_ASCII));
+        mOutput.write(body);
+        mOutput.flush();
     }
 
     /** Reads the answer; waits that long for each next byte. */
@@ -113,6 +135,28 @@
         }
     }
 
+    /** Reads no faster than the bandwidth of the link. */
+    private static InputStream atBandwidth(InputStream input, long bytesPerSecond) {
+        return new FilterInputStream(input) {
+            private long mFreeNanos = System.nanoTime();
+
+            @Override
+            public int read(byte[] buffer, int offset, int length) throws IOException {
+                int count = super.read(buffer, offset, Math.min(length, 16_384));
+                long now = System.nanoTime();
+                mFreeNanos = Math.max(mFreeNanos, now) + count * 1_000_000_000L / bytesPerSecond;
+                if (mFreeNanos - now > 1_000_000) {
+                    try {
+                        Thread.sleep((mFreeNanos - now) / 1_000_000);
+                    } catch (InterruptedException e) {
+                        Thread.currentThread().interrupt();
+                    }
+                }
+                return count;
+            }
+        };
+    }
+
     @Override
     public void close() {
         try {
--- a/review/standins/Engine.java
+++ b/review/standins/Engine.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -22,13 +23,17 @@
     private final Set<Socket> mOpen = ConcurrentHashMap.newKeySet();
     private final long mBorn = System.currentTimeMillis();
 
-    /** Creates an engine; a receive buffer of 0 bytes leaves that of the system. */
-    Engine(InetAddress address, String id, int receiveBuffer, Handler handler) throws IOException {
+    /** Creates an engine; with a window other than 0, its link has it and Ethernet's segments. */
+    Engine(InetAddress address, String id, int window, Handler handler) throws IOException {
         mId = id;
         mHandler = handler;
-        mServer = new ServerSocket();
-        if (receiveBuffer > 0) {
-            mServer.setReceiveBufferSize(receiveBuffer);
+        if (window > 0) {
+            ServerSocketChannel channel = ServerSocketChannel.open();
+            Ethernet.limitSegments(channel);
+            mServer = channel.socket();
+            mServer.setReceiveBufferSize(window);
+        } else {
+            mServer = new ServerSocket();
         }
         mServer.bind(new java.net.InetSocketAddress(address, 0), 256);
         Thread.ofVirtual().start(this::accept);
--- a/review/standins/LongAnswerRetried.java
+++ b/review/standins/LongAnswerRetried.java
@@ -53,7 +53,7 @@
 
     private static int run(Lab lab) throws Exception {
         lab.putDocument(Lab.IDEMPOTENT);
-        for (int i = 1; i <= 3; i++) {
+        for (int i = 1; i <= 6; i++) {
             Engine engine =
                     new Engine(
                             lab.engineAddress(i),
--- a/review/standins/UnframedKilled.java
+++ b/review/standins/UnframedKilled.java
@@ -6,7 +6,7 @@
     private static final int INTERVAL_MILLIS = 150;
 
     public static void main(String[] arguments) {
-        Lab.run(arguments, 1, UnframedKilled::run);
+        Lab.run(arguments, 2, UnframedKilled::run);
     }
 
     private static int run(Lab lab) throws Exception {
