--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -41,6 +41,12 @@
                     + "\"priority\":1,\"service\":\"huvo11a\",\"max_attempts\":2,\"public\":false,"
                     + "\"sticky\":true,\"resumable\":true,\"gap_target_ms\":200}";
 
+    static final String LONG_STREAMING =
+            "{\"name\":\"r-review\",\"host\":\"ficu95.example\",\"prefix\":\"/review/\","
+                    + "\"route_kind\":\"streaming\",\"timeout_ms\":15000,\"goal_ms\":3000,"
+                    + "\"priority\":1,\"service\":\"huvo11a\",\"max_attempts\":2,\"public\":false,"
+                    + "\"sticky\":true,\"resumable\":true,\"gap_target_ms\":800}";
+
     static final String NON_IDEMPOTENT =
             "{\"name\":\"r-book\",\"host\":\"ficu95.example\",\"prefix\":\"/book/\","
                     + "\"route_kind\":\"non_idempotent\",\"timeout_ms\":10000,\"goal_ms\":100,"
