--- a/review/standins/EarlyAnswerReset.java
+++ b/review/standins/EarlyAnswerReset.java
@@ -98,6 +98,7 @@
         try (Client client = new Client(mLab.gateway(0).front())) {
             byte[] body = new byte[BODY_BYTES];
             Arrays.fill(body, (byte) 'x');
+            mLab.log("request " + id + " is sent with " + BODY_BYTES + " bytes");
             client.send("POST", "/book/2f", id, 8_000, "", body);
             Client.Answer answer = client.receive(9_000);
             int whole = 2 * PART.length();
--- a/review/standins/LongAnswerDrained.java
+++ b/review/standins/LongAnswerDrained.java
@@ -35,6 +35,9 @@
                         (self, head, input, socket) -> {
                             Http.readRequestBody(head, input);
                             int bytes = Integer.parseInt(head.target().substring(6));
+                            mLab.log(
+                                    "engine runs " + head.header("X-Rattanport-Attempt-Id") + ", answers "
+                                            + bytes + " bytes");
                             Engine.send(
                                     socket,
                                     "200 OK",
@@ -75,6 +78,7 @@
             }
             mStart.await();
             String id = Client.newId();
+            mLab.log("request " + id + " is sent");
             client.send("POST", "/book/" + bytes, id, 8_000, "", body);
             Client.Answer answer = client.receive(5_000);
             mLab.log(
