Let each review script itself read TROUBLE and name its record

Cause: run.sh left both to the Java program behind it (Lab read the variable and wrote record.txt), so the form of a case could not be seen in its script, and a case that failed to start left an old record.

--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -167,6 +167,8 @@
         }
     }
 
+    private static boolean sHasTrouble = true;
+
     private final Path mRoot;
     private final Path mFolder;
     private final List<String> mCommand;
@@ -179,11 +181,11 @@
     private final Store mStore;
     private long mDocumentVersion;
 
-    Lab(Path caseFolder, int size) throws IOException {
+    Lab(Path record, int size) throws IOException {
         mSize = size;
-        mRoot = caseFolder.toAbsolutePath().getParent().getParent();
+        mRoot = record.toAbsolutePath().getParent().getParent().getParent();
         mFolder = Files.createTempDirectory("rattanport-review");
-        mRecord = new PrintWriter(Files.newBufferedWriter(caseFolder.resolve("record.txt")));
+        mRecord = new PrintWriter(Files.newBufferedWriter(record));
         mNet = 1 + (int) (ProcessHandle.current().pid() % 250);
         mPorts = freePorts();
         mStore = new Store(InetAddress.getByName(ip(200)));
@@ -194,7 +196,7 @@
     }
 
     static boolean hasTrouble() {
-        return !"0".equals(System.getenv("TROUBLE"));
+        return sHasTrouble;
     }
 
     private String ip(int index) {
@@ -308,10 +310,15 @@
         int run(Lab lab) throws Exception;
     }
 
-    /** Runs a case and ends the process with its exit code. */
+    /**
+     * Runs a case and ends the process with its exit code.
+     *
+     * @param arguments 0 to leave out the disruption, or 1; and the path of the record
+     */
     static void run(String[] arguments, int size, Scenario scenario) {
+        sHasTrouble = !arguments[0].equals("0");
         int result = NOT_RUN;
-        try (Lab lab = new Lab(Path.of(arguments[0]), size)) {
+        try (Lab lab = new Lab(Path.of(arguments[1]), size)) {
             Thread hook = new Thread(lab::close);
             Runtime.getRuntime().addShutdownHook(hook);
             try {
