Give callers a response without a length in chunks

Cause: a response that is close-delimited at its engine was passed on close-delimited, so the end of the gateway's process was the same sign as the end of the body. Change: callers of HTTP/1.1 get it in chunks, or with its length when it was whole first; callers of HTTP/1.0 get a response of unknown length once it is whole, up to 1 MiB. Nothing close-delimited is written. An abort always resets the connection.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
@@ -7,10 +7,13 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.OptionalInt;
 import org.rattanport.connectors.http.HttpChannel;
 import org.rattanport.kernel.error.ErrorCode;
@@ -26,11 +29,18 @@
     /** Time for which a caller may leave its response unread. */
     private static final Duration MAX_WRITE_STALL = Duration.ofSeconds(10);
 
+    /** Longest response without a known length that is held for an HTTP/1.0 caller. */
+    private static final int MAX_HELD_BYTES = 1_048_576;
+
     private final HttpChannel mChannel;
     private final boolean mHasNoBody;
     private final boolean mSupportsChunked;
     private boolean mClosesConnection;
-    private boolean mIsFramed;
+
+    /** Head of a response that is held until its length is known. */
+    private Optional<HttpResponse> mHeldHead = Optional.empty();
+
+    private final ByteArrayOutputStream mHeldBody = new ByteArrayOutputStream();
 
     NettyCallerExchange(
             HttpChannel channel,
@@ -64,58 +74,69 @@
         for (Header each : head.headers()) {
             headers.add(each.name(), each.value());
         }
-        setFramingHeaders(headers, head, length);
         if (mClosesConnection) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        requireSent(mChannel.write(response, MAX_WRITE_STALL));
-    }
-
-    private void setFramingHeaders(HttpHeaders headers, ResponseHead head, OptionalInt length) {
-        mIsFramed = !head.isCloseDelimited() && (length.isPresent() || mSupportsChunked);
-        if (!mIsFramed) {
-            mClosesConnection = true;
-        } else if (length.isPresent()) {
+        if (length.isPresent()) {
             headers.setInt(HttpHeaderNames.CONTENT_LENGTH, length.getAsInt());
-        } else {
+        } else if (mSupportsChunked) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else {
+            mHeldHead = Optional.of(response);
+            return;
         }
+        requireSent(mChannel.write(response, MAX_WRITE_STALL));
     }
 
     @Override
     public void write(byte[] chunk) {
-        if (chunk.length > 0 && !mHasNoBody) {
-            requireSent(
-                    mChannel.write(
-                            new DefaultHttpContent(Unpooled.wrappedBuffer(chunk)),
-                            MAX_WRITE_STALL));
+        if (chunk.length == 0 || mHasNoBody) {
+            return;
         }
+        if (mHeldHead.isPresent()) {
+            hold(chunk);
+            return;
+        }
+        requireSent(
+                mChannel.write(
+                        new DefaultHttpContent(Unpooled.wrappedBuffer(chunk)), MAX_WRITE_STALL));
+    }
+
+    /** A close-delimited response would look complete if this process ended while it is sent. */
+    private void hold(byte[] chunk) {
+        if (mHeldBody.size() + chunk.length > MAX_HELD_BYTES) {
+            throw cancelled("the response is too long for a caller that cannot read chunks");
+        }
+        mHeldBody.writeBytes(chunk);
     }
 
     @Override
     public void finish() {
+        if (mHeldHead.isPresent()) {
+            HttpResponse head = mHeldHead.get();
+            mHeldHead = Optional.empty();
+            head.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, mHeldBody.size());
+            requireSent(mChannel.write(head, MAX_WRITE_STALL));
+            write(mHeldBody.toByteArray());
+        }
         mChannel.writeAsync(LastHttpContent.EMPTY_LAST_CONTENT);
     }
 
     @Override
     public void abort() {
         mClosesConnection = true;
-        if (!mIsFramed) {
-            // Without a length or chunks, the end of the connection marks the end of the body. An
-            // orderly close would make the truncated response look complete; a reset does not.
-            mChannel.reset();
-            return;
-        }
-        mChannel.close();
+        mChannel.reset();
     }
 
     private static void requireSent(boolean isSent) {
         if (!isSent) {
-            throw RattanportException.builder(
-                            ErrorCode.CANCELLED,
-                            "the caller disconnected or stopped reading the response")
-                    .verdict(Verdict.MAY_HAVE_RUN)
-                    .build();
+            throw cancelled("the caller disconnected or stopped reading the response");
         }
     }
+
+    private static RattanportException cancelled(String reason) {
+        return RattanportException.builder(ErrorCode.CANCELLED, reason)
+                .verdict(Verdict.MAY_HAVE_RUN)
+                .build();
+    }
 }
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/ResponseHead.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/ResponseHead.java
@@ -12,9 +12,8 @@
  * @param isSigned whether the response carries the back end's signature
  * @param isNotRun whether the back end guarantees that it did not run the request
  * @param isMisdirected whether the response came from a back end other than the addressed one
- * @param isCloseDelimited whether the body is close-delimited: it has no length, and the end of the
- *     connection ends it. The caller gets a close-delimited body too, because the gateway cannot
- *     tell a complete body from a truncated one
+ * @param isCloseDelimited whether the body is close-delimited: it has no length, and an orderly end
+ *     of the back end's connection ends it. The caller gets it with a length or in chunks
  * @param faultyEngineAddress address of the faulty engine, if the response names one
  * @param load load of the back end, if the response reports it
  */
