Answer or reset the requests that outlive a planned stop

Cause: nothing ended the requests that outlived a drain. Drain logged them and returned, and the event loop closed their connections in order. Change: at its end the drain cuts the requests in flight, and the task of each ends its own: a reset inside a response, else an error with the true verdict. InFlightRequests waits for its deadline once, so that it also ends under a clock that stands still.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
@@ -86,7 +86,7 @@
             sendError(exchange, Optional.empty(), e);
             return false;
         }
-        try (AutoCloseable inFlight = mInFlight.begin()) {
+        try (AutoCloseable inFlight = mInFlight.begin(exchange.cutSignal()::cancel)) {
             mService.serve(request, exchange);
         } catch (RattanportException e) {
             if (mChannel.disconnection().isCancelled() || e.code() == ErrorCode.CANCELLED) {
--- a/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
@@ -32,6 +32,7 @@
     /** Longest response without a known length that is held for an HTTP/1.0 caller. */
     private static final int MAX_HELD_BYTES = 1_048_576;
 
+    private final Cancellation mCutSignal = new Cancellation();
     private final HttpChannel mChannel;
     private final boolean mHasNoBody;
     private final boolean mSupportsChunked;
@@ -63,6 +64,11 @@
         return mChannel.disconnection();
     }
 
+    @Override
+    public Cancellation cutSignal() {
+        return mCutSignal;
+    }
+
     @Override
     public void startResponse(ResponseHead head, OptionalInt length) {
         DefaultHttpResponse response =
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -137,9 +137,7 @@
 
     private void tryBackEnds() {
         for (int placements = 0; placements < MAX_PLACEMENTS; placements++) {
-            if (mCaller.disconnectSignal().isCancelled()) {
-                throw callerDisconnected();
-            }
+            requireWanted();
             if (!hasTimeForAttempt()) {
                 mLastError = deadlineExceeded();
                 break;
@@ -216,11 +214,13 @@
         mComponents.loadTable().requestSent(backEnd.id());
         try (UncheckedCloseable leases = acquireLeases(placement);
                 BackEndExchange exchange = send(placement)) {
-            AutoCloseable cancelHook = mCaller.disconnectSignal().onCancel(exchange::abort);
+            AutoCloseable disconnectHook = mCaller.disconnectSignal().onCancel(exchange::abort);
+            AutoCloseable cutHook = mCaller.cutSignal().onCancel(exchange::abort);
             try {
                 return handleResponse(placement, exchange);
             } finally {
-                closeQuietly(cancelHook);
+                closeQuietly(disconnectHook);
+                closeQuietly(cutHook);
             }
         } catch (RattanportException e) {
             return handleFailure(backEnd, e, runsBefore);
@@ -284,11 +284,19 @@
     }
 
     private void requireWorthSending() {
+        requireWanted();
+        if (!hasTimeForAttempt()) {
+            throw deadlineExceeded();
+        }
+    }
+
+    /** Throws if the caller left or this instance stops. */
+    private void requireWanted() {
         if (mCaller.disconnectSignal().isCancelled()) {
             throw callerDisconnected();
         }
-        if (!hasTimeForAttempt()) {
-            throw deadlineExceeded();
+        if (mCaller.cutSignal().isCancelled()) {
+            throw stopping();
         }
     }
 
@@ -399,6 +407,16 @@
     }
 
     private boolean handleFailure(BackEnd backEnd, RattanportException error, int runsBefore) {
+        if (error.code() == ErrorCode.CANCELLED && mCaller.disconnectSignal().isCancelled()) {
+            throw callerDisconnected();
+        }
+        if (mCaller.cutSignal().isCancelled()) {
+            mVerdict = mVerdict.combinedWith(error.verdict());
+            mLastError = stopping();
+            traceFailure(backEnd, mLastError);
+            endWithoutResponse();
+            return true;
+        }
         if (error.code() == ErrorCode.CANCELLED) {
             throw callerDisconnected();
         }
@@ -448,6 +466,12 @@
         throw mVerdict == Verdict.NOT_RUN ? mLastError : mLastError.withVerdict(mVerdict);
     }
 
+    private RattanportException stopping() {
+        return RattanportException.builder(ErrorCode.STOPPING, "this instance is stopping")
+                .verdict(mVerdict)
+                .build();
+    }
+
     private static RattanportException callerDisconnected() {
         return new RattanportException(ErrorCode.CANCELLED, "the caller disconnected");
     }
--- a/decisions/src/main/java/org/rattanport/decisions/lifecycle/Drain.java
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/Drain.java
@@ -12,10 +12,14 @@
  * Drains an instance before it stops, so that no request is cut. The instance announces that it is
  * leaving, which removes it from new address responses. It keeps serving until the time to live of
  * earlier address responses has passed, then refuses new requests and waits for those in flight.
+ * Requests that outlive the drain get an error, or a reset inside their response.
  */
 public final class Drain {
     private static final Logger LOGGER = Logger.getLogger(Drain.class);
 
+    /** Time that cut requests have to send their last response. */
+    private static final Duration CUT_TIMEOUT = Duration.ofMillis(200);
+
     private final MemberTable mMembers;
     private final InFlightRequests mInFlight;
     private final Duration mAddressTimeToLive;
@@ -52,6 +56,8 @@
         boolean hasDrained = mInFlight.awaitEmpty(deadline);
         if (!hasDrained) {
             LOGGER.warn(LogLine.of("requests-cut-at-stop").with("requests", mInFlight.count()));
+            mInFlight.cutAll();
+            mInFlight.awaitEmpty(Deadline.after(mTime, CUT_TIMEOUT));
         }
         return hasDrained;
     }
--- a/decisions/src/main/java/org/rattanport/decisions/lifecycle/InFlightRequests.java
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/InFlightRequests.java
@@ -1,6 +1,8 @@
 package org.rattanport.decisions.lifecycle;
 
-import java.util.concurrent.TimeUnit;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 import org.rattanport.kernel.error.ErrorCode;
@@ -8,32 +10,56 @@
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.TimeSource;
 
-/** Counts the requests in flight, and refuses new ones once the instance stops accepting them. */
+/**
+ * Counts the requests in flight, refuses new ones once the instance stops accepting them, and cuts
+ * those that are left at the end of a drain.
+ */
 public final class InFlightRequests {
     private final TimeSource mTime;
     private final ReentrantLock mLock = new ReentrantLock();
     private final Condition mCountChanged = mLock.newCondition();
-    private int mCount;
+    private final Set<Entry> mEntries = new LinkedHashSet<>();
     private boolean mIsClosed;
 
     public InFlightRequests(TimeSource time) {
         mTime = time;
     }
 
+    /** A request in flight; closing it ends it. */
+    private final class Entry implements AutoCloseable {
+        private final Runnable mOnCut;
+
+        private Entry(Runnable onCut) {
+            mOnCut = onCut;
+        }
+
+        @Override
+        public void close() {
+            end(this);
+        }
+    }
+
+    /** Registers a request that ends by itself when the connection of its caller is closed. */
+    public AutoCloseable begin() {
+        return begin(() -> {});
+    }
+
     /**
      * Registers a request; closing the result ends it.
      *
+     * @param onCut makes the task of the request end it, without waiting for that
      * @throws RattanportException {@code STOPPING} with verdict {@code NOT_RUN} when the instance
      *     no longer accepts requests
      */
-    public AutoCloseable begin() {
+    public AutoCloseable begin(Runnable onCut) {
         mLock.lock();
         try {
             if (mIsClosed) {
                 throw new RattanportException(ErrorCode.STOPPING, "this instance is stopping");
             }
-            mCount++;
-            return this::end;
+            Entry entry = new Entry(onCut);
+            mEntries.add(entry);
+            return entry;
         } finally {
             mLock.unlock();
         }
@@ -42,7 +68,7 @@
     public int count() {
         mLock.lock();
         try {
-            return mCount;
+            return mEntries.size();
         } finally {
             mLock.unlock();
         }
@@ -62,12 +88,12 @@
     public boolean awaitEmpty(Deadline deadline) {
         mLock.lock();
         try {
-            while (mCount > 0) {
-                long nanos = deadline.remaining(mTime).toNanos();
+            long nanos = deadline.remaining(mTime).toNanos();
+            while (!mEntries.isEmpty()) {
                 if (nanos <= 0) {
                     return false;
                 }
-                mCountChanged.await(nanos, TimeUnit.NANOSECONDS);
+                nanos = mCountChanged.awaitNanos(nanos);
             }
             return true;
         } catch (InterruptedException e) {
@@ -77,10 +103,22 @@
         }
     }
 
-    private void end() {
+    /** Cuts the requests in flight; they end as soon as their tasks see it. */
+    public void cutAll() {
+        List<Entry> entries;
+        mLock.lock();
+        try {
+            entries = List.copyOf(mEntries);
+        } finally {
+            mLock.unlock();
+        }
+        entries.forEach(entry -> entry.mOnCut.run());
+    }
+
+    private void end(Entry entry) {
         mLock.lock();
         try {
-            mCount--;
+            mEntries.remove(entry);
             mCountChanged.signalAll();
         } finally {
             mLock.unlock();
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/FakeCaller.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FakeCaller.java
@@ -9,6 +9,7 @@
 /** A caller that records what it gets. */
 final class FakeCaller implements CallerExchange {
     final Cancellation mDisconnect = new Cancellation();
+    final Cancellation mCut = new Cancellation();
     int mStatus;
     final StringBuilder mBody = new StringBuilder();
     boolean mIsFinished;
@@ -19,6 +20,11 @@
         return mDisconnect;
     }
 
+    @Override
+    public Cancellation cutSignal() {
+        return mCut;
+    }
+
     @Override
     public void startResponse(ResponseHead head, OptionalInt length) {
         mStatus = head.status();
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -296,6 +296,38 @@
         }
     }
 
+    /** Requests that were cut at a planned stop ended without a response. */
+    @Nested
+    final class CutRequests {
+        @Test
+        void shouldEndWithAnErrorBeforeTheirResponse() {
+            mBackEnds.mWhileWaiting = mCaller.mCut::cancel;
+            RattanportException error = serveExpectingError("/book/a", Reaction.CUT);
+            assertThat(error.code()).isEqualTo(ErrorCode.STOPPING);
+            assertThat(error.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+            assertThat(mCaller.mIsAborted).isFalse();
+        }
+
+        @Test
+        void shouldBeAbortedInsideTheirResponse() {
+            mBackEnds.mWhileWaiting = mCaller.mCut::cancel;
+            serve("/stream/a", Reaction.CUT_IN_STREAM);
+            assertThat(mCaller.mBody.toString()).isEqualTo("id: 1\ndata: x\n\n");
+            assertThat(mCaller.mIsAborted).isTrue();
+            assertThat(mCaller.mIsFinished).isFalse();
+            assertThat(mAttempts).hasSize(1);
+        }
+
+        @Test
+        void shouldNotBeSentAfterTheCut() {
+            mDuringPlacement = mCaller.mCut::cancel;
+            RattanportException error = serveExpectingError("/book/a");
+            assertThat(error.code()).isEqualTo(ErrorCode.STOPPING);
+            assertThat(error.verdict()).isEqualTo(Verdict.NOT_RUN);
+            assertThat(mAttempts).isEmpty();
+        }
+    }
+
     @Nested
     final class PoisonRequests {
         @Test
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
@@ -43,7 +43,11 @@
         /** Streams one event and then bytes without end that complete no event. */
         ENDLESS,
         /** Streams one event, stalls, and streams the next. */
-        STALL
+        STALL,
+        /** Does not respond before the attempt is aborted. */
+        CUT,
+        /** Streams one event; the attempt is aborted before the next. */
+        CUT_IN_STREAM
     }
 
     private static final byte[] ENDLESS_CHUNK = "x".repeat(8_192).getBytes(StandardCharsets.UTF_8);
@@ -61,6 +65,9 @@
     /** What happens while the connection to a back end is opened. */
     Runnable mDuringConnect = () -> {};
 
+    /** What happens while the response of a back end is awaited. */
+    Runnable mWhileWaiting = () -> {};
+
     ScriptedBackEnds(ManualTimeSource time) {
         mTime = time;
     }
@@ -100,6 +107,7 @@
         @Override
         public ResponseHead awaitHead(Deadline deadline) {
             return switch (mReaction) {
+                case CUT -> throw cut();
                 case LOSE_RESPONSE -> throw failure(ErrorCode.TARGET_FAILED);
                 case SILENT -> {
                     mTime.advance(deadline.remaining(mTime));
@@ -129,6 +137,11 @@
                     Optional.empty());
         }
 
+        private RattanportException cut() {
+            mWhileWaiting.run();
+            return failure(ErrorCode.CANCELLED);
+        }
+
         private static RattanportException failure(ErrorCode code) {
             return RattanportException.builder(code, "scripted")
                     .verdict(Verdict.MAY_HAVE_RUN)
@@ -143,13 +156,23 @@
                 assertThat(mEndlessBytes).isLessThan(MAX_ENDLESS_BYTES);
                 return Optional.of(ENDLESS_CHUNK);
             }
+            if (mReaction == Reaction.CUT_IN_STREAM && mChunks > 1) {
+                throw cut();
+            }
             if (mReaction == Reaction.BREAK_OFF && mChunks > 1) {
                 throw failure(ErrorCode.TARGET_FAILED);
             }
             int chunkCount =
                     switch (mReaction) {
                         case STALL -> 2;
-                        case STREAM, BREAK_OFF, END_INSIDE_EVENT, TEXT, FAIL, ENDLESS -> 1;
+                        case STREAM,
+                                CUT_IN_STREAM,
+                                BREAK_OFF,
+                                END_INSIDE_EVENT,
+                                TEXT,
+                                FAIL,
+                                ENDLESS ->
+                                1;
                         default -> 0;
                     };
             if (mChunks > chunkCount) {
--- a/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.rattanport.decisions.FakeMembership;
@@ -106,5 +107,29 @@
             request.close();
             assertThat(mInFlight.count()).isEqualTo(0);
         }
+
+        /** Requests that outlived a drain were left to the end of the process. */
+        @Test
+        void shouldCutRequestsThatOutliveTheDeadline() {
+            AtomicInteger cuts = new AtomicInteger();
+            AutoCloseable[] request = new AutoCloseable[1];
+            request[0] =
+                    mInFlight.begin(
+                            () -> {
+                                cuts.incrementAndGet();
+                                closeRequest(request[0]);
+                            });
+            assertThat(mDrain.drain(Deadline.after(mTime, Duration.ofSeconds(10)))).isFalse();
+            assertThat(cuts.get()).isEqualTo(1);
+            assertThat(mInFlight.count()).isEqualTo(0);
+        }
+
+        private static void closeRequest(AutoCloseable request) {
+            try {
+                request.close();
+            } catch (Exception e) {
+                throw new AssertionError(e);
+            }
+        }
     }
 }
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/CallerExchange.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/CallerExchange.java
@@ -9,6 +9,9 @@
     /** Cancellation that fires when the caller disconnects. */
     Cancellation disconnectSignal();
 
+    /** Cancellation that fires when this instance stops and the request has to end. */
+    Cancellation cutSignal();
+
     /** Sends the status and headers. The length is present only if the whole body is available. */
     void startResponse(ResponseHead head, java.util.OptionalInt length);
 
