Take only an orderly end for the end of a response without a length

Cause: Netty closes a channel after a failed write without reporting an exception to the handlers. The decoder then ends a close-delimited body, and HttpChannel took this for the engine's end, as it did for any close that no read had reported, also its own. Change: connections to engines are opened with half closure. Their orderly end arrives while the channel is active; the end of a body that comes later is not passed on. Evidence: BackEndConnectionTest.EarlyUnframedResponse, over real sockets, failed before and passes; HttpChannelTest covers a close by this side; HttpClientTest passes unchanged.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMessage;
@@ -167,6 +168,10 @@
         mChannel.close();
     }
 
+    /**
+     * Queues a part. The decoder ends a close-delimited body whenever the channel becomes inactive,
+     * also after a failed write; only while the channel is active has the other side ended it.
+     */
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         try {
@@ -181,7 +186,7 @@
                 if (content.content().isReadable()) {
                     mParts.add(new BodyChunk(ByteBufUtil.getBytes(content.content())));
                 }
-                if (message instanceof LastHttpContent && !mIsBroken) {
+                if (message instanceof LastHttpContent && !mIsBroken && mChannel.isActive()) {
                     mParts.add(new End());
                 }
             }
@@ -198,6 +203,13 @@
         signalWriter();
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            context.close();
+        }
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         mIsBroken = true;
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
@@ -103,6 +103,8 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.ALLOCATOR, mAllocator)
                         .option(ChannelOption.TCP_NODELAY, true)
+                        // Tells an orderly end of the response from every other close.
+                        .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                         .option(ChannelOption.SO_KEEPALIVE, true)
                         .option(
                                 NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE),
