Bound the responses that are read whole into memory

What could happen: a faulty engine answers an order or a request for its report with bytes without end. Evidence: BackEndConnectionTest.EndlessBytes.shouldEndAReportOfAnEngine failed before (over 16 MB taken) and passes.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpClient.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpClient.java
@@ -25,10 +25,19 @@
 
     private final HttpTransport mTransport;
     private final TimeSource mTime;
+
+    /** Stores send at most some megabytes of rows, as text. */
+    private static final int DEFAULT_MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
+
     private final Optional<IdleConnectionPool> mPool;
+    private final int mMaxResponseBytes;
 
     private HttpClient(
-            HttpTransport transport, TimeSource time, Optional<IdleConnectionPool> pool) {
+            HttpTransport transport,
+            TimeSource time,
+            Optional<IdleConnectionPool> pool,
+            int maxResponseBytes) {
+        mMaxResponseBytes = maxResponseBytes;
         mTransport = transport;
         mTime = time;
         mPool = pool;
@@ -36,18 +45,28 @@
 
     /** Opens a new connection for each request, so that none uses one that broke unnoticed. */
     public static HttpClient withoutConnectionPool(HttpTransport transport, TimeSource time) {
-        return new HttpClient(transport, time, Optional.empty());
+        return new HttpClient(transport, time, Optional.empty(), DEFAULT_MAX_RESPONSE_BYTES);
     }
 
     /** Reuses a connection after a complete response. */
     public static HttpClient withConnectionPool(HttpTransport transport, TimeSource time) {
-        return new HttpClient(transport, time, Optional.of(new IdleConnectionPool(time)));
+        return new HttpClient(
+                transport,
+                time,
+                Optional.of(new IdleConnectionPool(time)),
+                DEFAULT_MAX_RESPONSE_BYTES);
+    }
+
+    /** Returns a client that reads no response above the limit, and shares the connections. */
+    public HttpClient withMaxResponseBytes(int maxResponseBytes) {
+        return new HttpClient(mTransport, mTime, mPool, maxResponseBytes);
     }
 
     /**
      * Sends the request and reads the complete response.
      *
-     * @throws RattanportException {@code TARGET_FAILED} or {@code DEADLINE_EXCEEDED}
+     * @throws RattanportException {@code TARGET_FAILED}, also for a response that is too long, or
+     *     {@code DEADLINE_EXCEEDED}
      */
     public HttpClientResponse execute(HttpClientRequest request, Deadline deadline) {
         try (HttpResponseStream stream = executeStreaming(request, deadline, new Cancellation())) {
@@ -65,7 +84,8 @@
             HttpClientRequest request, Deadline deadline, Cancellation cancellation) {
         HttpChannel channel = connect(request.address(), deadline);
         channel.writeAsync(encode(request));
-        HttpResponseStream stream = new HttpResponseStream(channel, deadline, mTime, cancellation);
+        HttpResponseStream stream =
+                new HttpResponseStream(channel, deadline, mTime, cancellation, mMaxResponseBytes);
         try {
             stream.readHead();
         } catch (RattanportException e) {
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpResponseStream.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpResponseStream.java
@@ -22,9 +22,6 @@
 
 /** A response that is read while it arrives, on the task that sent the request. */
 public final class HttpResponseStream implements AutoCloseable {
-    /** Limit of {@link #readAll}; stores send at most some megabytes of rows, as text. */
-    private static final int MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
-
     /** Longest line of an event stream. */
     private static final int MAX_LINE_BYTES = 1024 * 1024;
 
@@ -45,11 +42,17 @@
     private final Deque<String> mLines = new ArrayDeque<>();
     private Optional<HttpResponse> mHead = Optional.empty();
     private Runnable mOnComplete;
+    private final int mMaxBytes;
     private boolean mIsComplete;
     private boolean mIsClosed;
 
     HttpResponseStream(
-            HttpChannel channel, Deadline deadline, TimeSource time, Cancellation cancellation) {
+            HttpChannel channel,
+            Deadline deadline,
+            TimeSource time,
+            Cancellation cancellation,
+            int maxBytes) {
+        mMaxBytes = maxBytes;
         mChannel = channel;
         mOnComplete = channel::close;
         mDeadline = deadline;
@@ -131,14 +134,14 @@
         }
     }
 
-    /** Reads the rest of the response. */
+    /** Reads the rest of the response, which fails if it is longer than the limit of the client. */
     public HttpClientResponse readAll() {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         for (Optional<byte[]> chunk = nextChunk(); chunk.isPresent(); chunk = nextChunk()) {
-            body.writeBytes(chunk.get());
-            if (body.size() > MAX_RESPONSE_BYTES) {
-                throw failed("the response is too long");
+            if (body.size() + chunk.get().length > mMaxBytes) {
+                throw failed("the response has more than " + mMaxBytes + " bytes");
             }
+            body.writeBytes(chunk.get());
         }
         return new HttpClientResponse(status(), body.toByteArray(), header("ETag"));
     }
--- a/connectors/src/main/java/org/rattanport/connectors/target/TargetClientPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/target/TargetClientPlugin.java
@@ -13,6 +13,9 @@
 
 /** Provides the clients of engines and plain services, and the request journal. */
 public final class TargetClientPlugin implements Plugin {
+    /** Longest response that is held in memory; prompts are streamed. */
+    private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
+
     private Optional<HttpClient> mHttp = Optional.empty();
 
     @Override
@@ -36,7 +39,8 @@
         // earlier refusal would look like the response to the next call.
         HttpClient http =
                 HttpClient.withoutConnectionPool(
-                        context.require(HttpTransport.class), context.time());
+                                context.require(HttpTransport.class), context.time())
+                        .withMaxResponseBytes(MAX_RESPONSE_BYTES);
         mHttp = Optional.of(http);
         context.provide(EngineClient.class, new HttpEngineClient(http, context.time()));
         context.provide(ServiceClient.class, new HttpServiceClient(http));
