Heed back ends that leave or ask for a pause in their responses

Cause: the headers Server-Leaving and, on a 503, Retry-After of an engine were not read. An instance went on sending requests until the registry said that the engine drains, and at once after a refusal. Change: PlatformDialect translates both into ResponseHead; BackEndNotices keeps them for the run of the back end that said so; every placement leaves such back ends out, and Forwarding asks again when it writes. One request goes first after a pause. All paused: refused at once with the shortest pause. Not built: telling other instances, which needs a new message between them.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
@@ -141,6 +141,8 @@
                         false,
                         false,
                         Optional.empty(),
+                        Optional.empty(),
+                        false,
                         Optional.empty()),
                 OptionalInt.of(body.length));
         exchange.write(body);
--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
@@ -12,6 +12,7 @@
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.AttemptFailure;
+import org.rattanport.kernel.gateway.BackEndNotice;
 import org.rattanport.kernel.gateway.PlacementDecision;
 import org.rattanport.kernel.gateway.RequestOutcome;
 
@@ -46,6 +47,12 @@
                                     + " self, or none if no coordinator responded")
                     .labelNames("coordinator", "is_placed")
                     .register(mRegistry);
+    private final Counter mNotices =
+            Counter.builder()
+                    .name("rattanport_gateway_back_end_notices")
+                    .help("What back ends said about themselves in responses, by kind")
+                    .labelNames("kind")
+                    .register(mRegistry);
     private final Histogram mDurations =
             Histogram.builder()
                     .name("rattanport_gateway_request_seconds")
@@ -84,6 +91,10 @@
                 .inc();
     }
 
+    void countNotice(BackEndNotice notice) {
+        mNotices.labelValues(notice.kind().wireName()).inc();
+    }
+
     void setState(String name, double value) {
         mState.labelValues(name).set(value);
     }
--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
@@ -10,6 +10,7 @@
 import org.rattanport.decisions.gateway.ActiveRouting;
 import org.rattanport.decisions.lifecycle.InFlightRequests;
 import org.rattanport.kernel.gateway.AttemptFailure;
+import org.rattanport.kernel.gateway.BackEndNotice;
 import org.rattanport.kernel.gateway.GatewaySettings;
 import org.rattanport.kernel.gateway.PlacementDecision;
 import org.rattanport.kernel.gateway.RequestOutcome;
@@ -60,6 +61,8 @@
         mSubscriptions.add(
                 context.events().stream(PlacementDecision.class)
                         .subscribe(metrics::countPlacement));
+        mSubscriptions.add(
+                context.events().stream(BackEndNotice.class).subscribe(metrics::countNotice));
         new HttpServer(
                 context.require(HttpTransport.class),
                 address.get(),
--- a/connectors/src/test/java/org/rattanport/connectors/gateway/NettyCallerExchangeTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/gateway/NettyCallerExchangeTest.java
@@ -38,6 +38,8 @@
                 false,
                 isCloseDelimited,
                 Optional.empty(),
+                Optional.empty(),
+                false,
                 Optional.empty());
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
@@ -25,13 +25,15 @@
     private static final Duration REREGISTRATION_GRACE = Duration.ofSeconds(2);
 
     private final TimeSource mTime;
+    private final BackEndNotices mNotices;
     private final Map<String, BackEnd> mBackEnds = new HashMap<>();
     private final Map<String, Long> mRemovalNanos = new HashMap<>();
     private Optional<Long> mStoreRecoveredNanos = Optional.empty();
     private boolean mIsInitialized;
 
-    public BackEndRegistry(TimeSource time) {
+    public BackEndRegistry(TimeSource time, BackEndNotices notices) {
         mTime = time;
+        mNotices = notices;
     }
 
     /** Records that the store responds again after an outage. */
@@ -46,6 +48,7 @@
     public synchronized void replace(List<BackEnd> entries) {
         if (!mIsInitialized) {
             entries.forEach(each -> mBackEnds.put(each.id(), each));
+            entries.forEach(mNotices::recordRegistered);
             mIsInitialized = true;
             LOGGER.info(LogLine.of("registry-known").with("back_ends", mBackEnds.size()));
             return;
@@ -62,6 +65,7 @@
     }
 
     private void put(BackEnd backEnd) {
+        mNotices.recordRegistered(backEnd);
         mRemovalNanos.remove(backEnd.id());
         BackEnd previous = mBackEnds.put(backEnd.id(), backEnd);
         if (previous == null || !previous.equals(backEnd)) {
@@ -124,8 +128,29 @@
         }
     }
 
-    /** Returns the back ends of the service that accept requests. */
-    public synchronized List<BackEnd> available(String service) {
+    /** Returns the back ends of the service that accept requests now. */
+    public List<BackEnd> available(String service) {
+        return registered(service).stream().filter(mNotices::accepts).toList();
+    }
+
+    /** Returns the ids of registered back ends of the service that want no requests now. */
+    public Set<String> refusing(String service) {
+        return registered(service).stream()
+                .filter(each -> !mNotices.accepts(each))
+                .map(BackEnd::id)
+                .collect(Collectors.toSet());
+    }
+
+    /**
+     * Returns the time until a back end of the service accepts requests again, if all of them have
+     * asked for a pause.
+     */
+    public Optional<Duration> shortestPause(String service) {
+        return mNotices.shortestPause(registered(service));
+    }
+
+    /** Returns the back ends of the service that are not draining by their entries. */
+    private synchronized List<BackEnd> registered(String service) {
         removeLapsed();
         List<BackEnd> found = new ArrayList<>();
         for (BackEnd each : mBackEnds.values()) {
@@ -140,9 +165,9 @@
         return Optional.ofNullable(mBackEnds.get(id));
     }
 
-    /** Returns the back end if it accepts requests. */
+    /** Returns the back end if it accepts requests now. */
     public Optional<BackEnd> findAvailable(String id) {
-        return find(id).filter(each -> !each.isDraining());
+        return find(id).filter(each -> !each.isDraining() && mNotices.accepts(each));
     }
 
     /** Whether the registry was read in full at least once. */
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
@@ -44,6 +45,9 @@
     /** Delay after which a refused caller may retry; short requests end within it. */
     private static final Duration RETRY_AFTER = Duration.ofMillis(200);
 
+    /** Largest addition to the pause of back ends, as a fraction of it. */
+    private static final double PAUSE_SPREAD = 0.25;
+
     private final GatewayComponents mComponents;
     private final CallerRequest mRequest;
     private final CallerExchange mCaller;
@@ -152,6 +156,10 @@
             }
             Optional<Placement> placement = place();
             if (placement.isEmpty()) {
+                mComponents
+                        .registry()
+                        .shortestPause(mService.name())
+                        .ifPresent(pause -> mLastError = allPause(pause));
                 break;
             }
             if (attempt(placement.get())) {
@@ -191,6 +199,8 @@
                 mService.engineSpec().isPresent()
                         ? mComponents.promptPlacement()
                         : mComponents.servicePlacement();
+        Set<String> excluded = new HashSet<>(mExcluded);
+        excluded.addAll(mComponents.registry().refusing(mService.name()));
         PlacementDemand demand =
                 new PlacementDemand(
                         mRequest.attemptId(),
@@ -199,7 +209,7 @@
                         mRequest.promptSize(),
                         mRoute.latencyObjective(),
                         mRoute.maxEventGap(),
-                        Set.copyOf(mExcluded));
+                        Set.copyOf(excluded));
         return policy.place(new PlacementQuery(mService, demand));
     }
 
@@ -279,6 +289,7 @@
                         mDeadline.within(mComponents.time(), CONNECT_TIMEOUT),
                         () -> {
                             requireWorthSending();
+                            requireAccepting(placement.backEnd());
                             mTrace.attemptSent(placement);
                         });
     }
@@ -300,6 +311,14 @@
         }
     }
 
+    /** The back end may have asked for a pause, or begun to leave, since it was chosen. */
+    private void requireAccepting(BackEnd backEnd) {
+        if (!mComponents.notices().tryUse(backEnd)) {
+            throw new RattanportException(
+                    ErrorCode.TARGET_REFUSED, "the back end wants no requests now");
+        }
+    }
+
     private boolean handleResponse(Placement placement, BackEndExchange exchange) {
         BackEnd backEnd = placement.backEnd();
         ResponseHead head =
@@ -311,6 +330,7 @@
                                 exchange::awaitHead);
         mTrace.responseReceived(head.status());
         mHasReachedBackEnd = true;
+        mComponents.notices().recordResponse(backEnd, head);
         head.load().ifPresent(load -> mComponents.loadTable().recordReport(backEnd.id(), load));
         if (head.isNotRun() && !isForeign(head)) {
             recordRefusal(placement, head);
@@ -375,6 +395,10 @@
         if (head.isMisdirected()) {
             mComponents.registry().removeReplaced(faultyEngine);
         }
+        if (head.pause().isPresent()) {
+            // A back end that asks for a pause is sound, so its health stays as it is.
+            return;
+        }
         double weight =
                 mComponents
                         .outcomes()
@@ -434,6 +458,7 @@
             mExcluded.remove(backEnd.id());
             return false;
         }
+        mComponents.notices().recordFailure(backEnd.id());
         double weight = mComponents.outcomes().recordFailure(backEnd, mContent, mHasBegun, error);
         mComponents.workNotifier().engineFailed(mRequest.attemptId(), backEnd.id(), weight);
         boolean hadConnection = error.verdict() != Verdict.NOT_RUN;
@@ -466,6 +491,15 @@
         throw mVerdict == Verdict.NOT_RUN ? mLastError : mLastError.withVerdict(mVerdict);
     }
 
+    /** Callers return at different times after the pause, so that they do not come as a herd. */
+    private static RattanportException allPause(Duration pause) {
+        double spread = 1 + PAUSE_SPREAD * ThreadLocalRandom.current().nextDouble();
+        return RattanportException.builder(
+                        ErrorCode.TARGET_REFUSED, "every back end asked for a pause")
+                .retryAfter(Duration.ofMillis(Math.round(pause.toMillis() * spread)))
+                .build();
+    }
+
     private RattanportException stopping() {
         return RattanportException.builder(ErrorCode.STOPPING, "this instance is stopping")
                 .verdict(mVerdict)
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayComponents.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayComponents.java
@@ -8,6 +8,7 @@
 record GatewayComponents(
         ActiveRouting routing,
         BackEndRegistry registry,
+        BackEndNotices notices,
         BackEndPlacement promptPlacement,
         BackEndPlacement servicePlacement,
         BackEndClient client,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -67,7 +67,8 @@
         TimeSource time = context.time();
         GatewaySettings settings = context.require(GatewaySettings.class);
         ActiveRouting routing = context.require(ActiveRouting.class);
-        BackEndRegistry registry = new BackEndRegistry(time);
+        BackEndNotices notices = new BackEndNotices(time, context.events()::publish);
+        BackEndRegistry registry = new BackEndRegistry(time, notices);
         WorkTracker tracker = new WorkTracker(time);
         BackEndHealth health = new BackEndHealth(time);
         GatewayService service =
@@ -76,6 +77,7 @@
                                 context,
                                 settings,
                                 registry,
+                                notices,
                                 health,
                                 placement(context, registry, health, tracker)),
                         new Random());
@@ -154,6 +156,7 @@
             PluginContext context,
             GatewaySettings settings,
             BackEndRegistry registry,
+            BackEndNotices notices,
             BackEndHealth health,
             CoordinatedPlacement placement) {
         TimeSource time = context.time();
@@ -171,6 +174,7 @@
         return new GatewayComponents(
                 context.require(ActiveRouting.class),
                 registry,
+                notices,
                 placement,
                 new LeastLoadedPlacement(dataCentre, registry, health, loadTable, new Random()),
                 context.require(BackEndClient.class),
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndNoticesTest.java
@@ -0,0 +1,181 @@
+package org.rattanport.decisions.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.BackEndNotice;
+import org.rattanport.kernel.gateway.ResponseHead;
+import org.rattanport.kernel.time.ManualTimeSource;
+
+/** Orders of events in which a back end says that it leaves, or asks for a pause. */
+final class BackEndNoticesTest {
+    private static final String ADDRESS = "10.0.0.1:80";
+
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final List<BackEndNotice> mEvents = new ArrayList<>();
+    private final BackEndNotices mNotices = new BackEndNotices(mTime, mEvents::add);
+    private final BackEndRegistry mRegistry = new BackEndRegistry(mTime, mNotices);
+    private final BackEnd mFirstRun = backEnd("a", 100);
+
+    BackEndNoticesTest() {
+        mRegistry.replace(List.of(mFirstRun));
+    }
+
+    private static BackEnd backEnd(String id, long start) {
+        return new BackEnd(id, start, TestFleet.CALLS, ADDRESS, "zone", 8, false);
+    }
+
+    private static ResponseHead head(boolean isLeaving, Optional<Duration> pause) {
+        return new ResponseHead(
+                pause.isPresent() ? 503 : 200,
+                List.of(),
+                Optional.empty(),
+                true,
+                pause.isPresent(),
+                false,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                isLeaving,
+                pause);
+    }
+
+    private void leave(BackEnd backEnd) {
+        mNotices.recordResponse(backEnd, head(true, Optional.empty()));
+    }
+
+    private void pause(Duration pause) {
+        mNotices.recordResponse(mFirstRun, head(false, Optional.of(pause)));
+    }
+
+    private void respond() {
+        mNotices.recordResponse(mFirstRun, head(false, Optional.empty()));
+    }
+
+    private List<String> available() {
+        return mRegistry.available(TestFleet.CALLS).stream().map(BackEnd::id).toList();
+    }
+
+    @Nested
+    final class Leaving {
+        @Test
+        void shouldHoldWhileTheRegistryListsTheRunAsPresent() {
+            leave(mFirstRun);
+            mRegistry.apply(List.of(mFirstRun), List.of());
+            mTime.advance(Duration.ofMinutes(5));
+            mRegistry.replace(List.of(mFirstRun));
+            assertThat(available()).isEmpty();
+            assertThat(mRegistry.findAvailable("a")).isEmpty();
+        }
+
+        @Test
+        void shouldHoldWhenAnOldEntryIsReadAfterARemoval() {
+            leave(mFirstRun);
+            mRegistry.apply(List.of(), List.of("a"));
+            mRegistry.apply(List.of(backEnd("a", 50)), List.of());
+            assertThat(available()).isEmpty();
+        }
+
+        @Test
+        void shouldHoldAfterAResponseWithoutTheNotice() {
+            leave(mFirstRun);
+            respond();
+            assertThat(available()).isEmpty();
+        }
+
+        @Test
+        void shouldEndWhenALaterRunIsRegistered() {
+            leave(mFirstRun);
+            mRegistry.apply(List.of(backEnd("a", 101)), List.of());
+            assertThat(available()).containsExactly("a");
+        }
+
+        @Test
+        void shouldNotConcernAnotherBackEndAtTheAddress() {
+            leave(mFirstRun);
+            mRegistry.apply(List.of(backEnd("b", 101)), List.of("a"));
+            assertThat(available()).containsExactly("b");
+        }
+
+        @Test
+        void shouldNotConcernTheNextRunWhenItIsLearnedLate() {
+            mRegistry.apply(List.of(backEnd("a", 101)), List.of());
+            leave(mFirstRun);
+            assertThat(available()).containsExactly("a");
+        }
+
+        @Test
+        void shouldBeReportedOnce() {
+            leave(mFirstRun);
+            leave(mFirstRun);
+            assertThat(mEvents).containsExactly(new BackEndNotice("a", BackEndNotice.Kind.LEAVING));
+        }
+    }
+
+    @Nested
+    final class Pause {
+        @Test
+        void shouldHoldForItsWholeTime() {
+            pause(Duration.ofHours(2));
+            mTime.advance(Duration.ofHours(2).minusMillis(1));
+            assertThat(available()).isEmpty();
+            mTime.advance(Duration.ofMillis(1));
+            assertThat(available()).containsExactly("a");
+        }
+
+        @Test
+        void shouldNotBeShortenedByALaterResponse() {
+            pause(Duration.ofSeconds(5));
+            pause(Duration.ofSeconds(1));
+            respond();
+            mTime.advance(Duration.ofSeconds(4));
+            assertThat(available()).isEmpty();
+        }
+
+        @Test
+        void shouldEndWithOneRequestThatGoesFirst() {
+            pause(Duration.ofSeconds(1));
+            mTime.advance(Duration.ofSeconds(1));
+            assertThat(mNotices.tryUse(mFirstRun)).isTrue();
+            assertThat(mNotices.tryUse(mFirstRun)).isFalse();
+            respond();
+            assertThat(mNotices.tryUse(mFirstRun)).isTrue();
+            assertThat(mNotices.tryUse(mFirstRun)).isTrue();
+        }
+
+        @Test
+        void shouldLetAnotherRequestTryWhenTheFirstFailsOrIsSilent() {
+            pause(Duration.ofSeconds(1));
+            mTime.advance(Duration.ofSeconds(1));
+            assertThat(mNotices.tryUse(mFirstRun)).isTrue();
+            mNotices.recordFailure("a");
+            assertThat(mNotices.tryUse(mFirstRun)).isTrue();
+            mTime.advance(Duration.ofSeconds(1));
+            assertThat(mNotices.tryUse(mFirstRun)).isTrue();
+        }
+
+        @Test
+        void shouldBeginAgainWhenTheFirstRequestIsRefusedWithAnother() {
+            pause(Duration.ofSeconds(1));
+            mTime.advance(Duration.ofSeconds(1));
+            assertThat(mNotices.tryUse(mFirstRun)).isTrue();
+            pause(Duration.ofSeconds(3));
+            assertThat(available()).isEmpty();
+            assertThat(mRegistry.shortestPause(TestFleet.CALLS)).hasValue(Duration.ofSeconds(3));
+        }
+
+        @Test
+        void shouldNotBeTheShortestOfTheServiceWhileAnotherBackEndIsFree() {
+            mRegistry.apply(List.of(backEnd("b", 1)), List.of());
+            pause(Duration.ofSeconds(3));
+            assertThat(mRegistry.shortestPause(TestFleet.CALLS)).isEmpty();
+            assertThat(available()).containsExactly("b");
+        }
+    }
+}
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndRegistryTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndRegistryTest.java
@@ -12,7 +12,7 @@
 
 final class BackEndRegistryTest {
     private final ManualTimeSource mTime = new ManualTimeSource();
-    private final BackEndRegistry mRegistry = new BackEndRegistry(mTime);
+    private final BackEndRegistry mRegistry = TestFleet.registry(mTime);
     private final BackEnd mOne = TestFleet.backEnd("one", TestFleet.CALLS, false);
     private final BackEnd mTwo = TestFleet.backEnd("two", TestFleet.CALLS, false);
 
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/CoordinatedPlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/CoordinatedPlacementTest.java
@@ -43,7 +43,7 @@
     /** The placement of one instance with what it knows. */
     private final class Instance {
         private final MemberTable mMembers;
-        private final BackEndRegistry mRegistry = new BackEndRegistry(mTime);
+        private final BackEndRegistry mRegistry = TestFleet.registry(mTime);
         private final BackEndHealth mHealth = new BackEndHealth(mTime);
         private final WorkTracker mTracker = new WorkTracker(mTime);
         private final List<PlacementDecision> mDecisions = new ArrayList<>();
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
@@ -26,7 +26,7 @@
 final class FleetFollowerTest {
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final ActiveRouting mRouting = new ActiveRouting(new EventStreams());
-    private final BackEndRegistry mRegistry = new BackEndRegistry(mTime);
+    private final BackEndRegistry mRegistry = TestFleet.registry(mTime);
     private final ScriptedSource mSource = new ScriptedSource();
     private final FleetState mState = new FleetState(mRouting, mRegistry, () -> {}, mTime);
     private final ReaderRole mRole = new ReaderRole();
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/FleetStateTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FleetStateTest.java
@@ -29,7 +29,7 @@
     /** The state of one instance. */
     private final class Node {
         private final ActiveRouting mRouting = new ActiveRouting(new EventStreams());
-        private final BackEndRegistry mRegistry = new BackEndRegistry(mTime);
+        private final BackEndRegistry mRegistry = TestFleet.registry(mTime);
         private final FleetState mState = new FleetState(mRouting, mRegistry, () -> {}, mTime);
 
         private FleetUpdate updateFor(Node other) {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -29,7 +29,8 @@
 final class ForwardingTest {
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final EventStreams mEvents = new EventStreams();
-    private final BackEndRegistry mRegistry = new BackEndRegistry(mTime);
+    private final BackEndNotices mNotices = new BackEndNotices(mTime, notice -> {});
+    private final BackEndRegistry mRegistry = new BackEndRegistry(mTime, mNotices);
     private final BackEndHealth mHealth = new BackEndHealth(mTime);
     private final ActiveRouting mRouting = new ActiveRouting(mEvents);
     private final ScriptedBackEnds mBackEnds = new ScriptedBackEnds(mTime);
@@ -75,6 +76,7 @@
                 new GatewayComponents(
                         mRouting,
                         mRegistry,
+                        mNotices,
                         delayedCalls,
                         delayedCalls,
                         mBackEnds,
@@ -328,6 +330,107 @@
         }
     }
 
+    /** Back ends that said that they leave got requests until the registry said so too. */
+    @Nested
+    final class LeavingBackEnds {
+        @Test
+        void shouldGetNoFurtherRequestWhateverTheirResponseWas() {
+            List<Reaction> responses =
+                    List.of(
+                            Reaction.LEAVING,
+                            Reaction.LEAVING_REFUSAL,
+                            Reaction.LEAVING_ERROR,
+                            Reaction.LEAVING_BROKEN_STREAM);
+            for (Reaction response : responses) {
+                setUp();
+                mAttempts.clear();
+                String path = response == Reaction.LEAVING_BROKEN_STREAM ? "/stream/" : "/read/";
+                serve(path + response, response, Reaction.STREAM);
+                mBackEnds.reactions().clear();
+                String leaving = mAttempts.getFirst().backEnd().id();
+                for (int i = 0; i < 20; i++) {
+                    serve(path + response + i, Reaction.STREAM);
+                }
+                assertThat(
+                                mAttempts.stream()
+                                        .skip(1)
+                                        .filter(each -> each.backEnd().id().equals(leaving))
+                                        .toList())
+                        .isEmpty();
+            }
+        }
+
+        @Test
+        void shouldBeRefusedAtOnceWhenAllLeave() {
+            for (int i = 0; i < 4; i++) {
+                serve("/read/" + i, Reaction.LEAVING);
+            }
+            RattanportException error = serveExpectingError("/read/last");
+            assertThat(error.code()).isEqualTo(ErrorCode.NO_TARGET);
+            assertThat(error.verdict()).isEqualTo(Verdict.NOT_RUN);
+            assertThat(mAttempts).hasSize(4);
+        }
+
+        @Test
+        void shouldNotBeReachedByARequestThatWasPlacedBefore() {
+            mDuringPlacement =
+                    () ->
+                            mRegistry.available(TestFleet.CALLS).stream()
+                                    .limit(3)
+                                    .forEach(
+                                            each ->
+                                                    mNotices.recordResponse(
+                                                            each, ScriptedBackEnds.leavingHead()));
+            serve("/read/a", Reaction.RESPOND);
+            assertThat(mNotices.accepts(mAttempts.getFirst().backEnd())).isTrue();
+        }
+    }
+
+    /** Back ends that asked for a pause got requests all the same. */
+    @Nested
+    final class PausingBackEnds {
+        @Test
+        void shouldGetNoRequestUntilThePauseEnds() {
+            serve("/read/a", Reaction.PAUSE, Reaction.RESPOND);
+            String pausing = mAttempts.getFirst().backEnd().id();
+            mTime.advance(Duration.ofMillis(1_999));
+            for (int i = 0; i < 20; i++) {
+                serve("/read/" + i, Reaction.RESPOND);
+            }
+            assertThat(
+                            mAttempts.stream()
+                                    .skip(1)
+                                    .anyMatch(each -> each.backEnd().id().equals(pausing)))
+                    .isFalse();
+            mTime.advance(Duration.ofMillis(2));
+            assertThat(mNotices.accepts(mAttempts.getFirst().backEnd())).isTrue();
+        }
+
+        @Test
+        void shouldKeepTheirHealth() {
+            serve("/read/a", Reaction.PAUSE, Reaction.RESPOND);
+            assertThat(mHealth.failureWeight(mAttempts.getFirst().backEnd().id())).isEqualTo(0.0);
+        }
+
+        @Test
+        void shouldBeRefusedAtOnceWithTheShortestPauseWhenAllPause() {
+            RattanportException error =
+                    serveExpectingError(
+                            "/read/a",
+                            Reaction.PAUSE,
+                            Reaction.PAUSE,
+                            Reaction.PAUSE,
+                            Reaction.PAUSE);
+            assertThat(error.code()).isEqualTo(ErrorCode.TARGET_REFUSED);
+            assertThat(error.verdict()).isEqualTo(Verdict.NOT_RUN);
+            long retryAfterMillis = error.retryAfter().orElseThrow().toMillis();
+            assertThat(retryAfterMillis).isAtLeast(2_000);
+            assertThat(retryAfterMillis).isAtMost(2_500);
+            assertThat(serveExpectingError("/read/b").retryAfter()).isPresent();
+            assertThat(mAttempts).hasSize(4);
+        }
+    }
+
     @Nested
     final class PoisonRequests {
         @Test
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/PromptPlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/PromptPlacementTest.java
@@ -20,7 +20,7 @@
     private static final Duration LONG_OBJECTIVE = Duration.ofSeconds(3);
 
     private final ManualTimeSource mTime = new ManualTimeSource();
-    private final BackEndRegistry mRegistry = new BackEndRegistry(mTime);
+    private final BackEndRegistry mRegistry = TestFleet.registry(mTime);
     private final BackEndHealth mHealth = new BackEndHealth(mTime);
     private final WorkTracker mTracker = new WorkTracker(mTime);
     private final PromptPlacement mPlacement =
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ReaderFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ReaderFollowerTest.java
@@ -41,7 +41,7 @@
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final MemberTable mMembers =
             new MemberTable(member("self"), new RumorQueue(), new EventStreams());
-    private final BackEndRegistry mRegistry = new BackEndRegistry(mTime);
+    private final BackEndRegistry mRegistry = TestFleet.registry(mTime);
     private final FleetState mState =
             new FleetState(new ActiveRouting(new EventStreams()), mRegistry, () -> {}, mTime);
     private final ReaderRole mRole = new ReaderRole();
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ReadinessTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ReadinessTest.java
@@ -17,7 +17,7 @@
 final class ReadinessTest {
     private final EventStreams mEvents = new EventStreams();
     private final ActiveRouting mRouting = new ActiveRouting(mEvents);
-    private final BackEndRegistry mRegistry = new BackEndRegistry(new ManualTimeSource());
+    private final BackEndRegistry mRegistry = TestFleet.registry(new ManualTimeSource());
     private final AtomicBoolean mIsDraining = new AtomicBoolean();
     private final MemberTable mMembers =
             new MemberTable(
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
@@ -44,6 +44,14 @@
         ENDLESS,
         /** Streams one event, stalls, and streams the next. */
         STALL,
+        /** Responds and says that it leaves. */
+        LEAVING,
+        LEAVING_REFUSAL,
+        LEAVING_ERROR,
+        /** Streams one event, says that it leaves, and breaks off. */
+        LEAVING_BROKEN_STREAM,
+        /** Refuses and asks for a pause of two seconds. */
+        PAUSE,
         /** Does not respond before the attempt is aborted. */
         CUT,
         /** Streams one event; the attempt is aborted before the next. */
@@ -57,6 +65,8 @@
 
     private static final Duration STALL_DURATION = Duration.ofMillis(1_500);
 
+    private static final Duration PAUSE_TIME = Duration.ofSeconds(2);
+
     private final ManualTimeSource mTime;
     private final Deque<Reaction> mReactions = new ArrayDeque<>();
     private final List<Attempt> mAttempts = new ArrayList<>();
@@ -72,6 +82,22 @@
         mTime = time;
     }
 
+    /** The head of a successful response of a back end that leaves. */
+    static ResponseHead leavingHead() {
+        return new ResponseHead(
+                200,
+                List.of(),
+                Optional.empty(),
+                true,
+                false,
+                false,
+                false,
+                Optional.empty(),
+                Optional.empty(),
+                true,
+                Optional.empty());
+    }
+
     /** The reactions to the next attempts, in order. */
     Deque<Reaction> reactions() {
         return mReactions;
@@ -113,8 +139,9 @@
                     mTime.advance(deadline.remaining(mTime));
                     throw failure(ErrorCode.DEADLINE_EXCEEDED);
                 }
-                case REFUSE, REFUSE_OTHER_ATTEMPT -> responseHead(503, true, false);
-                case FAIL -> responseHead(500, false, true);
+                case REFUSE, REFUSE_OTHER_ATTEMPT, LEAVING_REFUSAL, PAUSE ->
+                        responseHead(503, true, false);
+                case FAIL, LEAVING_ERROR -> responseHead(500, false, true);
                 case UNSIGNED -> responseHead(200, false, false);
                 default -> responseHead(200, false, true);
             };
@@ -134,7 +161,9 @@
                     false,
                     false,
                     Optional.empty(),
-                    Optional.empty());
+                    Optional.empty(),
+                    mReaction.name().startsWith("LEAVING"),
+                    mReaction == Reaction.PAUSE ? Optional.of(PAUSE_TIME) : Optional.empty());
         }
 
         private RattanportException cut() {
@@ -159,13 +188,16 @@
             if (mReaction == Reaction.CUT_IN_STREAM && mChunks > 1) {
                 throw cut();
             }
-            if (mReaction == Reaction.BREAK_OFF && mChunks > 1) {
+            boolean breaksOff =
+                    mReaction == Reaction.BREAK_OFF || mReaction == Reaction.LEAVING_BROKEN_STREAM;
+            if (breaksOff && mChunks > 1) {
                 throw failure(ErrorCode.TARGET_FAILED);
             }
             int chunkCount =
                     switch (mReaction) {
                         case STALL -> 2;
                         case STREAM,
+                                LEAVING_BROKEN_STREAM,
                                 CUT_IN_STREAM,
                                 BREAK_OFF,
                                 END_INSIDE_EVENT,
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
@@ -19,6 +19,7 @@
 import org.rattanport.kernel.gateway.RouteKind;
 import org.rattanport.kernel.gateway.RoutingDocument;
 import org.rattanport.kernel.gateway.WeightedService;
+import org.rattanport.kernel.time.TimeSource;
 
 /** Back ends, documents and requests for tests of the gateway's decisions. */
 final class TestFleet {
@@ -30,6 +31,11 @@
 
     private TestFleet() {}
 
+    /** A registry of back ends that say nothing about themselves. */
+    static BackEndRegistry registry(TimeSource time) {
+        return new BackEndRegistry(time, new BackEndNotices(time, notice -> {}));
+    }
+
     static BackEnd backEnd(String id, String service, boolean isDraining) {
         return new BackEnd(id, 1, service, "10.0.0.1:" + id.hashCode(), "zone", 8, isDraining);
     }
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/ResponseHead.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/ResponseHead.java
@@ -1,5 +1,6 @@
 package org.rattanport.kernel.gateway;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 
@@ -16,6 +17,8 @@
  *     of the back end's connection ends it. The caller gets it with a length or in chunks
  * @param faultyEngineAddress address of the faulty engine, if the response names one
  * @param load load of the back end, if the response reports it
+ * @param isLeaving whether the back end says that it stops soon
+ * @param pause time for which a back end that refuses the request wants no other one, if it says so
  */
 public record ResponseHead(
         int status,
@@ -26,7 +29,9 @@
         boolean isMisdirected,
         boolean isCloseDelimited,
         Optional<String> faultyEngineAddress,
-        Optional<BackEndLoad> load) {
+        Optional<BackEndLoad> load,
+        boolean isLeaving,
+        Optional<Duration> pause) {
     /** Whether the status is a 2xx status. */
     public boolean isSuccess() {
         return status >= 200 && status < 300;
