Let no other response follow a plain response that has started

Cause: every attempt could write to the caller's exchange. Forwarding tried again although the relay had begun to send, and the second head was refused by the encoder without anyone looking. Change: startResponse returns the only object that can write, once; a relay names the relay that may continue it, and a plain response that has started has none. Evidence: ForwardingTest.LongPlainResponses (new), NettyCallerExchangeTest.StartedResponse (new).

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
@@ -25,6 +25,7 @@
 import org.rattanport.kernel.gateway.CallerRequest;
 import org.rattanport.kernel.gateway.Header;
 import org.rattanport.kernel.gateway.ResponseHead;
+import org.rattanport.kernel.gateway.ResponseWriter;
 
 /** The task of one caller's connection. Reads a request, sends the response, and reads the next. */
 final class CallerConnection {
@@ -131,22 +132,23 @@
                         .with("verdict", e.verdict().wireName())
                         .with("document", mRouting.version())
                         .with("reason", e.getMessage()));
-        exchange.startResponse(
-                new ResponseHead(
-                        status,
-                        headers,
-                        Optional.empty(),
-                        false,
-                        false,
-                        false,
-                        false,
-                        Optional.empty(),
-                        Optional.empty(),
-                        false,
-                        Optional.empty()),
-                OptionalInt.of(body.length));
-        exchange.write(body);
-        exchange.finish();
+        ResponseWriter response =
+                exchange.startResponse(
+                        new ResponseHead(
+                                status,
+                                headers,
+                                Optional.empty(),
+                                false,
+                                false,
+                                false,
+                                false,
+                                Optional.empty(),
+                                Optional.empty(),
+                                false,
+                                Optional.empty()),
+                        OptionalInt.of(body.length));
+        response.write(body);
+        response.finish();
     }
 
     /**
--- a/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
-import java.util.Optional;
 import java.util.OptionalInt;
 import org.rattanport.connectors.http.HttpChannel;
 import org.rattanport.kernel.error.ErrorCode;
@@ -22,9 +21,10 @@
 import org.rattanport.kernel.gateway.CallerExchange;
 import org.rattanport.kernel.gateway.Header;
 import org.rattanport.kernel.gateway.ResponseHead;
+import org.rattanport.kernel.gateway.ResponseWriter;
 import org.rattanport.kernel.task.Cancellation;
 
-/** Writes the response to one request on a caller's connection. */
+/** Starts the response to one request on a caller's connection. */
 final class NettyCallerExchange implements CallerExchange {
     /** Time for which a caller may leave its response unread. */
     private static final Duration MAX_WRITE_STALL = Duration.ofSeconds(10);
@@ -37,11 +37,7 @@
     private final boolean mHasNoBody;
     private final boolean mSupportsChunked;
     private boolean mClosesConnection;
-
-    /** Head of a response that is held until its length is known. */
-    private Optional<HttpResponse> mHeldHead = Optional.empty();
-
-    private final ByteArrayOutputStream mHeldBody = new ByteArrayOutputStream();
+    private boolean mHasStarted;
 
     NettyCallerExchange(
             HttpChannel channel,
@@ -70,7 +66,11 @@
     }
 
     @Override
-    public void startResponse(ResponseHead head, OptionalInt length) {
+    public ResponseWriter startResponse(ResponseHead head, OptionalInt length) {
+        if (mHasStarted) {
+            throw new IllegalStateException("a response to this request has already started");
+        }
+        mHasStarted = true;
         DefaultHttpResponse response =
                 new DefaultHttpResponse(
                         HttpVersion.HTTP_1_1,
@@ -88,50 +88,75 @@
         } else if (mSupportsChunked) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         } else {
-            mHeldHead = Optional.of(response);
-            return;
+            return new HeldResponse(response);
         }
-        requireSent(mChannel.write(response, MAX_WRITE_STALL));
+        return new SentResponse(response);
     }
 
-    @Override
-    public void write(byte[] chunk) {
-        if (chunk.length == 0 || mHasNoBody) {
-            return;
+    private void abortConnection() {
+        mClosesConnection = true;
+        mChannel.reset();
+    }
+
+    /** A response that is sent as it comes. */
+    private final class SentResponse implements ResponseWriter {
+        private SentResponse(HttpResponse head) {
+            requireSent(mChannel.write(head, MAX_WRITE_STALL));
         }
-        if (mHeldHead.isPresent()) {
-            hold(chunk);
-            return;
+
+        @Override
+        public void write(byte[] chunk) {
+            if (chunk.length > 0 && !mHasNoBody) {
+                requireSent(
+                        mChannel.write(
+                                new DefaultHttpContent(Unpooled.wrappedBuffer(chunk)),
+                                MAX_WRITE_STALL));
+            }
         }
-        requireSent(
-                mChannel.write(
-                        new DefaultHttpContent(Unpooled.wrappedBuffer(chunk)), MAX_WRITE_STALL));
-    }
 
-    /** A close-delimited response would look complete if this process ended while it is sent. */
-    private void hold(byte[] chunk) {
-        if (mHeldBody.size() + chunk.length > MAX_HELD_BYTES) {
-            throw cancelled("the response is too long for a caller that cannot read chunks");
+        @Override
+        public void finish() {
+            mChannel.writeAsync(LastHttpContent.EMPTY_LAST_CONTENT);
         }
-        mHeldBody.writeBytes(chunk);
-    }
 
-    @Override
-    public void finish() {
-        if (mHeldHead.isPresent()) {
-            HttpResponse head = mHeldHead.get();
-            mHeldHead = Optional.empty();
-            head.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, mHeldBody.size());
-            requireSent(mChannel.write(head, MAX_WRITE_STALL));
-            write(mHeldBody.toByteArray());
+        @Override
+        public void abort() {
+            abortConnection();
         }
-        mChannel.writeAsync(LastHttpContent.EMPTY_LAST_CONTENT);
     }
 
-    @Override
-    public void abort() {
-        mClosesConnection = true;
-        mChannel.reset();
+    /**
+     * A response that is held until its length is known. A close-delimited one would look complete
+     * if this process ended while it is sent.
+     */
+    private final class HeldResponse implements ResponseWriter {
+        private final HttpResponse mHead;
+        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+
+        private HeldResponse(HttpResponse head) {
+            mHead = head;
+        }
+
+        @Override
+        public void write(byte[] chunk) {
+            if (mBody.size() + chunk.length > MAX_HELD_BYTES) {
+                throw cancelled("the response is too long for a caller that cannot read chunks");
+            }
+            mBody.writeBytes(chunk);
+        }
+
+        @Override
+        public void finish() {
+            mHead.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, mBody.size());
+            ResponseWriter response = new SentResponse(mHead);
+            response.write(mBody.toByteArray());
+            response.finish();
+        }
+
+        @Override
+        public void abort() {
+            abortConnection();
+        }
     }
 
     private static void requireSent(boolean isSent) {
--- a/connectors/src/test/java/org/rattanport/connectors/gateway/NettyCallerExchangeTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/gateway/NettyCallerExchangeTest.java
@@ -16,6 +16,7 @@
 import org.rattanport.connectors.http.HttpChannel;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.ResponseHead;
+import org.rattanport.kernel.gateway.ResponseWriter;
 
 /** Checks how responses to callers are framed. */
 final class NettyCallerExchangeTest {
@@ -55,9 +56,9 @@
     }
 
     private String sendResponse(boolean isCloseDelimited, OptionalInt length) {
-        mExchange.startResponse(responseHead(isCloseDelimited), length);
-        mExchange.write("body".getBytes(StandardCharsets.US_ASCII));
-        mExchange.finish();
+        ResponseWriter response = mExchange.startResponse(responseHead(isCloseDelimited), length);
+        response.write("body".getBytes(StandardCharsets.US_ASCII));
+        response.finish();
         return sentBytes();
     }
 
@@ -84,12 +85,13 @@
         /** A close-delimited copy looked complete when the process ended inside it. */
         @Test
         void shouldNotBeCloseDelimitedForTheCaller() {
-            mExchange.startResponse(responseHead(true), OptionalInt.empty());
-            mExchange.write("body".getBytes(StandardCharsets.US_ASCII));
+            ResponseWriter response =
+                    mExchange.startResponse(responseHead(true), OptionalInt.empty());
+            response.write("body".getBytes(StandardCharsets.US_ASCII));
             String sent = sentBytes();
             assertThat(sent).contains("transfer-encoding: chunked\r\n");
             assertThat(sent).endsWith("4\r\nbody\r\n");
-            mExchange.finish();
+            response.finish();
             assertThat(sentBytes()).isEqualTo("0\r\n\r\n");
         }
 
@@ -102,6 +104,20 @@
         }
     }
 
+    @Nested
+    final class StartedResponse {
+        /** A second response was written into the body of the first. */
+        @Test
+        void shouldNotStartAgain() {
+            mExchange.startResponse(responseHead(false), OptionalInt.empty());
+            sentBytes();
+            assertThrows(
+                    IllegalStateException.class,
+                    () -> mExchange.startResponse(responseHead(false), OptionalInt.of(4)));
+            assertThat(sentBytes()).isEmpty();
+        }
+    }
+
     @Nested
     final class CallersWithoutChunks {
         private final NettyCallerExchange mOldCaller =
@@ -109,11 +125,12 @@
 
         @Test
         void shouldGetTheResponseWithItsLengthOnceItIsWhole() {
-            mOldCaller.startResponse(responseHead(false), OptionalInt.empty());
-            mOldCaller.write("bo".getBytes(StandardCharsets.US_ASCII));
-            mOldCaller.write("dy".getBytes(StandardCharsets.US_ASCII));
+            ResponseWriter response =
+                    mOldCaller.startResponse(responseHead(false), OptionalInt.empty());
+            response.write("bo".getBytes(StandardCharsets.US_ASCII));
+            response.write("dy".getBytes(StandardCharsets.US_ASCII));
             assertThat(sentBytes()).isEmpty();
-            mOldCaller.finish();
+            response.finish();
             String sent = sentBytes();
             assertThat(sent).contains("content-length: 4\r\n");
             assertThat(sent).endsWith("\r\n\r\nbody");
@@ -121,9 +138,10 @@
 
         @Test
         void shouldGetNothingOfAResponseThatIsTooLongToHold() {
-            mOldCaller.startResponse(responseHead(true), OptionalInt.empty());
+            ResponseWriter response =
+                    mOldCaller.startResponse(responseHead(true), OptionalInt.empty());
             assertThrows(
-                    RattanportException.class, () -> mOldCaller.write(new byte[2 * 1024 * 1024]));
+                    RattanportException.class, () -> response.write(new byte[2 * 1024 * 1024]));
             assertThat(sentBytes()).isEmpty();
         }
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BufferedResponseRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BufferedResponseRelay.java
@@ -5,6 +5,7 @@
 import org.rattanport.kernel.gateway.BackEndExchange;
 import org.rattanport.kernel.gateway.CallerExchange;
 import org.rattanport.kernel.gateway.ResponseHead;
+import org.rattanport.kernel.gateway.ResponseWriter;
 import org.rattanport.kernel.time.Deadline;
 
 /**
@@ -17,7 +18,7 @@
 
     private final CallerExchange mCaller;
     private final Runnable mOnForwarded;
-    private boolean mHasStarted;
+    private Optional<ResponseWriter> mResponse = Optional.empty();
 
     BufferedResponseRelay(CallerExchange caller, Runnable onForwarded) {
         mCaller = caller;
@@ -32,26 +33,31 @@
             buffer.addAll(chunk.get());
             chunk = exchange.awaitChunk(deadline);
         }
-        mHasStarted = true;
         mOnForwarded.run();
-        if (chunk.isEmpty()) {
-            mCaller.startResponse(head, OptionalInt.of(buffer.size()));
-            mCaller.write(buffer.toArray());
-            mCaller.finish();
-            return;
-        }
-        mCaller.startResponse(head, OptionalInt.empty());
-        mCaller.write(buffer.toArray());
+        OptionalInt length = chunk.isEmpty() ? OptionalInt.of(buffer.size()) : OptionalInt.empty();
+        ResponseWriter response = mCaller.startResponse(head, length);
+        mResponse = Optional.of(response);
+        response.write(buffer.toArray());
         while (chunk.isPresent()) {
-            mCaller.write(chunk.get());
+            response.write(chunk.get());
             chunk = exchange.awaitChunk(deadline);
         }
-        mCaller.finish();
+        response.finish();
     }
 
     @Override
     public boolean hasStarted() {
-        return mHasStarted;
+        return mResponse.isPresent();
+    }
+
+    @Override
+    public Optional<ResponseRelay> continuation() {
+        return mResponse.isPresent() ? Optional.empty() : Optional.of(this);
+    }
+
+    @Override
+    public void abort() {
+        mResponse.ifPresent(ResponseWriter::abort);
     }
 
     @Override
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
@@ -11,6 +11,7 @@
 import org.rattanport.kernel.gateway.BackEndExchange;
 import org.rattanport.kernel.gateway.CallerExchange;
 import org.rattanport.kernel.gateway.ResponseHead;
+import org.rattanport.kernel.gateway.ResponseWriter;
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.TimeSource;
 
@@ -30,7 +31,7 @@
     private final Supplier<Duration> mRemainingPrefill;
     private Optional<Event> mLastEvent = Optional.empty();
     private final Optional<String> mResumeAfterId;
-    private boolean mHasStarted;
+    private Optional<ResponseWriter> mResponse = Optional.empty();
 
     EventRelay(
             CallerExchange caller,
@@ -61,15 +62,15 @@
                 throw brokenOff("an event of the stream is too long");
             }
             chunk =
-                    mHasStarted
+                    hasStarted()
                             ? mTimeout.get()
                                     .await(mTime, deadline, mRemainingPrefill, exchange::awaitChunk)
                             : exchange.awaitChunk(deadline);
         }
         requireComplete(head, parser, hasEvents);
-        start(head);
-        mCaller.write(parser.remainder());
-        mCaller.finish();
+        ResponseWriter response = start(head);
+        response.write(parser.remainder());
+        response.finish();
     }
 
     /** The end of a connection also ends a stream that has broken off. */
@@ -99,23 +100,32 @@
             return;
         }
         mOnEvent.run();
-        start(head);
-        mCaller.write(event.bytes());
+        start(head).write(event.bytes());
         if (event.id().isPresent()) {
             mLastEvent = Optional.of(event);
         }
     }
 
-    private void start(ResponseHead head) {
-        if (!mHasStarted) {
-            mHasStarted = true;
-            mCaller.startResponse(head, OptionalInt.empty());
-        }
+    private ResponseWriter start(ResponseHead head) {
+        ResponseWriter response =
+                mResponse.orElseGet(() -> mCaller.startResponse(head, OptionalInt.empty()));
+        mResponse = Optional.of(response);
+        return response;
     }
 
     @Override
     public boolean hasStarted() {
-        return mHasStarted;
+        return mResponse.isPresent();
+    }
+
+    @Override
+    public Optional<ResponseRelay> continuation() {
+        return Optional.of(this);
+    }
+
+    @Override
+    public void abort() {
+        mResponse.ifPresent(ResponseWriter::abort);
     }
 
     @Override
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
@@ -42,12 +41,6 @@
     /** Time below which no back end can respond. */
     private static final Duration MIN_ATTEMPT_TIME = Duration.ofMillis(20);
 
-    /** Delay after which a refused caller may retry; short requests end within it. */
-    private static final Duration RETRY_AFTER = Duration.ofMillis(200);
-
-    /** Largest addition to the pause of back ends, as a fraction of it. */
-    private static final double PAUSE_SPREAD = 0.25;
-
     private final GatewayComponents mComponents;
     private final CallerRequest mRequest;
     private final CallerExchange mCaller;
@@ -143,12 +136,12 @@
         for (int placements = 0; placements < MAX_PLACEMENTS; placements++) {
             requireWanted();
             if (!hasTimeForAttempt()) {
-                mLastError = deadlineExceeded();
+                mLastError = ForwardingErrors.deadlineExceeded();
                 break;
             }
             Optional<Fingerprint> blocked = mComponents.outcomes().blockedContent(mContent);
             if (blocked.isPresent()) {
-                mLastError = poisonRequest(blocked.get());
+                mLastError = ForwardingErrors.poisonRequest(mRequest, mContent, blocked.get());
                 break;
             }
             if (mHasReachedBackEnd && !mComponents.retryBudget().tryAcquire(mService.name())) {
@@ -159,12 +152,15 @@
                 mComponents
                         .registry()
                         .shortestPause(mService.name())
-                        .ifPresent(pause -> mLastError = allPause(pause));
+                        .ifPresent(pause -> mLastError = ForwardingErrors.allPause(pause));
                 break;
             }
             if (attempt(placement.get())) {
                 return;
             }
+            if (mRelay.continuation().isEmpty()) {
+                break;
+            }
             if (mVerdict != Verdict.NOT_RUN
                     && (!mRoute.isRetryable() || mRuns >= mRoute.maxAttempts())) {
                 break;
@@ -173,27 +169,10 @@
         endWithoutResponse();
     }
 
-    private RattanportException poisonRequest(Fingerprint blocked) {
-        int part = mContent.sharedParts().indexOf(blocked);
-        String content =
-                part < 0
-                        ? "this request"
-                        : "prompts with the part " + mRequest.sharedParts().get(part);
-        return new RattanportException(
-                ErrorCode.POISON_REQUEST, "engines crashed while running " + content);
-    }
-
     private boolean hasTimeForAttempt() {
         return mDeadline.remaining(mComponents.time()).compareTo(MIN_ATTEMPT_TIME) >= 0;
     }
 
-    private static RattanportException deadlineExceeded() {
-        return new RattanportException(
-                ErrorCode.DEADLINE_EXCEEDED,
-                "the deadline of the request has passed, or too little time is left for a"
-                        + " response");
-    }
-
     private Optional<Placement> place() {
         BackEndPlacement policy =
                 mService.engineSpec().isPresent()
@@ -297,25 +276,24 @@
     private void requireWorthSending() {
         requireWanted();
         if (!hasTimeForAttempt()) {
-            throw deadlineExceeded();
+            throw ForwardingErrors.deadlineExceeded();
         }
     }
 
     /** Throws if the caller left or this instance stops. */
     private void requireWanted() {
         if (mCaller.disconnectSignal().isCancelled()) {
-            throw callerDisconnected();
+            throw ForwardingErrors.callerDisconnected();
         }
         if (mCaller.cutSignal().isCancelled()) {
-            throw stopping();
+            throw ForwardingErrors.stopping(mVerdict);
         }
     }
 
     /** The back end may have asked for a pause, or begun to leave, since it was chosen. */
     private void requireAccepting(BackEnd backEnd) {
         if (!mComponents.notices().tryUse(backEnd)) {
-            throw new RattanportException(
-                    ErrorCode.TARGET_REFUSED, "the back end wants no requests now");
+            throw ForwardingErrors.wantsNoRequests();
         }
     }
 
@@ -334,18 +312,14 @@
         head.load().ifPresent(load -> mComponents.loadTable().recordReport(backEnd.id(), load));
         if (head.isNotRun() && !isForeign(head)) {
             recordRefusal(placement, head);
-            mLastError =
-                    RattanportException.builder(
-                                    ErrorCode.TARGET_REFUSED, "every back end refused the request")
-                            .retryAfter(RETRY_AFTER)
-                            .build();
+            mLastError = ForwardingErrors.allRefused();
             return false;
         }
         mRuns++;
         mVerdict = mVerdict.combinedWith(Verdict.MAY_HAVE_RUN);
         requireMatchingResponse(head);
         if (shouldRetry(head)) {
-            throw failedRun("the back end responded with status " + head.status());
+            throw ForwardingErrors.failedRun("the back end responded with status " + head.status());
         }
         if (head.isSuccess()) {
             mRelay.relay(head, exchange, mDeadline);
@@ -409,7 +383,8 @@
     /** Rejects a response to another attempt, and a successful response without a signature. */
     private void requireMatchingResponse(ResponseHead head) {
         if (isForeign(head) || (head.isSuccess() && !head.isSigned())) {
-            throw failedRun("the response has no signature or belongs to another attempt");
+            throw ForwardingErrors.failedRun(
+                    "the response has no signature or belongs to another attempt");
         }
     }
 
@@ -417,12 +392,6 @@
         return head.attemptId().filter(id -> !id.equals(mRequest.attemptId())).isPresent();
     }
 
-    private static RattanportException failedRun(String reason) {
-        return RattanportException.builder(ErrorCode.TARGET_FAILED, reason)
-                .verdict(Verdict.RAN)
-                .build();
-    }
-
     private boolean shouldRetry(ResponseHead head) {
         if (mRelay.hasStarted()) {
             return !head.isSuccess();
@@ -432,17 +401,17 @@
 
     private boolean handleFailure(BackEnd backEnd, RattanportException error, int runsBefore) {
         if (error.code() == ErrorCode.CANCELLED && mCaller.disconnectSignal().isCancelled()) {
-            throw callerDisconnected();
+            throw ForwardingErrors.callerDisconnected();
         }
         if (mCaller.cutSignal().isCancelled()) {
             mVerdict = mVerdict.combinedWith(error.verdict());
-            mLastError = stopping();
+            mLastError = ForwardingErrors.stopping(mVerdict);
             traceFailure(backEnd, mLastError);
             endWithoutResponse();
             return true;
         }
         if (error.code() == ErrorCode.CANCELLED) {
-            throw callerDisconnected();
+            throw ForwardingErrors.callerDisconnected();
         }
         if (error.code() == ErrorCode.DEADLINE_EXCEEDED && !hasTimeForAttempt()) {
             mVerdict = mVerdict.combinedWith(error.verdict());
@@ -485,31 +454,12 @@
     private void endWithoutResponse() {
         if (mRelay.hasStarted()) {
             mIsTruncated = true;
-            mCaller.abort();
+            mRelay.abort();
             return;
         }
         throw mVerdict == Verdict.NOT_RUN ? mLastError : mLastError.withVerdict(mVerdict);
     }
 
-    /** Callers return at different times after the pause, so that they do not come as a herd. */
-    private static RattanportException allPause(Duration pause) {
-        double spread = 1 + PAUSE_SPREAD * ThreadLocalRandom.current().nextDouble();
-        return RattanportException.builder(
-                        ErrorCode.TARGET_REFUSED, "every back end asked for a pause")
-                .retryAfter(Duration.ofMillis(Math.round(pause.toMillis() * spread)))
-                .build();
-    }
-
-    private RattanportException stopping() {
-        return RattanportException.builder(ErrorCode.STOPPING, "this instance is stopping")
-                .verdict(mVerdict)
-                .build();
-    }
-
-    private static RattanportException callerDisconnected() {
-        return new RattanportException(ErrorCode.CANCELLED, "the caller disconnected");
-    }
-
     private static void closeQuietly(AutoCloseable closeable) {
         try {
             closeable.close();
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ForwardingErrors.java
@@ -0,0 +1,76 @@
+package org.rattanport.decisions.gateway;
+
+import java.time.Duration;
+import java.util.concurrent.ThreadLocalRandom;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.gateway.CallerRequest;
+import org.rattanport.kernel.gateway.RequestContent;
+import org.rattanport.kernel.model.Fingerprint;
+
+/** Errors with which a forwarded request, or one of its attempts, ends. */
+final class ForwardingErrors {
+    /** Delay after which a refused caller may retry; short requests end within it. */
+    private static final Duration RETRY_AFTER = Duration.ofMillis(200);
+
+    /** Largest addition to the pause of back ends, as a fraction of it. */
+    private static final double PAUSE_SPREAD = 0.25;
+
+    private ForwardingErrors() {}
+
+    static RattanportException poisonRequest(
+            CallerRequest request, RequestContent content, Fingerprint blocked) {
+        int part = content.sharedParts().indexOf(blocked);
+        String name =
+                part < 0
+                        ? "this request"
+                        : "prompts with the part " + request.sharedParts().get(part);
+        return new RattanportException(
+                ErrorCode.POISON_REQUEST, "engines crashed while running " + name);
+    }
+
+    static RattanportException deadlineExceeded() {
+        return new RattanportException(
+                ErrorCode.DEADLINE_EXCEEDED,
+                "the deadline of the request has passed, or too little time is left for a"
+                        + " response");
+    }
+
+    static RattanportException allRefused() {
+        return RattanportException.builder(
+                        ErrorCode.TARGET_REFUSED, "every back end refused the request")
+                .retryAfter(RETRY_AFTER)
+                .build();
+    }
+
+    /** Callers return at different times after the pause, so that they do not come as a herd. */
+    static RattanportException allPause(Duration pause) {
+        double spread = 1 + PAUSE_SPREAD * ThreadLocalRandom.current().nextDouble();
+        return RattanportException.builder(
+                        ErrorCode.TARGET_REFUSED, "every back end asked for a pause")
+                .retryAfter(Duration.ofMillis(Math.round(pause.toMillis() * spread)))
+                .build();
+    }
+
+    static RattanportException wantsNoRequests() {
+        return new RattanportException(
+                ErrorCode.TARGET_REFUSED, "the back end wants no requests now");
+    }
+
+    static RattanportException failedRun(String reason) {
+        return RattanportException.builder(ErrorCode.TARGET_FAILED, reason)
+                .verdict(Verdict.RAN)
+                .build();
+    }
+
+    static RattanportException stopping(Verdict verdict) {
+        return RattanportException.builder(ErrorCode.STOPPING, "this instance is stopping")
+                .verdict(verdict)
+                .build();
+    }
+
+    static RattanportException callerDisconnected() {
+        return new RattanportException(ErrorCode.CANCELLED, "the caller disconnected");
+    }
+}
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ResponseRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ResponseRelay.java
@@ -1,5 +1,6 @@
 package org.rattanport.decisions.gateway;
 
+import java.util.Optional;
 import org.rattanport.kernel.gateway.BackEndExchange;
 import org.rattanport.kernel.gateway.ResponseHead;
 import org.rattanport.kernel.time.Deadline;
@@ -18,6 +19,15 @@
     /** Whether a part of the response was written to the caller. */
     boolean hasStarted();
 
+    /**
+     * The relay that may take the response of another back end after this one has failed; empty
+     * when the caller has a part of a response that no other can continue.
+     */
+    Optional<ResponseRelay> continuation();
+
+    /** Shows the caller that its response is truncated, if one has started. */
+    void abort();
+
     /** The id of the last event that the caller has, if the response is an event stream. */
-    java.util.Optional<String> lastEventId();
+    Optional<String> lastEventId();
 }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/FakeCaller.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FakeCaller.java
@@ -4,6 +4,7 @@
 import java.util.OptionalInt;
 import org.rattanport.kernel.gateway.CallerExchange;
 import org.rattanport.kernel.gateway.ResponseHead;
+import org.rattanport.kernel.gateway.ResponseWriter;
 import org.rattanport.kernel.task.Cancellation;
 
 /** A caller that records what it gets. */
@@ -11,6 +12,7 @@
     final Cancellation mDisconnect = new Cancellation();
     final Cancellation mCut = new Cancellation();
     int mStatus;
+    int mStartCount;
     final StringBuilder mBody = new StringBuilder();
     boolean mIsFinished;
     boolean mIsAborted;
@@ -26,22 +28,26 @@
     }
 
     @Override
-    public void startResponse(ResponseHead head, OptionalInt length) {
+    public ResponseWriter startResponse(ResponseHead head, OptionalInt length) {
         mStatus = head.status();
+        mStartCount++;
+        return new RecordingWriter();
     }
 
-    @Override
-    public void write(byte[] chunk) {
-        mBody.append(new String(chunk, StandardCharsets.UTF_8));
-    }
-
-    @Override
-    public void finish() {
-        mIsFinished = true;
-    }
-
-    @Override
-    public void abort() {
-        mIsAborted = true;
+    private final class RecordingWriter implements ResponseWriter {
+        @Override
+        public void write(byte[] chunk) {
+            mBody.append(new String(chunk, StandardCharsets.UTF_8));
+        }
+
+        @Override
+        public void finish() {
+            mIsFinished = true;
+        }
+
+        @Override
+        public void abort() {
+            mIsAborted = true;
+        }
     }
 }
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
@@ -0,0 +1,131 @@
+package org.rattanport.decisions.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.BeforeEach;
+import org.rattanport.decisions.gateway.ScriptedBackEnds.Reaction;
+import org.rattanport.decisions.poison.CrashAttribution;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.gateway.Attempt;
+import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.EngineMemoryClient;
+import org.rattanport.kernel.gateway.RequestOutcome;
+import org.rattanport.kernel.gateway.RouteKind;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.ManualTimeSource;
+
+/** Requests that are forwarded to scripted back ends under virtual time. */
+abstract class ForwardingHarness {
+    final ManualTimeSource mTime = new ManualTimeSource();
+    final EventStreams mEvents = new EventStreams();
+    final BackEndNotices mNotices = new BackEndNotices(mTime, notice -> {});
+    final BackEndRegistry mRegistry = new BackEndRegistry(mTime, mNotices);
+    final BackEndHealth mHealth = new BackEndHealth(mTime);
+    final ActiveRouting mRouting = new ActiveRouting(mEvents);
+    final ScriptedBackEnds mBackEnds = new ScriptedBackEnds(mTime);
+    final List<Attempt> mAttempts = mBackEnds.attempts();
+    final List<RequestOutcome> mOutcomes = new ArrayList<>();
+    final FakeCaller mCaller = new FakeCaller();
+    int mSlack = 100;
+
+    /** What happens while a back end is chosen. */
+    Runnable mDuringPlacement = () -> {};
+
+    @BeforeEach
+    void setUp() {
+        List<BackEnd> backEnds = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            backEnds.add(TestFleet.backEnd("call-" + i, TestFleet.CALLS, false));
+            backEnds.add(TestFleet.backEnd("engine-" + i, TestFleet.ENGINES, false));
+        }
+        mRegistry.replace(backEnds);
+        mRouting.activateIfNewer(
+                TestFleet.document(
+                        1,
+                        TestFleet.route("host", "/read/", RouteKind.IDEMPOTENT),
+                        TestFleet.route("host", "/book/", RouteKind.NON_IDEMPOTENT),
+                        TestFleet.route("host", "/stream/", RouteKind.STREAMING)));
+        mEvents.stream(RequestOutcome.class).subscribe(mOutcomes::add);
+    }
+
+    GatewayService service() {
+        LoadTable loadTable = new LoadTable(mTime);
+        Random random = new Random(1);
+        BackEndPlacement calls =
+                new LeastLoadedPlacement("zone", mRegistry, mHealth, loadTable, random);
+        BackEndPlacement delayedCalls =
+                query -> {
+                    mDuringPlacement.run();
+                    return calls.place(query);
+                };
+        MemoryLeases leases = new MemoryLeases(new GrantingMemoryClient(), mTime);
+        ServiceRetryBudget retryBudget =
+                new ServiceRetryBudget(mTime, Duration.ofSeconds(10), 0.2, mSlack, () -> 1);
+        GatewayComponents components =
+                new GatewayComponents(
+                        mRouting,
+                        mRegistry,
+                        mNotices,
+                        delayedCalls,
+                        delayedCalls,
+                        mBackEnds,
+                        leases,
+                        new OutcomeRecorder(
+                                mHealth,
+                                new CrashAttribution(mTime, rumor -> {}, rumor -> {}, random)),
+                        loadTable,
+                        new NoOpWorkNotifier(),
+                        retryBudget,
+                        mEvents,
+                        mTime);
+        return new GatewayService(components, random);
+    }
+
+    void serve(String path, Reaction... reactions) {
+        mBackEnds.reactions().addAll(List.of(reactions));
+        service().serve(TestFleet.request(path, 0), mCaller);
+    }
+
+    RattanportException serveExpectingError(String path, Reaction... reactions) {
+        return assertThrows(RattanportException.class, () -> serve(path, reactions));
+    }
+
+    private static final class NoOpWorkNotifier implements WorkNotifier {
+        @Override
+        public void decodeStarted(String id) {}
+
+        @Override
+        public void ended(String id) {}
+
+        @Override
+        public void engineFailed(String id, String engineId, double weight) {}
+
+        @Override
+        public Duration remainingPrefill(String id, String engineId) {
+            return Duration.ZERO;
+        }
+    }
+
+    private static final class GrantingMemoryClient implements EngineMemoryClient {
+        @Override
+        public boolean acquire(
+                String address, String id, int tokens, Duration duration, Deadline deadline) {
+            return true;
+        }
+
+        @Override
+        public boolean isReachable(String address, Deadline deadline) {
+            return true;
+        }
+
+        @Override
+        public boolean release(String address, String id, Deadline deadline) {
+            return true;
+        }
+    }
+}
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -7,100 +7,15 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.Random;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.rattanport.decisions.gateway.ScriptedBackEnds.Reaction;
-import org.rattanport.decisions.poison.CrashAttribution;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
-import org.rattanport.kernel.event.EventStreams;
-import org.rattanport.kernel.gateway.Attempt;
-import org.rattanport.kernel.gateway.BackEnd;
-import org.rattanport.kernel.gateway.EngineMemoryClient;
-import org.rattanport.kernel.gateway.RequestOutcome;
-import org.rattanport.kernel.gateway.RouteKind;
-import org.rattanport.kernel.time.Deadline;
-import org.rattanport.kernel.time.ManualTimeSource;
 
 /** Retries after each kind of failed attempt, and the result for the caller. */
-final class ForwardingTest {
-    private final ManualTimeSource mTime = new ManualTimeSource();
-    private final EventStreams mEvents = new EventStreams();
-    private final BackEndNotices mNotices = new BackEndNotices(mTime, notice -> {});
-    private final BackEndRegistry mRegistry = new BackEndRegistry(mTime, mNotices);
-    private final BackEndHealth mHealth = new BackEndHealth(mTime);
-    private final ActiveRouting mRouting = new ActiveRouting(mEvents);
-    private final ScriptedBackEnds mBackEnds = new ScriptedBackEnds(mTime);
-    private final List<Attempt> mAttempts = mBackEnds.attempts();
-    private final List<RequestOutcome> mOutcomes = new ArrayList<>();
-    private final FakeCaller mCaller = new FakeCaller();
-    private int mSlack = 100;
-
-    /** What happens while a back end is chosen. */
-    private Runnable mDuringPlacement = () -> {};
-
-    @BeforeEach
-    void setUp() {
-        List<BackEnd> backEnds = new ArrayList<>();
-        for (int i = 0; i < 4; i++) {
-            backEnds.add(TestFleet.backEnd("call-" + i, TestFleet.CALLS, false));
-            backEnds.add(TestFleet.backEnd("engine-" + i, TestFleet.ENGINES, false));
-        }
-        mRegistry.replace(backEnds);
-        mRouting.activateIfNewer(
-                TestFleet.document(
-                        1,
-                        TestFleet.route("host", "/read/", RouteKind.IDEMPOTENT),
-                        TestFleet.route("host", "/book/", RouteKind.NON_IDEMPOTENT),
-                        TestFleet.route("host", "/stream/", RouteKind.STREAMING)));
-        mEvents.stream(RequestOutcome.class).subscribe(mOutcomes::add);
-    }
-
-    private GatewayService service() {
-        LoadTable loadTable = new LoadTable(mTime);
-        Random random = new Random(1);
-        BackEndPlacement calls =
-                new LeastLoadedPlacement("zone", mRegistry, mHealth, loadTable, random);
-        BackEndPlacement delayedCalls =
-                query -> {
-                    mDuringPlacement.run();
-                    return calls.place(query);
-                };
-        MemoryLeases leases = new MemoryLeases(new GrantingMemoryClient(), mTime);
-        ServiceRetryBudget retryBudget =
-                new ServiceRetryBudget(mTime, Duration.ofSeconds(10), 0.2, mSlack, () -> 1);
-        GatewayComponents components =
-                new GatewayComponents(
-                        mRouting,
-                        mRegistry,
-                        mNotices,
-                        delayedCalls,
-                        delayedCalls,
-                        mBackEnds,
-                        leases,
-                        new OutcomeRecorder(
-                                mHealth,
-                                new CrashAttribution(mTime, rumor -> {}, rumor -> {}, random)),
-                        loadTable,
-                        new NoOpWorkNotifier(),
-                        retryBudget,
-                        mEvents,
-                        mTime);
-        return new GatewayService(components, random);
-    }
-
-    private void serve(String path, Reaction... reactions) {
-        mBackEnds.reactions().addAll(List.of(reactions));
-        service().serve(TestFleet.request(path, 0), mCaller);
-    }
-
-    private RattanportException serveExpectingError(String path, Reaction... reactions) {
-        return assertThrows(RattanportException.class, () -> serve(path, reactions));
-    }
-
+final class ForwardingTest extends ForwardingHarness {
     @Nested
     final class NonIdempotentCalls {
         @Test
@@ -262,6 +177,19 @@
         }
     }
 
+    @Nested
+    final class LongPlainResponses {
+        /** The whole response of the next back end was appended to the part that the caller had. */
+        @Test
+        void shouldNotBeFollowedByTheResponseOfAnotherBackEnd() {
+            serve("/read/a", Reaction.LONG_BREAK_OFF, Reaction.RESPOND);
+            assertThat(mAttempts).hasSize(1);
+            assertThat(mCaller.mStartCount).isEqualTo(1);
+            assertThat(mCaller.mIsFinished).isFalse();
+            assertThat(mCaller.mIsAborted).isTrue();
+        }
+    }
+
     @Nested
     final class LateAttempts {
         @Test
@@ -330,107 +258,6 @@
         }
     }
 
-    /** Back ends that said that they leave got requests until the registry said so too. */
-    @Nested
-    final class LeavingBackEnds {
-        @Test
-        void shouldGetNoFurtherRequestWhateverTheirResponseWas() {
-            List<Reaction> responses =
-                    List.of(
-                            Reaction.LEAVING,
-                            Reaction.LEAVING_REFUSAL,
-                            Reaction.LEAVING_ERROR,
-                            Reaction.LEAVING_BROKEN_STREAM);
-            for (Reaction response : responses) {
-                setUp();
-                mAttempts.clear();
-                String path = response == Reaction.LEAVING_BROKEN_STREAM ? "/stream/" : "/read/";
-                serve(path + response, response, Reaction.STREAM);
-                mBackEnds.reactions().clear();
-                String leaving = mAttempts.getFirst().backEnd().id();
-                for (int i = 0; i < 20; i++) {
-                    serve(path + response + i, Reaction.STREAM);
-                }
-                assertThat(
-                                mAttempts.stream()
-                                        .skip(1)
-                                        .filter(each -> each.backEnd().id().equals(leaving))
-                                        .toList())
-                        .isEmpty();
-            }
-        }
-
-        @Test
-        void shouldBeRefusedAtOnceWhenAllLeave() {
-            for (int i = 0; i < 4; i++) {
-                serve("/read/" + i, Reaction.LEAVING);
-            }
-            RattanportException error = serveExpectingError("/read/last");
-            assertThat(error.code()).isEqualTo(ErrorCode.NO_TARGET);
-            assertThat(error.verdict()).isEqualTo(Verdict.NOT_RUN);
-            assertThat(mAttempts).hasSize(4);
-        }
-
-        @Test
-        void shouldNotBeReachedByARequestThatWasPlacedBefore() {
-            mDuringPlacement =
-                    () ->
-                            mRegistry.available(TestFleet.CALLS).stream()
-                                    .limit(3)
-                                    .forEach(
-                                            each ->
-                                                    mNotices.recordResponse(
-                                                            each, ScriptedBackEnds.leavingHead()));
-            serve("/read/a", Reaction.RESPOND);
-            assertThat(mNotices.accepts(mAttempts.getFirst().backEnd())).isTrue();
-        }
-    }
-
-    /** Back ends that asked for a pause got requests all the same. */
-    @Nested
-    final class PausingBackEnds {
-        @Test
-        void shouldGetNoRequestUntilThePauseEnds() {
-            serve("/read/a", Reaction.PAUSE, Reaction.RESPOND);
-            String pausing = mAttempts.getFirst().backEnd().id();
-            mTime.advance(Duration.ofMillis(1_999));
-            for (int i = 0; i < 20; i++) {
-                serve("/read/" + i, Reaction.RESPOND);
-            }
-            assertThat(
-                            mAttempts.stream()
-                                    .skip(1)
-                                    .anyMatch(each -> each.backEnd().id().equals(pausing)))
-                    .isFalse();
-            mTime.advance(Duration.ofMillis(2));
-            assertThat(mNotices.accepts(mAttempts.getFirst().backEnd())).isTrue();
-        }
-
-        @Test
-        void shouldKeepTheirHealth() {
-            serve("/read/a", Reaction.PAUSE, Reaction.RESPOND);
-            assertThat(mHealth.failureWeight(mAttempts.getFirst().backEnd().id())).isEqualTo(0.0);
-        }
-
-        @Test
-        void shouldBeRefusedAtOnceWithTheShortestPauseWhenAllPause() {
-            RattanportException error =
-                    serveExpectingError(
-                            "/read/a",
-                            Reaction.PAUSE,
-                            Reaction.PAUSE,
-                            Reaction.PAUSE,
-                            Reaction.PAUSE);
-            assertThat(error.code()).isEqualTo(ErrorCode.TARGET_REFUSED);
-            assertThat(error.verdict()).isEqualTo(Verdict.NOT_RUN);
-            long retryAfterMillis = error.retryAfter().orElseThrow().toMillis();
-            assertThat(retryAfterMillis).isAtLeast(2_000);
-            assertThat(retryAfterMillis).isAtMost(2_500);
-            assertThat(serveExpectingError("/read/b").retryAfter()).isPresent();
-            assertThat(mAttempts).hasSize(4);
-        }
-    }
-
     @Nested
     final class PoisonRequests {
         @Test
@@ -487,38 +314,4 @@
             mService.serve(TestFleet.request("/stream/" + mSent, parts), mCaller);
         }
     }
-
-    private static final class NoOpWorkNotifier implements WorkNotifier {
-        @Override
-        public void decodeStarted(String id) {}
-
-        @Override
-        public void ended(String id) {}
-
-        @Override
-        public void engineFailed(String id, String engineId, double weight) {}
-
-        @Override
-        public Duration remainingPrefill(String id, String engineId) {
-            return Duration.ZERO;
-        }
-    }
-
-    private static final class GrantingMemoryClient implements EngineMemoryClient {
-        @Override
-        public boolean acquire(
-                String address, String id, int tokens, Duration duration, Deadline deadline) {
-            return true;
-        }
-
-        @Override
-        public boolean isReachable(String address, Deadline deadline) {
-            return true;
-        }
-
-        @Override
-        public boolean release(String address, String id, Deadline deadline) {
-            return true;
-        }
-    }
 }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
@@ -44,6 +44,8 @@
         ENDLESS,
         /** Streams one event, stalls, and streams the next. */
         STALL,
+        /** Sends more of a plain response than is buffered, and breaks off. */
+        LONG_BREAK_OFF,
         /** Responds and says that it leaves. */
         LEAVING,
         LEAVING_REFUSAL,
@@ -60,6 +62,9 @@
 
     private static final byte[] ENDLESS_CHUNK = "x".repeat(8_192).getBytes(StandardCharsets.UTF_8);
 
+    /** Chunks of a response that is too long to buffer. */
+    private static final int LONG_CHUNKS = 12;
+
     /** Bytes of one response that an instance may keep in memory. */
     private static final int MAX_ENDLESS_BYTES = 1_048_576;
 
@@ -188,8 +193,13 @@
             if (mReaction == Reaction.CUT_IN_STREAM && mChunks > 1) {
                 throw cut();
             }
+            if (mReaction == Reaction.LONG_BREAK_OFF && mChunks <= LONG_CHUNKS) {
+                return Optional.of(ENDLESS_CHUNK);
+            }
             boolean breaksOff =
-                    mReaction == Reaction.BREAK_OFF || mReaction == Reaction.LEAVING_BROKEN_STREAM;
+                    mReaction == Reaction.BREAK_OFF
+                            || mReaction == Reaction.LONG_BREAK_OFF
+                            || mReaction == Reaction.LEAVING_BROKEN_STREAM;
             if (breaksOff && mChunks > 1) {
                 throw failure(ErrorCode.TARGET_FAILED);
             }
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/CallerExchange.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/CallerExchange.java
@@ -3,7 +3,7 @@
 import org.rattanport.kernel.task.Cancellation;
 
 /**
- * Writes the response to one caller's request. Only the task of the caller's connection uses it.
+ * One caller's request that has no response yet. Only the task of the caller's connection uses it.
  */
 public interface CallerExchange {
     /** Cancellation that fires when the caller disconnects. */
@@ -12,15 +12,9 @@
     /** Cancellation that fires when this instance stops and the request has to end. */
     Cancellation cutSignal();
 
-    /** Sends the status and headers. The length is present only if the whole body is available. */
-    void startResponse(ResponseHead head, java.util.OptionalInt length);
-
-    /** Sends a chunk of the body; blocks while the caller does not read. */
-    void write(byte[] chunk);
-
-    /** Completes the response. */
-    void finish();
-
-    /** Closes the connection in a way that shows the caller that the response is truncated. */
-    void abort();
+    /**
+     * Sends the status and headers, at most once. The length is present only if the whole body is
+     * available.
+     */
+    ResponseWriter startResponse(ResponseHead head, java.util.OptionalInt length);
 }
