Close a caller's connection only after its response was taken

Cause: the output was shut down right after the last write, and Netty drops what the system has not taken. Change: the last part of a response is written with writeLast, which waits until the system has taken it; a connection ends its output only after that. What cannot be written is reset. A request is in flight until then, so a drain waits for it too. Evidence: HttpChannelTest.ConnectionThatCloses failed before and passes.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
@@ -116,7 +116,7 @@
 
         @Override
         public void finish() {
-            mChannel.writeAsync(LastHttpContent.EMPTY_LAST_CONTENT);
+            requireSent(mChannel.writeLast(LastHttpContent.EMPTY_LAST_CONTENT, MAX_WRITE_STALL));
         }
 
         @Override
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
@@ -1,6 +1,7 @@
 package org.rattanport.connectors.http;
 
 import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
@@ -46,6 +47,9 @@
     /** Time for which the other side may go on sending after this side ended its output. */
     private static final Duration CLOSE_LINGER = Duration.ofMillis(500);
 
+    /** Time that the other side has to read what is written before the connection closes. */
+    private static final Duration FLUSH_TIMEOUT = Duration.ofSeconds(10);
+
     private final LinkedBlockingQueue<HttpMessagePart> mParts = new LinkedBlockingQueue<>();
     private final ReentrantLock mLock = new ReentrantLock();
     private final Condition mWritable = mLock.newCondition();
@@ -135,6 +139,26 @@
         }
     }
 
+    /**
+     * Writes the end of a response, and blocks until the system has taken all that was written.
+     * Resets the connection and returns false when that fails or lasts longer than the timeout.
+     */
+    public boolean writeLast(HttpObject object, Duration timeout) {
+        return isTakenBySystem(mChannel.writeAndFlush(object), timeout);
+    }
+
+    private boolean isTakenBySystem(ChannelFuture written, Duration timeout) {
+        try {
+            if (written.await(timeout.toNanos(), TimeUnit.NANOSECONDS) && written.isSuccess()) {
+                return true;
+            }
+        } catch (InterruptedException e) {
+            throw RattanportException.interrupted();
+        }
+        reset();
+        return false;
+    }
+
     public ChannelFuture writeAsync(HttpObject object) {
         return mChannel.writeAndFlush(object);
     }
@@ -146,9 +170,12 @@
     /**
      * Shuts down the output and waits until the other side closes. An immediate close would answer
      * data that is still arriving with a reset, and the other side would lose the unread response.
+     * What the system has not taken by the shutdown would be dropped.
      */
     private void lingerBeforeClose(Duration timeout) {
-        if (mChannel instanceof SocketChannel socket && socket.isActive()) {
+        if (mChannel instanceof SocketChannel socket
+                && socket.isActive()
+                && isTakenBySystem(mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER), FLUSH_TIMEOUT)) {
             socket.shutdownOutput();
             Optional<HttpMessagePart> part = poll(timeout);
             while (part.isPresent() && !(part.get() instanceof Closed)) {
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpExchange.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpExchange.java
@@ -171,7 +171,7 @@
     public void endEventStream() {
         if (mHasOpenEventStream) {
             mHasOpenEventStream = false;
-            mChannel.writeAsync(LastHttpContent.EMPTY_LAST_CONTENT);
+            requireSent(mChannel.writeLast(LastHttpContent.EMPTY_LAST_CONTENT, MAX_WRITE_STALL));
         }
     }
 
--- a/connectors/src/test/java/org/rattanport/connectors/http/HttpChannelTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/http/HttpChannelTest.java
@@ -3,9 +3,17 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -59,6 +67,45 @@
         }
     }
 
+    @Nested
+    final class ConnectionThatCloses {
+        /** More than the buffers of the system take at once. */
+        private static final int RESPONSE_BYTES = 32 * 1024 * 1024;
+
+        /** What the system had not taken when the connection closed was dropped. */
+        @Test
+        void shouldSendTheWholeResponseFirst() throws Exception {
+            try (HttpTransport transport = new HttpTransport()) {
+                Channel listener =
+                        transport.listen(
+                                "127.0.0.1:0",
+                                () -> 8_192,
+                                channel ->
+                                        channel.serveRequests(
+                                                () -> Duration.ofSeconds(5),
+                                                request -> respond(channel)));
+                int port = ((InetSocketAddress) listener.localAddress()).getPort();
+                try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+                    socket.getOutputStream()
+                            .write("GET / HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                    byte[] received = socket.getInputStream().readAllBytes();
+                    assertThat(received.length).isAtLeast(RESPONSE_BYTES);
+                }
+            }
+        }
+
+        private static boolean respond(HttpChannel channel) {
+            DefaultFullHttpResponse response =
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.OK,
+                            Unpooled.wrappedBuffer(new byte[RESPONSE_BYTES]));
+            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, RESPONSE_BYTES);
+            channel.writeAsync(response);
+            return false;
+        }
+    }
+
     @Nested
     final class FramedBody {
         @Test
