Do not pass on a refusal of a run that may not be repeated

What callers saw: a 503, 429 or 408 of an engine that had run a request which may not be repeated, and so the promise that nothing had run. Evidence: shouldNotPassOnARefusalThatDoesNotPromiseThatNothingRan failed before and passes.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -318,6 +318,7 @@
         mRuns++;
         mVerdict = mVerdict.combinedWith(Verdict.MAY_HAVE_RUN);
         requireMatchingResponse(head);
+        requireTruthfulStatus(head);
         if (shouldRetry(head)) {
             throw ForwardingErrors.failedRun("the back end responded with status " + head.status());
         }
@@ -388,6 +389,16 @@
         }
     }
 
+    /** A refusal of a run that may not be repeated would tell the caller that nothing has run. */
+    private void requireTruthfulStatus(ResponseHead head) {
+        if (!mRoute.isRetryable() && head.impliesNotRun()) {
+            throw ForwardingErrors.failedRun(
+                    "the back end refused with status "
+                            + head.status()
+                            + " without a promise that it has not run the request");
+        }
+    }
+
     private boolean isForeign(ResponseHead head) {
         return head.attemptId().filter(id -> !id.equals(mRequest.attemptId())).isPresent();
     }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -45,6 +45,17 @@
             assertThat(mAttempts).hasSize(1);
         }
 
+        /** The caller was told that nothing had run by a status of the back end. */
+        @Test
+        void shouldNotPassOnARefusalThatDoesNotPromiseThatNothingRan() {
+            RattanportException error =
+                    serveExpectingError("/book/a", Reaction.REFUSE_WITHOUT_PROMISE);
+            assertThat(error.verdict()).isNotEqualTo(Verdict.NOT_RUN);
+            assertThat(error.code()).isEqualTo(ErrorCode.TARGET_FAILED);
+            assertThat(mAttempts).hasSize(1);
+            assertThat(mCaller.mStartCount).isEqualTo(0);
+        }
+
         @Test
         void shouldNotRetryAfterRefusalAndLostResponse() {
             RattanportException error =
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
@@ -44,8 +44,12 @@
         ENDLESS,
         /** Streams one event, stalls, and streams the next. */
         STALL,
+        /** Refuses without the promise that the request has not run. */
+        REFUSE_WITHOUT_PROMISE,
         /** Sends more of a plain response than is buffered, and breaks off. */
         LONG_BREAK_OFF,
+        /** Fails, and breaks off inside the error text. */
+        FAIL_BROKEN_OFF,
         /** Responds and says that it leaves. */
         LEAVING,
         LEAVING_REFUSAL,
@@ -146,7 +150,8 @@
                 }
                 case REFUSE, REFUSE_OTHER_ATTEMPT, LEAVING_REFUSAL, PAUSE ->
                         responseHead(503, true, false);
-                case FAIL, LEAVING_ERROR -> responseHead(500, false, true);
+                case REFUSE_WITHOUT_PROMISE -> responseHead(503, false, true);
+                case FAIL, LEAVING_ERROR, FAIL_BROKEN_OFF -> responseHead(500, false, true);
                 case UNSIGNED -> responseHead(200, false, false);
                 default -> responseHead(200, false, true);
             };
@@ -190,6 +195,9 @@
                 assertThat(mEndlessBytes).isLessThan(MAX_ENDLESS_BYTES);
                 return Optional.of(ENDLESS_CHUNK);
             }
+            if (mReaction == Reaction.FAIL_BROKEN_OFF) {
+                throw failure(ErrorCode.TARGET_FAILED);
+            }
             if (mReaction == Reaction.CUT_IN_STREAM && mChunks > 1) {
                 throw cut();
             }
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/ResponseHead.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/ResponseHead.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Status and headers of a back end's response.
@@ -32,6 +33,13 @@
         Optional<BackEndLoad> load,
         boolean isLeaving,
         Optional<Duration> pause) {
+    private static final Set<Integer> REFUSAL_STATUSES = Set.of(408, 421, 429, 503);
+
+    /** Whether callers conclude from the status that the request has not run. */
+    public boolean impliesNotRun() {
+        return REFUSAL_STATUSES.contains(status);
+    }
+
     /** Whether the status is a 2xx status. */
     public boolean isSuccess() {
         return status >= 200 && status < 300;
