Keep the caller's place in a stream after an error that broke off

What callers saw: a resumed stream that began again at its first event, when an engine's error broke off before it reached the caller and another engine went on (found by reading in the review). Cause: the relay for the error replaced that of the stream for good, and it knows no event id. Change: the relay of an error takes its place only once the error has started at the caller. Evidence: ForwardingTest.ResumedStreams failed before and passes.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -322,16 +322,26 @@
         if (shouldRetry(head)) {
             throw ForwardingErrors.failedRun("the back end responded with status " + head.status());
         }
-        if (head.isSuccess()) {
-            mRelay.relay(head, exchange, mDeadline);
-        } else {
-            mRelay = new BufferedResponseRelay(mCaller, mTrace::partForwarded);
-            mRelay.relay(head, exchange, mDeadline);
-        }
+        relay(head, exchange);
         mComponents.outcomes().recordSuccess(backEnd, mContent);
         return true;
     }
 
+    /**
+     * An error that breaks off before it reaches the caller leaves the relay of the route as it is.
+     */
+    private void relay(ResponseHead head, BackEndExchange exchange) {
+        ResponseRelay relay =
+                head.isSuccess()
+                        ? mRelay
+                        : new BufferedResponseRelay(mCaller, mTrace::partForwarded);
+        try {
+            relay.relay(head, exchange, mDeadline);
+        } finally {
+            mRelay = relay.hasStarted() ? relay : mRelay;
+        }
+    }
+
     /** Once no retry is allowed, only the route limits the silence of the last engine. */
     private SilenceTimeout timeoutBetweenEvents() {
         boolean mayRetry = mRoute.isRetryable() && mRuns < mRoute.maxAttempts();
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -7,12 +7,14 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.rattanport.decisions.gateway.ScriptedBackEnds.Reaction;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.gateway.Attempt;
 
 /** Retries after each kind of failed attempt, and the result for the caller. */
 final class ForwardingTest extends ForwardingHarness {
@@ -138,6 +140,19 @@
         }
     }
 
+    @Nested
+    final class ResumedStreams {
+        /** After an error that broke off, the stream began again at its first event. */
+        @Test
+        void shouldKeepThePlaceOfTheCallerAfterABrokenError() {
+            mBackEnds.reactions().addAll(List.of(Reaction.FAIL_BROKEN_OFF, Reaction.STREAM));
+            service().serve(TestFleet.resumingRequest("/stream/a", "12"), mCaller);
+            assertThat(mAttempts.stream().map(Attempt::lastEventId).toList())
+                    .containsExactly(Optional.of("12"), Optional.of("12"));
+            assertThat(mCaller.mBody.toString()).startsWith("id: 13");
+        }
+    }
+
     @Nested
     final class BrokenStreams {
         private static final String FIRST_EVENT = "id: 1\ndata: x\n\n";
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
@@ -48,7 +48,7 @@
         REFUSE_WITHOUT_PROMISE,
         /** Sends more of a plain response than is buffered, and breaks off. */
         LONG_BREAK_OFF,
-        /** Fails, and breaks off inside the error text. */
+        /** Rejects the request, and breaks off inside the error text. */
         FAIL_BROKEN_OFF,
         /** Responds and says that it leaves. */
         LEAVING,
@@ -151,7 +151,8 @@
                 case REFUSE, REFUSE_OTHER_ATTEMPT, LEAVING_REFUSAL, PAUSE ->
                         responseHead(503, true, false);
                 case REFUSE_WITHOUT_PROMISE -> responseHead(503, false, true);
-                case FAIL, LEAVING_ERROR, FAIL_BROKEN_OFF -> responseHead(500, false, true);
+                case FAIL_BROKEN_OFF -> responseHead(404, false, true);
+                case FAIL, LEAVING_ERROR -> responseHead(500, false, true);
                 case UNSIGNED -> responseHead(200, false, false);
                 default -> responseHead(200, false, true);
             };
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
@@ -99,6 +99,23 @@
         return request(path, 0, sharedParts);
     }
 
+    /** A request of a caller that has the events up to this one. */
+    static CallerRequest resumingRequest(String path, String lastEventId) {
+        CallerRequest request = request(path, 0);
+        return new CallerRequest(
+                request.method(),
+                request.requestTarget(),
+                request.host(),
+                request.attemptId(),
+                request.accountKey(),
+                request.waitLimit(),
+                request.promptSize(),
+                request.sharedParts(),
+                Optional.of(lastEventId),
+                request.headers(),
+                request.body());
+    }
+
     private static CallerRequest request(String path, int promptTokens, List<String> sharedParts) {
         return new CallerRequest(
                 "POST",
