Count an error response as part of its request

Cause: a request ended its flight before its error response was sent, so a drain could end, and the process with it, between the two. Change: the error response is sent while the request is in flight.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
@@ -88,11 +88,14 @@
             return false;
         }
         try (AutoCloseable inFlight = mInFlight.begin(exchange.cutSignal()::cancel)) {
-            mService.serve(request, exchange);
+            if (!forward(request, exchange)) {
+                return false;
+            }
         } catch (RattanportException e) {
-            if (mChannel.disconnection().isCancelled() || e.code() == ErrorCode.CANCELLED) {
+            if (e.code() == ErrorCode.CANCELLED) {
                 return false;
             }
+            // The request was refused before it was in flight.
             sendError(exchange, Optional.of(request), e);
         } catch (Exception e) {
             LOGGER.errorf(
@@ -104,6 +107,19 @@
         return !exchange.closesConnection();
     }
 
+    /** Returns false if the caller is gone. An error response is still part of the request. */
+    private boolean forward(CallerRequest request, NettyCallerExchange exchange) {
+        try {
+            mService.serve(request, exchange);
+        } catch (RattanportException e) {
+            if (mChannel.disconnection().isCancelled() || e.code() == ErrorCode.CANCELLED) {
+                return false;
+            }
+            sendError(exchange, Optional.of(request), e);
+        }
+        return true;
+    }
+
     private static RattanportException malformedRequest(HttpRequest head) {
         return new RattanportException(
                 ErrorCode.INVALID_REQUEST,
