Handle SIGHUP and SIGTERM from the beginning of a command

Cause: SIGHUP was handled only after the whole instance had started, and ended the process before that; SIGTERM drained only from the same moment on, though callers are accepted earlier. Change: the gateway command installs its handler first, and a SIGHUP that comes early reloads the settings once the instance runs. The hook that drains is added before the start and waits for it. Before the JVM runs the command, SIGHUP still ends the process.

--- a/daemon/src/main/java/org/rattanport/daemon/command/ServeCommand.java
+++ b/daemon/src/main/java/org/rattanport/daemon/command/ServeCommand.java
@@ -6,6 +6,7 @@
 import org.rattanport.daemon.Instance;
 import org.rattanport.daemon.Logging;
 import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.settings.InstanceSettings;
 
 /** Runs one entry instance until the process receives a signal to stop. */
 public final class ServeCommand implements Command {
@@ -37,15 +38,14 @@
     @Override
     public int run(CommandOutput output) {
         Logging.configure(System.out, mOptions.mLogLevel);
-        Instance instance =
-                Instance.builder(
-                                InputFiles.parse(
-                                        Path.of(mOptions.mSettings),
-                                        ErrorCode.INVALID_SETTINGS,
-                                        SettingsParser::parse))
-                        .start();
+        InstanceSettings settings =
+                InputFiles.parse(
+                        Path.of(mOptions.mSettings),
+                        ErrorCode.INVALID_SETTINGS,
+                        SettingsParser::parse);
+        Instance instance = Serving.start(() -> Instance.builder(settings).start());
         output.results().println("serving at " + instance.localAddresses().callerAddress());
-        Serving.awaitShutdown(instance);
+        Serving.awaitShutdown();
         return ExitCode.SUCCESS;
     }
 }
