Admit request bodies by the memory that they take together

What callers saw: with many bodies of megabytes at once the heap of 96 MB ran out, and connections closed without an answer. Change: the bodies of all requests share a quarter of the heap (BodyMemory). A connection queues 16 parts instead of 64. The point where it resumes reading is checked again after it stops, as the task may have taken all parts between the two. Times of short requests beside them: not measured.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
@@ -15,6 +15,7 @@
 import org.rattanport.connectors.http.HttpChannel;
 import org.rattanport.connectors.http.RequestBody;
 import org.rattanport.decisions.gateway.ActiveRouting;
+import org.rattanport.decisions.gateway.BodyMemory;
 import org.rattanport.decisions.gateway.GatewayService;
 import org.rattanport.decisions.lifecycle.InFlightRequests;
 import org.rattanport.kernel.error.ErrorCode;
@@ -36,6 +37,7 @@
     private final GatewayService mService;
     private final ActiveRouting mRouting;
     private final InFlightRequests mInFlight;
+    private final BodyMemory mBodyMemory;
     private final BooleanSupplier mIsDraining;
 
     CallerConnection(
@@ -44,12 +46,14 @@
             GatewayService service,
             ActiveRouting routing,
             InFlightRequests inFlight,
+            BodyMemory bodyMemory,
             BooleanSupplier isDraining) {
         mChannel = channel;
         mDialect = dialect;
         mService = service;
         mRouting = routing;
         mInFlight = inFlight;
+        mBodyMemory = bodyMemory;
         mIsDraining = isDraining;
     }
 
@@ -77,14 +81,22 @@
             sendError(exchange, Optional.empty(), malformedRequest(head));
             return false;
         }
+        try (BodyMemory.Claim claim = mBodyMemory.open()) {
+            return serveRequest(head, exchange, claim);
+        }
+    }
+
+    private boolean serveRequest(
+            HttpRequest head, NettyCallerExchange exchange, BodyMemory.Claim claim) {
         CallerRequest request;
         try {
-            request = mDialect.decodeRequest(head, RequestBody.read(mChannel, head, bodyLimits()));
+            byte[] body = RequestBody.read(mChannel, head, bodyLimits(claim));
+            request = mDialect.decodeRequest(head, body);
         } catch (RattanportException e) {
             if (e.code() == ErrorCode.CANCELLED) {
                 throw e;
             }
-            sendError(exchange, Optional.empty(), e);
+            sendError(exchange, Optional.of(mDialect.decodeRequest(head, new byte[0])), e);
             return false;
         }
         try (AutoCloseable inFlight = mInFlight.begin(exchange.cutSignal()::cancel)) {
@@ -126,9 +138,9 @@
                 "the request is malformed: " + head.decoderResult().cause().getMessage());
     }
 
-    private RequestBody.Limits bodyLimits() {
+    private RequestBody.Limits bodyLimits(BodyMemory.Claim claim) {
         CallerLimits limits = mRouting.limits();
-        return new RequestBody.Limits(limits.maxBodyBytes(), limits.idleTimeout());
+        return new RequestBody.Limits(limits.maxBodyBytes(), limits.idleTimeout(), claim::growTo);
     }
 
     private void sendError(
--- a/connectors/src/main/java/org/rattanport/connectors/gateway/GatewayFrontPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/GatewayFrontPlugin.java
@@ -3,6 +3,7 @@
 import java.util.Set;
 import org.rattanport.connectors.http.HttpTransport;
 import org.rattanport.decisions.gateway.ActiveRouting;
+import org.rattanport.decisions.gateway.BodyMemory;
 import org.rattanport.decisions.gateway.GatewayService;
 import org.rattanport.decisions.lifecycle.Drain;
 import org.rattanport.decisions.lifecycle.InFlightRequests;
@@ -13,6 +14,9 @@
 
 /** Accepts callers' connections; a task of its own serves each. */
 public final class GatewayFrontPlugin implements Plugin {
+    /** The bodies of requests may fill this part of the heap, the rest is for all other work. */
+    private static final int BODY_SHARE = 4;
+
     @Override
     public String name() {
         return "gateway-front";
@@ -42,6 +46,7 @@
         ActiveRouting routing = context.require(ActiveRouting.class);
         InFlightRequests inFlight = context.require(InFlightRequests.class);
         Drain drain = context.require(Drain.class);
+        BodyMemory bodyMemory = new BodyMemory(Runtime.getRuntime().maxMemory() / BODY_SHARE);
         context.require(HttpTransport.class)
                 .listen(
                         context.require(LocalAddresses.class).callerAddress(),
@@ -53,6 +58,7 @@
                                                 service,
                                                 routing,
                                                 inFlight,
+                                                bodyMemory,
                                                 drain::isDraining)
                                         .run());
     }
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
@@ -39,10 +39,10 @@
     private static final Logger LOGGER = Logger.getLogger(HttpChannel.class);
 
     /** Number of queued parts at which the channel stops reading from the socket. */
-    private static final int MAX_QUEUED_PARTS = 64;
+    private static final int MAX_QUEUED_PARTS = 16;
 
     /** Number of queued parts at which the channel resumes reading. */
-    private static final int RESUME_READING_AT_PARTS = 16;
+    private static final int RESUME_READING_AT_PARTS = 4;
 
     /** Time for which the other side may go on sending after this side ended its output. */
     private static final Duration CLOSE_LINGER = Duration.ofMillis(500);
@@ -222,6 +222,10 @@
         }
         if (mParts.size() >= MAX_QUEUED_PARTS) {
             mChannel.config().setAutoRead(false);
+            if (mParts.size() <= RESUME_READING_AT_PARTS) {
+                // The task took the parts meanwhile and may already wait for the next one.
+                mChannel.config().setAutoRead(true);
+            }
         }
     }
 
--- a/connectors/src/main/java/org/rattanport/connectors/http/RequestBody.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/RequestBody.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.function.LongConsumer;
 import org.rattanport.connectors.http.HttpMessagePart.BodyChunk;
 import org.rattanport.connectors.http.HttpMessagePart.Closed;
 import org.rattanport.connectors.http.HttpMessagePart.End;
@@ -23,8 +24,15 @@
      * Limits of a body.
      *
      * @param idleTimeout longest gap between two chunks
+     * @param admission is told the size that the body will have, or has so far, before it takes the
+     *     memory, and throws to refuse it
      */
-    public record Limits(long maxBytes, Duration idleTimeout) {}
+    public record Limits(long maxBytes, Duration idleTimeout, LongConsumer admission) {
+        /** Limits that admit each body by itself. */
+        public Limits(long maxBytes, Duration idleTimeout) {
+            this(maxBytes, idleTimeout, bytes -> {});
+        }
+    }
 
     /**
      * Reads the body that follows the head.
@@ -33,13 +41,15 @@
      *     CANCELLED} when the sender disconnects
      */
     public static byte[] read(HttpChannel channel, HttpRequest head, Limits limits) {
+        long length = HttpUtil.getContentLength(head, 0L);
+        if (length > limits.maxBytes()) {
+            throw tooLarge(limits);
+        }
+        limits.admission().accept(length);
         if (HttpUtil.is100ContinueExpected(head)) {
             channel.writeAsync(
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
-        if (HttpUtil.getContentLength(head, 0L) > limits.maxBytes()) {
-            throw tooLarge(limits);
-        }
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         while (true) {
             HttpMessagePart part =
@@ -50,7 +60,10 @@
                                                     "timed out while waiting for the request"
                                                             + " body"));
             switch (part) {
-                case BodyChunk chunk -> body.writeBytes(chunk.bytes());
+                case BodyChunk chunk -> {
+                    limits.admission().accept((long) body.size() + chunk.bytes().length);
+                    body.writeBytes(chunk.bytes());
+                }
                 case End end -> {
                     return body.toByteArray();
                 }
