Withdraw the suspicion of a request that completes

Cause: an instance at which a suspected request completed dismissed its crashes, and told nobody. Instances that had only heard the accusations went on refusing it, and told instances that started later, for up to an hour. Change: a completion of a suspected request is spread as a withdrawal, like a sound run of a part. Evidence: CrashAttributionTest.CompletedRequests failed before and passes.

--- a/decisions/src/main/java/org/rattanport/decisions/poison/CrashAttribution.java
+++ b/decisions/src/main/java/org/rattanport/decisions/poison/CrashAttribution.java
@@ -119,8 +119,14 @@
     }
 
     /** Records that an engine completed the request. */
-    public synchronized void recordCompletion(Fingerprint request) {
-        dismissCrashes(request);
+    public void recordCompletion(Fingerprint request) {
+        Optional<SuspicionWithdrawn> withdrawal;
+        synchronized (this) {
+            boolean isSuspect = crashCount(request) > 0;
+            dismissCrashes(request);
+            withdrawal = isSuspect ? Optional.of(withdraw(request)) : Optional.empty();
+        }
+        withdrawal.ifPresent(mRumors);
     }
 
     /** Records that an engine began to answer these contents. */
@@ -201,9 +207,13 @@
         }
         own.get().mIsUntold = false;
         dismissCrashes(content);
+        return Optional.of(withdraw(content));
+    }
+
+    private SuspicionWithdrawn withdraw(Fingerprint content) {
         SuspicionWithdrawn withdrawal = new SuspicionWithdrawn(content, mRandom.nextLong());
         mObservations.add(withdrawal.observation());
-        return Optional.of(withdrawal);
+        return withdrawal;
     }
 
     /** Clears the content; returns whether the withdrawal is news. */
--- a/decisions/src/test/java/org/rattanport/decisions/poison/CrashAttributionTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/poison/CrashAttributionTest.java
@@ -106,6 +106,24 @@
         }
     }
 
+    @Nested
+    final class CompletedRequests {
+        /** An instance that never ran the request told a later one to refuse it. */
+        @Test
+        void shouldNotBeBlockedAtInstancesThatStartLater() {
+            RequestContent request = request();
+            IntStream.range(0, 3).forEach(i -> crash(mSecond, i, request));
+            assertThat(isBlocked(mFirst, request)).isTrue();
+            mFirst.mAttribution.recordCompletion(request.request());
+            deliverRumors();
+            Instance later = new Instance();
+            mSecond.mAttribution.retell();
+            deliverRumors();
+            assertThat(isBlocked(mSecond, request)).isFalse();
+            assertThat(isBlocked(later, request)).isFalse();
+        }
+    }
+
     @Nested
     final class PartsAtFault {
         @Test
