Keep the notice of a later run when an older one is heard late

Cause: a response of an earlier run that arrived late replaced the notice of the run that has its id now, so a pause of the later run was forgotten. Change: a notice about an earlier run is left out, and pauses are compared within a run only. Fields and constants of HttpClient and HttpResponseStream stand in their usual order. Evidence: shouldNotReplaceTheNoticeOfALaterRunWhenItIsLearnedLate, written with the mend.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpClient.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpClient.java
@@ -23,12 +23,11 @@
     /** A reachable server accepts within some round trips; a lost packet costs one second. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
 
-    private final HttpTransport mTransport;
-    private final TimeSource mTime;
-
     /** Stores send at most some megabytes of rows, as text. */
     private static final int DEFAULT_MAX_RESPONSE_BYTES = 64 * 1024 * 1024;
 
+    private final HttpTransport mTransport;
+    private final TimeSource mTime;
     private final Optional<IdleConnectionPool> mPool;
     private final int mMaxResponseBytes;
 
@@ -37,10 +36,10 @@
             TimeSource time,
             Optional<IdleConnectionPool> pool,
             int maxResponseBytes) {
-        mMaxResponseBytes = maxResponseBytes;
         mTransport = transport;
         mTime = time;
         mPool = pool;
+        mMaxResponseBytes = maxResponseBytes;
     }
 
     /** Opens a new connection for each request, so that none uses one that broke unnoticed. */
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpResponseStream.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpResponseStream.java
@@ -37,12 +37,12 @@
     private final Deadline mDeadline;
     private final TimeSource mTime;
     private final Cancellation mCancellation;
+    private final int mMaxBytes;
     private final AutoCloseable mCancelAction;
     private final ByteArrayOutputStream mLine = new ByteArrayOutputStream();
     private final Deque<String> mLines = new ArrayDeque<>();
     private Optional<HttpResponse> mHead = Optional.empty();
     private Runnable mOnComplete;
-    private final int mMaxBytes;
     private boolean mIsComplete;
     private boolean mIsClosed;
 
@@ -52,12 +52,12 @@
             TimeSource time,
             Cancellation cancellation,
             int maxBytes) {
-        mMaxBytes = maxBytes;
         mChannel = channel;
         mOnComplete = channel::close;
         mDeadline = deadline;
         mTime = time;
         mCancellation = cancellation;
+        mMaxBytes = maxBytes;
         mCancelAction = cancellation.onCancel(() -> channel.abort("the request was cancelled"));
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndNotices.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndNotices.java
@@ -70,17 +70,17 @@
 
     private void learn(BackEnd backEnd, Kind kind, Duration duration) {
         Notice known = mNotices.get(backEnd.id());
-        boolean isKnownToLeave =
-                known != null
-                        && known.kind() == Kind.LEAVING
-                        && known.backEnd().startWallMillis() >= backEnd.startWallMillis();
-        if (isKnownToLeave) {
+        if (known != null && isSuperseded(backEnd, known)) {
             return;
         }
         long now = mTime.nanoTime();
         long until = now + duration.toNanos();
-        if (known != null && known.kind() == kind && known.untilNanos() - until > 0) {
-            // A shorter pause in a response that was sent earlier does not end a longer one.
+        boolean isShorterPause =
+                known != null
+                        && known.backEnd().isSameRun(backEnd)
+                        && known.kind() == kind
+                        && known.untilNanos() - until > 0;
+        if (isShorterPause) {
             return;
         }
         mNotices.put(backEnd.id(), new Notice(backEnd, kind, now, until, Optional.empty()));
@@ -94,6 +94,12 @@
         mOnNotice.accept(new BackEndNotice(backEnd.id(), kind));
     }
 
+    /** Whether the known notice is about a later run, or says that this run leaves. */
+    private static boolean isSuperseded(BackEnd backEnd, Notice known) {
+        return known.backEnd().startWallMillis() > backEnd.startWallMillis()
+                || (known.kind() == Kind.LEAVING && known.backEnd().isSameRun(backEnd));
+    }
+
     /** A back end that responds without a notice has ended its pause, once that has passed. */
     private void endPause(String id) {
         Notice notice = mNotices.get(id);
@@ -110,7 +116,7 @@
     /** Ends the notice of an earlier run when the registry shows a later one under the same id. */
     public synchronized void recordRegistered(BackEnd backEnd) {
         Notice notice = mNotices.get(backEnd.id());
-        if (notice != null && backEnd.startWallMillis() > notice.backEnd().startWallMillis()) {
+        if (notice != null && isEarlierRun(notice, backEnd)) {
             forget(notice, "a later run is registered");
         }
     }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndNoticesTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndNoticesTest.java
@@ -110,6 +110,15 @@
             assertThat(available()).containsExactly("a");
         }
 
+        @Test
+        void shouldNotReplaceTheNoticeOfALaterRunWhenItIsLearnedLate() {
+            BackEnd later = backEnd("a", 101);
+            mRegistry.apply(List.of(later), List.of());
+            mNotices.recordResponse(later, head(false, Optional.of(Duration.ofSeconds(5))));
+            leave(mFirstRun);
+            assertThat(available()).isEmpty();
+        }
+
         @Test
         void shouldBeReportedOnce() {
             leave(mFirstRun);
