Hold request bodies in half of the heap, without copies

A body took up to three times its size while it was read, so more could not be given. Change: a body of known length is read into an array of that length; one in chunks claims both arrays while it is copied. Bodies share half of the heap, and a connection queues 8 parts.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/GatewayFrontPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/GatewayFrontPlugin.java
@@ -15,7 +15,7 @@
 /** Accepts callers' connections; a task of its own serves each. */
 public final class GatewayFrontPlugin implements Plugin {
     /** The bodies of requests may fill this part of the heap, the rest is for all other work. */
-    private static final int BODY_SHARE = 4;
+    private static final int BODY_SHARE = 2;
 
     @Override
     public String name() {
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
@@ -39,10 +39,10 @@
     private static final Logger LOGGER = Logger.getLogger(HttpChannel.class);
 
     /** Number of queued parts at which the channel stops reading from the socket. */
-    private static final int MAX_QUEUED_PARTS = 16;
+    private static final int MAX_QUEUED_PARTS = 8;
 
     /** Number of queued parts at which the channel resumes reading. */
-    private static final int RESUME_READING_AT_PARTS = 4;
+    private static final int RESUME_READING_AT_PARTS = 2;
 
     /** Time for which the other side may go on sending after this side ended its output. */
     private static final Duration CLOSE_LINGER = Duration.ofMillis(500);
--- a/connectors/src/main/java/org/rattanport/connectors/http/RequestBody.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/RequestBody.java
@@ -5,8 +5,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.function.LongConsumer;
 import org.rattanport.connectors.http.HttpMessagePart.BodyChunk;
 import org.rattanport.connectors.http.HttpMessagePart.Closed;
@@ -50,7 +50,7 @@
             channel.writeAsync(
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
-        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        Buffer body = new Buffer((int) Math.max(0, length), limits);
         while (true) {
             HttpMessagePart part =
                     channel.poll(limits.idleTimeout())
@@ -60,12 +60,9 @@
                                                     "timed out while waiting for the request"
                                                             + " body"));
             switch (part) {
-                case BodyChunk chunk -> {
-                    limits.admission().accept((long) body.size() + chunk.bytes().length);
-                    body.writeBytes(chunk.bytes());
-                }
+                case BodyChunk chunk -> body.append(chunk.bytes());
                 case End end -> {
-                    return body.toByteArray();
+                    return body.toArray();
                 }
                 case Closed closed ->
                         throw new RattanportException(
@@ -78,9 +75,37 @@
                         throw invalidRequest(
                                 "another request started before the end of the request body");
             }
-            if (body.size() > limits.maxBytes()) {
-                throw tooLarge(limits);
+        }
+    }
+
+    /** A body so far; one of known length needs no other memory than its own. */
+    private static final class Buffer {
+        private final Limits mLimits;
+        private byte[] mBytes;
+        private int mSize;
+
+        private Buffer(int length, Limits limits) {
+            mBytes = new byte[length];
+            mLimits = limits;
+        }
+
+        private void append(byte[] chunk) {
+            int size = mSize + chunk.length;
+            if (size > mLimits.maxBytes()) {
+                throw tooLarge(mLimits);
+            }
+            if (size > mBytes.length) {
+                int capacity = Math.max(size, 2 * mBytes.length);
+                // Both arrays exist while the bytes are copied.
+                mLimits.admission().accept((long) mBytes.length + capacity);
+                mBytes = Arrays.copyOf(mBytes, capacity);
             }
+            System.arraycopy(chunk, 0, mBytes, mSize, chunk.length);
+            mSize = size;
+        }
+
+        private byte[] toArray() {
+            return mSize == mBytes.length ? mBytes : Arrays.copyOf(mBytes, mSize);
         }
     }
 
