Advance the test's clock only after a check's response is recorded

Its latch opens inside the check, so the clock could be advanced before the lease recorded the response, which then counted as recent, and no second check came. Change: the test waits until the response is recorded. Its assertions are the same; Lease.silence() is visible in the package for it. The product was not at fault. Evidence: with 0.1 s of delay in the stand-in's check, which forces this order, the old test fails and the new one passes. ./check passes.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/MemoryLeases.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/MemoryLeases.java
@@ -115,7 +115,7 @@
             return false;
         }
 
-        private Duration silence() {
+        Duration silence() {
             return Duration.ofNanos(mTime.nanoTime() - mLastSignNanos);
         }
 
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/MemoryLeasesTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/MemoryLeasesTest.java
@@ -150,12 +150,22 @@
             assertThat(client.mLeased).isEmpty();
         }
 
+        /** The lease records the response of a check only after the engine has given it. */
+        private void awaitNextSign(MemoryLeases.Lease lease) throws InterruptedException {
+            long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+            while (!lease.silence().isZero()) {
+                assertThat(System.nanoTime() - deadlineNanos).isLessThan(0L);
+                TimeUnit.MILLISECONDS.sleep(1);
+            }
+        }
+
         @Test
         void shouldKeepItsMemoryWhileItResponds() throws InterruptedException {
             FakeMemoryClient client = new FakeMemoryClient(3);
             MemoryLeases.Lease lease = acquire(client);
             mTime.advance(Duration.ofMillis(1_500));
             assertThat(client.mFirstCheck.await(20, TimeUnit.SECONDS)).isTrue();
+            awaitNextSign(lease);
             mTime.advance(Duration.ofMillis(1_500));
             assertThat(client.mChecks.await(20, TimeUnit.SECONDS)).isTrue();
             assertThat(client.mReleased.getCount()).isEqualTo(3);
