Build response heads by name, and name the refusal statuses once

It has a builder now. CallerConnection and ResponseHead each listed the statuses that promise that nothing ran; one list serves both.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
@@ -162,18 +162,7 @@
                         .with("reason", e.getMessage()));
         ResponseWriter response =
                 exchange.startResponse(
-                        new ResponseHead(
-                                status,
-                                headers,
-                                Optional.empty(),
-                                false,
-                                false,
-                                false,
-                                false,
-                                Optional.empty(),
-                                Optional.empty(),
-                                false,
-                                Optional.empty()),
+                        ResponseHead.builder(status).headers(headers).build(),
                         OptionalInt.of(body.length));
         response.write(body);
         response.finish();
@@ -187,8 +176,7 @@
         // A poison request may be valid, so its refusal must not say 422 (an invalid request). The
         // refused attempt did not run, which 503 expresses.
         int status = error.code() == ErrorCode.POISON_REQUEST ? 503 : error.code().httpStatus();
-        boolean impliesNotRun = status == 429 || status == 503 || status == 408 || status == 421;
-        if (error.verdict() != Verdict.NOT_RUN && impliesNotRun) {
+        if (error.verdict() != Verdict.NOT_RUN && ResponseHead.impliesNotRun(status)) {
             return 502;
         }
         if (error.verdict() == Verdict.NOT_RUN && status == 502) {
--- a/connectors/src/test/java/org/rattanport/connectors/gateway/NettyCallerExchangeTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/gateway/NettyCallerExchangeTest.java
@@ -7,9 +7,7 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.Locale;
-import java.util.Optional;
 import java.util.OptionalInt;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -30,18 +28,7 @@
     }
 
     private static ResponseHead responseHead(boolean isCloseDelimited) {
-        return new ResponseHead(
-                200,
-                List.of(),
-                Optional.empty(),
-                true,
-                false,
-                false,
-                isCloseDelimited,
-                Optional.empty(),
-                Optional.empty(),
-                false,
-                Optional.empty());
+        return ResponseHead.builder(200).signed(true).closeDelimited(isCloseDelimited).build();
     }
 
     private String sentBytes() {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -401,7 +401,7 @@
 
     /** A refusal of a run that may not be repeated would tell the caller that nothing has run. */
     private void requireTruthfulStatus(ResponseHead head) {
-        if (!mRoute.isRetryable() && head.impliesNotRun()) {
+        if (!mRoute.isRetryable() && ResponseHead.impliesNotRun(head.status())) {
             throw ForwardingErrors.failedRun(
                     "the back end refused with status "
                             + head.status()
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndNoticesTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndNoticesTest.java
@@ -32,18 +32,12 @@
     }
 
     private static ResponseHead head(boolean isLeaving, Optional<Duration> pause) {
-        return new ResponseHead(
-                pause.isPresent() ? 503 : 200,
-                List.of(),
-                Optional.empty(),
-                true,
-                pause.isPresent(),
-                false,
-                false,
-                Optional.empty(),
-                Optional.empty(),
-                isLeaving,
-                pause);
+        return ResponseHead.builder(pause.isPresent() ? 503 : 200)
+                .signed(true)
+                .notRun(pause.isPresent())
+                .leaving(isLeaving)
+                .pause(pause)
+                .build();
     }
 
     private void leave(BackEnd backEnd) {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
@@ -93,18 +93,7 @@
 
     /** The head of a successful response of a back end that leaves. */
     static ResponseHead leavingHead() {
-        return new ResponseHead(
-                200,
-                List.of(),
-                Optional.empty(),
-                true,
-                false,
-                false,
-                false,
-                Optional.empty(),
-                Optional.empty(),
-                true,
-                Optional.empty());
+        return ResponseHead.builder(200).signed(true).leaving(true).build();
     }
 
     /** The reactions to the next attempts, in order. */
@@ -163,18 +152,13 @@
                     mReaction == Reaction.OTHER_ATTEMPT
                             || mReaction == Reaction.REFUSE_OTHER_ATTEMPT;
             String id = isForeign ? "other" : mAttempt.request().attemptId();
-            return new ResponseHead(
-                    status,
-                    List.of(),
-                    Optional.of(id),
-                    isSigned,
-                    isNotRun,
-                    false,
-                    false,
-                    Optional.empty(),
-                    Optional.empty(),
-                    mReaction.name().startsWith("LEAVING"),
-                    mReaction == Reaction.PAUSE ? Optional.of(PAUSE_TIME) : Optional.empty());
+            return ResponseHead.builder(status)
+                    .attemptId(Optional.of(id))
+                    .signed(isSigned)
+                    .notRun(isNotRun)
+                    .leaving(mReaction.name().startsWith("LEAVING"))
+                    .pause(mReaction == Reaction.PAUSE ? Optional.of(PAUSE_TIME) : Optional.empty())
+                    .build();
         }
 
         private RattanportException cut() {
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/ResponseHead.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/ResponseHead.java
@@ -35,8 +35,13 @@
         Optional<Duration> pause) {
     private static final Set<Integer> REFUSAL_STATUSES = Set.of(408, 421, 429, 503);
 
-    /** Whether callers conclude from the status that the request has not run. */
-    public boolean impliesNotRun() {
+    /** Prepares a head that says nothing but its status. */
+    public static Builder builder(int status) {
+        return new Builder(status);
+    }
+
+    /** Whether callers conclude from this status that the request has not run. */
+    public static boolean impliesNotRun(int status) {
         return REFUSAL_STATUSES.contains(status);
     }
 
@@ -44,4 +49,89 @@
     public boolean isSuccess() {
         return status >= 200 && status < 300;
     }
+
+    /** Builder of a response head. */
+    public static final class Builder {
+        private final int mStatus;
+        private List<Header> mHeaders = List.of();
+        private Optional<String> mAttemptId = Optional.empty();
+        private boolean mIsSigned;
+        private boolean mIsNotRun;
+        private boolean mIsMisdirected;
+        private boolean mIsCloseDelimited;
+        private Optional<String> mFaultyEngineAddress = Optional.empty();
+        private Optional<BackEndLoad> mLoad = Optional.empty();
+        private boolean mIsLeaving;
+        private Optional<Duration> mPause = Optional.empty();
+
+        private Builder(int status) {
+            mStatus = status;
+        }
+
+        public Builder headers(List<Header> headers) {
+            mHeaders = headers;
+            return this;
+        }
+
+        public Builder attemptId(Optional<String> attemptId) {
+            mAttemptId = attemptId;
+            return this;
+        }
+
+        public Builder signed(boolean isSigned) {
+            mIsSigned = isSigned;
+            return this;
+        }
+
+        public Builder notRun(boolean isNotRun) {
+            mIsNotRun = isNotRun;
+            return this;
+        }
+
+        public Builder misdirected(boolean isMisdirected) {
+            mIsMisdirected = isMisdirected;
+            return this;
+        }
+
+        public Builder closeDelimited(boolean isCloseDelimited) {
+            mIsCloseDelimited = isCloseDelimited;
+            return this;
+        }
+
+        public Builder faultyEngineAddress(Optional<String> address) {
+            mFaultyEngineAddress = address;
+            return this;
+        }
+
+        public Builder load(Optional<BackEndLoad> load) {
+            mLoad = load;
+            return this;
+        }
+
+        public Builder leaving(boolean isLeaving) {
+            mIsLeaving = isLeaving;
+            return this;
+        }
+
+        public Builder pause(Optional<Duration> pause) {
+            mPause = pause;
+            return this;
+        }
+
+        /** Returns the head. */
+        public ResponseHead build() {
+            return new ResponseHead(
+                    mStatus,
+                    mHeaders,
+                    mAttemptId,
+                    mIsSigned,
+                    mIsNotRun,
+                    mIsMisdirected,
+                    mIsCloseDelimited,
+                    mFaultyEngineAddress,
+                    mLoad,
+                    mIsLeaving,
+                    mPause);
+        }
+    }
 }
