Log and count the exchanges that end without a whole response

A request that was read and whose connection ended without an answer left no line and no count: request-ended is written by the forwarding only, and not for a request whose body is still arriving, that is refused, or that ends by an unexpected error. Nothing told a caller that left from a cut at a stop or a failure of this instance.

CallerConnection now publishes an UnansweredExchange (attempt id, state of the exchange, cause, reason) whenever an exchange ends before the last byte of its response was sent. The log has exchange-unanswered, the metrics rattanport_gateway_unanswered_exchanges_total by state and cause.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.rattanport.connectors.http.HttpChannel;
 import org.rattanport.connectors.http.RequestBody;
@@ -27,6 +28,7 @@
 import org.rattanport.kernel.gateway.Header;
 import org.rattanport.kernel.gateway.ResponseHead;
 import org.rattanport.kernel.gateway.ResponseWriter;
+import org.rattanport.kernel.gateway.UnansweredExchange;
 
 /** The task of one caller's connection. Reads a request, sends the response, and reads the next. */
 final class CallerConnection {
@@ -39,6 +41,7 @@
     private final InFlightRequests mInFlight;
     private final BodyMemory mBodyMemory;
     private final BooleanSupplier mIsDraining;
+    private final Consumer<UnansweredExchange> mOnUnanswered;
 
     CallerConnection(
             HttpChannel channel,
@@ -47,7 +50,8 @@
             ActiveRouting routing,
             InFlightRequests inFlight,
             BodyMemory bodyMemory,
-            BooleanSupplier isDraining) {
+            BooleanSupplier isDraining,
+            Consumer<UnansweredExchange> onUnanswered) {
         mChannel = channel;
         mDialect = dialect;
         mService = service;
@@ -55,6 +59,7 @@
         mInFlight = inFlight;
         mBodyMemory = bodyMemory;
         mIsDraining = isDraining;
+        mOnUnanswered = onUnanswered;
     }
 
     /** Serves requests until the connection ends. */
@@ -77,21 +82,40 @@
                         closesConnection,
                         head.method().equals(HttpMethod.HEAD),
                         head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
-        if (head.decoderResult().isFailure()) {
-            sendError(exchange, Optional.empty(), malformedRequest(head));
-            return false;
-        }
+        String reason = "an unexpected error";
         try (BodyMemory.Claim claim = mBodyMemory.open()) {
-            return serveRequest(head, exchange, claim);
+            if (head.decoderResult().isFailure()) {
+                sendError(exchange, Optional.empty(), malformedRequest(head));
+                return false;
+            }
+            boolean mayContinue = serveRequest(head, exchange, claim);
+            reason = "the request ended without a response";
+            return mayContinue;
+        } catch (RattanportException e) {
+            reason = String.valueOf(e.getMessage());
+            throw e;
+        } finally {
+            if (exchange.state() != UnansweredExchange.State.ANSWERED) {
+                mOnUnanswered.accept(
+                        new UnansweredExchange(
+                                attemptId(head), exchange.state(), exchange.causeOfEnd(), reason));
+            }
         }
     }
 
+    private String attemptId(HttpRequest head) {
+        return head.decoderResult().isFailure()
+                ? "-"
+                : mDialect.decodeRequest(head, new byte[0]).attemptId();
+    }
+
     private boolean serveRequest(
             HttpRequest head, NettyCallerExchange exchange, BodyMemory.Claim claim) {
         CallerRequest request;
         try {
             byte[] body = RequestBody.read(mChannel, head, bodyLimits(claim));
             request = mDialect.decodeRequest(head, body);
+            exchange.requestRead();
         } catch (RattanportException e) {
             if (e.code() == ErrorCode.CANCELLED) {
                 throw e;
--- a/connectors/src/main/java/org/rattanport/connectors/gateway/GatewayFrontPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/GatewayFrontPlugin.java
@@ -59,7 +59,8 @@
                                                 routing,
                                                 inFlight,
                                                 bodyMemory,
-                                                drain::isDraining)
+                                                drain::isDraining,
+                                                context.events()::publish)
                                         .run());
     }
 }
--- a/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
@@ -22,6 +22,7 @@
 import org.rattanport.kernel.gateway.Header;
 import org.rattanport.kernel.gateway.ResponseHead;
 import org.rattanport.kernel.gateway.ResponseWriter;
+import org.rattanport.kernel.gateway.UnansweredExchange;
 import org.rattanport.kernel.task.Cancellation;
 
 /** Starts the response to one request on a caller's connection. */
@@ -37,7 +38,8 @@
     private final boolean mHasNoBody;
     private final boolean mSupportsChunked;
     private boolean mClosesConnection;
-    private boolean mHasStarted;
+    private UnansweredExchange.State mState = UnansweredExchange.State.READING;
+    private boolean mIsAborted;
 
     NettyCallerExchange(
             HttpChannel channel,
@@ -55,6 +57,29 @@
         return mClosesConnection;
     }
 
+    /** How far the exchange has come. */
+    UnansweredExchange.State state() {
+        return mState;
+    }
+
+    /** Records that the whole request was read. */
+    void requestRead() {
+        mState = UnansweredExchange.State.UNANSWERED;
+    }
+
+    /** Returns why an exchange without a whole response has ended. */
+    UnansweredExchange.Cause causeOfEnd() {
+        if (mCutSignal.isCancelled()) {
+            return UnansweredExchange.Cause.STOPPING;
+        }
+        if (mIsAborted) {
+            return UnansweredExchange.Cause.BROKEN_OFF;
+        }
+        return disconnectSignal().isCancelled()
+                ? UnansweredExchange.Cause.CALLER_GONE
+                : UnansweredExchange.Cause.ERROR;
+    }
+
     @Override
     public Cancellation disconnectSignal() {
         return mChannel.disconnection();
@@ -67,10 +92,10 @@
 
     @Override
     public ResponseWriter startResponse(ResponseHead head, OptionalInt length) {
-        if (mHasStarted) {
+        if (mState.compareTo(UnansweredExchange.State.STARTED) >= 0) {
             throw new IllegalStateException("a response to this request has already started");
         }
-        mHasStarted = true;
+        mState = UnansweredExchange.State.STARTED;
         DefaultHttpResponse response =
                 new DefaultHttpResponse(
                         HttpVersion.HTTP_1_1,
@@ -95,6 +120,7 @@
 
     private void abortConnection() {
         mClosesConnection = true;
+        mIsAborted = true;
         mChannel.reset();
     }
 
@@ -117,6 +143,7 @@
         @Override
         public void finish() {
             requireSent(mChannel.writeLast(LastHttpContent.EMPTY_LAST_CONTENT, MAX_WRITE_STALL));
+            mState = UnansweredExchange.State.ANSWERED;
         }
 
         @Override
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
@@ -244,16 +244,21 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         mIsBroken = true;
-        mParts.add(new Closed(true, String.valueOf(cause.getMessage())));
+        end(String.valueOf(cause.getMessage()));
         context.close();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        mParts.add(new Closed(mIsBroken, "the connection was closed"));
+        end("the connection was closed");
         signalWriter();
+    }
+
+    /** A task that finds the end in the queue must also find the connection cancelled. */
+    private void end(String reason) {
         // Cancellation actions may block on other connections, which the event loop must not do.
         mDisconnection.cancel(actions -> Tasks.start("connection-closed", actions));
+        mParts.add(new Closed(mIsBroken, reason));
     }
 
     private void signalWriter() {
--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
@@ -15,6 +15,7 @@
 import org.rattanport.kernel.gateway.BackEndNotice;
 import org.rattanport.kernel.gateway.PlacementDecision;
 import org.rattanport.kernel.gateway.RequestOutcome;
+import org.rattanport.kernel.gateway.UnansweredExchange;
 
 /**
  * The metrics of a gateway instance. The services and the error codes bound the number of label
@@ -53,6 +54,12 @@
                     .help("What back ends said about themselves in responses, by kind")
                     .labelNames("kind")
                     .register(mRegistry);
+    private final Counter mUnanswered =
+            Counter.builder()
+                    .name("rattanport_gateway_unanswered_exchanges")
+                    .help("Exchanges that ended without a whole response, by state and cause")
+                    .labelNames("state", "cause")
+                    .register(mRegistry);
     private final Histogram mDurations =
             Histogram.builder()
                     .name("rattanport_gateway_request_seconds")
@@ -95,6 +102,10 @@
         mNotices.labelValues(notice.kind().wireName()).inc();
     }
 
+    void countUnanswered(UnansweredExchange exchange) {
+        mUnanswered.labelValues(exchange.state().wireName(), exchange.cause().wireName()).inc();
+    }
+
     void setState(String name, double value) {
         mState.labelValues(name).set(value);
     }
--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
@@ -14,6 +14,7 @@
 import org.rattanport.kernel.gateway.GatewaySettings;
 import org.rattanport.kernel.gateway.PlacementDecision;
 import org.rattanport.kernel.gateway.RequestOutcome;
+import org.rattanport.kernel.gateway.UnansweredExchange;
 import org.rattanport.kernel.peer.Membership;
 import org.rattanport.kernel.plugin.Edition;
 import org.rattanport.kernel.plugin.Plugin;
@@ -63,6 +64,9 @@
                         .subscribe(metrics::countPlacement));
         mSubscriptions.add(
                 context.events().stream(BackEndNotice.class).subscribe(metrics::countNotice));
+        mSubscriptions.add(
+                context.events().stream(UnansweredExchange.class)
+                        .subscribe(metrics::countUnanswered));
         new HttpServer(
                 context.require(HttpTransport.class),
                 address.get(),
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -14,6 +14,7 @@
 import org.rattanport.kernel.gateway.FleetSource;
 import org.rattanport.kernel.gateway.GatewaySettings;
 import org.rattanport.kernel.gateway.RequestOutcome;
+import org.rattanport.kernel.gateway.UnansweredExchange;
 import org.rattanport.kernel.peer.MemberState;
 import org.rattanport.kernel.peer.Membership;
 import org.rattanport.kernel.peer.PeerNetwork;
@@ -97,6 +98,8 @@
                 context.events().stream(RequestOutcome.class).subscribe(log::logOutcome));
         mSubscriptions.add(
                 context.events().stream(AttemptFailure.class).subscribe(log::logFailure));
+        mSubscriptions.add(
+                context.events().stream(UnansweredExchange.class).subscribe(log::logUnanswered));
         context.provide(Readiness.class, readiness);
         context.provide(BackEndRegistry.class, registry);
         context.provide(GatewayService.class, service);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RequestLog.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RequestLog.java
@@ -4,6 +4,7 @@
 import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.RequestOutcome;
+import org.rattanport.kernel.gateway.UnansweredExchange;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
@@ -53,6 +54,16 @@
         }
     }
 
+    /** Logs an exchange that ended without a whole response. */
+    public void logUnanswered(UnansweredExchange exchange) {
+        LOGGER.info(
+                LogLine.of("exchange-unanswered")
+                        .with("request", exchange.attemptId())
+                        .with("state", exchange.state().wireName())
+                        .with("cause", exchange.cause().wireName())
+                        .with("reason", exchange.reason()));
+    }
+
     /** Returns how many lines were omitted since the last one, or -1 to omit this one. */
     synchronized int acquireNormalLine() {
         long now = mTime.nanoTime();
