Count a caller's request from its head to the last byte of its answer

Callers whose request reached an instance during its planned stop saw their connection end without an answer: the drain waits for the requests in flight, and a request was in flight only once its own task had read the whole body. A body that was still arriving, the refusal of one that was too large or malformed, and the refusal of a request that came too late were not counted. The drain then found nothing in flight, and the process ended under them. After an early refusal the process could also end while the caller was still sending, and the reset of the unread bytes took the answer from it.

An exchange is now counted from its head (InFlightRequests.enter) until its answer was handed to the system; for a body that was not read to its end, until the caller has closed or stopped sending. Whether the request is still accepted is decided once it was read (Entry.accept). A refusal after which the connection closes says so, and the drain is looked at when the response starts, not when the head arrived.

The two constructor calls in NettyCallerExchangeTest pass a supplier for the same value.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
@@ -17,12 +17,12 @@
 import org.rattanport.connectors.http.RequestBody;
 import org.rattanport.decisions.gateway.ActiveRouting;
 import org.rattanport.decisions.gateway.BodyMemory;
-import org.rattanport.decisions.gateway.GatewayService;
 import org.rattanport.decisions.lifecycle.InFlightRequests;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
 import org.rattanport.kernel.event.LogLine;
+import org.rattanport.kernel.gateway.CallerExchange;
 import org.rattanport.kernel.gateway.CallerLimits;
 import org.rattanport.kernel.gateway.CallerRequest;
 import org.rattanport.kernel.gateway.Header;
@@ -34,9 +34,14 @@
 final class CallerConnection {
     private static final Logger LOGGER = Logger.getLogger(CallerConnection.class);
 
+    /** Forwards a request and sends its response, or throws when nothing of one was sent. */
+    interface Handler {
+        void serve(CallerRequest request, CallerExchange exchange);
+    }
+
     private final HttpChannel mChannel;
     private final GatewayDialect mDialect;
-    private final GatewayService mService;
+    private final Handler mHandler;
     private final ActiveRouting mRouting;
     private final InFlightRequests mInFlight;
     private final BodyMemory mBodyMemory;
@@ -46,7 +51,7 @@
     CallerConnection(
             HttpChannel channel,
             GatewayDialect dialect,
-            GatewayService service,
+            Handler handler,
             ActiveRouting routing,
             InFlightRequests inFlight,
             BodyMemory bodyMemory,
@@ -54,7 +59,7 @@
             Consumer<UnansweredExchange> onUnanswered) {
         mChannel = channel;
         mDialect = dialect;
-        mService = service;
+        mHandler = handler;
         mRouting = routing;
         mInFlight = inFlight;
         mBodyMemory = bodyMemory;
@@ -75,20 +80,21 @@
 
     /** Serves one request; returns whether the connection may carry another one. */
     private boolean serveRequest(HttpRequest head) {
-        boolean closesConnection = !HttpUtil.isKeepAlive(head) || mIsDraining.getAsBoolean();
         NettyCallerExchange exchange =
                 new NettyCallerExchange(
                         mChannel,
-                        closesConnection,
+                        () -> !HttpUtil.isKeepAlive(head) || mIsDraining.getAsBoolean(),
                         head.method().equals(HttpMethod.HEAD),
                         head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
         String reason = "an unexpected error";
-        try (BodyMemory.Claim claim = mBodyMemory.open()) {
+        try (InFlightRequests.Entry entry = mInFlight.enter(exchange.cutSignal()::cancel);
+                BodyMemory.Claim claim = mBodyMemory.open()) {
             if (head.decoderResult().isFailure()) {
                 sendError(exchange, Optional.empty(), malformedRequest(head));
+                mChannel.endOutput();
                 return false;
             }
-            boolean mayContinue = serveRequest(head, exchange, claim);
+            boolean mayContinue = serveRequest(head, exchange, entry, claim);
             reason = "the request ended without a response";
             return mayContinue;
         } catch (RattanportException e) {
@@ -110,7 +116,10 @@
     }
 
     private boolean serveRequest(
-            HttpRequest head, NettyCallerExchange exchange, BodyMemory.Claim claim) {
+            HttpRequest head,
+            NettyCallerExchange exchange,
+            InFlightRequests.Entry entry,
+            BodyMemory.Claim claim) {
         CallerRequest request;
         try {
             byte[] body = RequestBody.read(mChannel, head, bodyLimits(claim));
@@ -121,9 +130,12 @@
                 throw e;
             }
             sendError(exchange, Optional.of(mDialect.decodeRequest(head, new byte[0])), e);
+            // The caller may still be sending the body; it reads the response before the close.
+            mChannel.endOutput();
             return false;
         }
-        try (AutoCloseable inFlight = mInFlight.begin(exchange.cutSignal()::cancel)) {
+        try {
+            entry.accept();
             if (!forward(request, exchange)) {
                 return false;
             }
@@ -131,9 +143,9 @@
             if (e.code() == ErrorCode.CANCELLED) {
                 return false;
             }
-            // The request was refused before it was in flight.
+            // The instance no longer accepts requests.
             sendError(exchange, Optional.of(request), e);
-        } catch (Exception e) {
+        } catch (RuntimeException e) {
             LOGGER.errorf(
                     e,
                     "unexpected error while serving request %s; closing its connection",
@@ -146,7 +158,7 @@
     /** Returns false if the caller is gone. An error response is still part of the request. */
     private boolean forward(CallerRequest request, NettyCallerExchange exchange) {
         try {
-            mService.serve(request, exchange);
+            mHandler.serve(request, exchange);
         } catch (RattanportException e) {
             if (mChannel.disconnection().isCancelled() || e.code() == ErrorCode.CANCELLED) {
                 return false;
@@ -169,6 +181,10 @@
 
     private void sendError(
             NettyCallerExchange exchange, Optional<CallerRequest> request, RattanportException e) {
+        boolean isUnread = exchange.state() == UnansweredExchange.State.READING;
+        if (isUnread || e.code() == ErrorCode.STOPPING) {
+            exchange.closeConnection();
+        }
         byte[] body =
                 (e.code().wireName() + ": " + e.getMessage() + "\n")
                         .getBytes(StandardCharsets.UTF_8);
--- a/connectors/src/main/java/org/rattanport/connectors/gateway/GatewayFrontPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/GatewayFrontPlugin.java
@@ -55,7 +55,7 @@
                                 new CallerConnection(
                                                 channel,
                                                 dialect,
-                                                service,
+                                                service::serve,
                                                 routing,
                                                 inFlight,
                                                 bodyMemory,
--- a/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
@@ -14,6 +14,7 @@
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.OptionalInt;
+import java.util.function.BooleanSupplier;
 import org.rattanport.connectors.http.HttpChannel;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
@@ -37,17 +38,18 @@
     private final HttpChannel mChannel;
     private final boolean mHasNoBody;
     private final boolean mSupportsChunked;
+    private final BooleanSupplier mMustClose;
     private boolean mClosesConnection;
     private UnansweredExchange.State mState = UnansweredExchange.State.READING;
     private boolean mIsAborted;
 
     NettyCallerExchange(
             HttpChannel channel,
-            boolean closesConnection,
+            BooleanSupplier mustClose,
             boolean hasNoBody,
             boolean supportsChunked) {
         mChannel = channel;
-        mClosesConnection = closesConnection;
+        mMustClose = mustClose;
         mHasNoBody = hasNoBody;
         mSupportsChunked = supportsChunked;
     }
@@ -57,6 +59,11 @@
         return mClosesConnection;
     }
 
+    /** Closes the connection after this response. */
+    void closeConnection() {
+        mClosesConnection = true;
+    }
+
     /** How far the exchange has come. */
     UnansweredExchange.State state() {
         return mState;
@@ -105,6 +112,7 @@
         for (Header each : head.headers()) {
             headers.add(each.name(), each.value());
         }
+        mClosesConnection |= mMustClose.getAsBoolean();
         if (mClosesConnection) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
@@ -56,6 +56,7 @@
     private final Cancellation mDisconnection = new Cancellation();
     private final Channel mChannel;
     private boolean mIsBroken;
+    private boolean mIsOutputEnded;
 
     public HttpChannel(Channel channel) {
         mChannel = channel;
@@ -106,7 +107,7 @@
                             || !(head.message() instanceof HttpRequest request)
                             || serve.test(request);
         }
-        lingerBeforeClose(CLOSE_LINGER);
+        endOutput();
     }
 
     /**
@@ -172,14 +173,18 @@
      * data that is still arriving with a reset, and the other side would lose the unread response.
      * What the system has not taken by the shutdown would be dropped.
      */
-    private void lingerBeforeClose(Duration timeout) {
+    public void endOutput() {
+        if (mIsOutputEnded) {
+            return;
+        }
+        mIsOutputEnded = true;
         if (mChannel instanceof SocketChannel socket
                 && socket.isActive()
                 && isTakenBySystem(mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER), FLUSH_TIMEOUT)) {
             socket.shutdownOutput();
-            Optional<HttpMessagePart> part = poll(timeout);
+            Optional<HttpMessagePart> part = poll(CLOSE_LINGER);
             while (part.isPresent() && !(part.get() instanceof Closed)) {
-                part = poll(timeout);
+                part = poll(CLOSE_LINGER);
             }
         }
     }
--- /dev/null
+++ b/connectors/src/test/java/org/rattanport/connectors/gateway/CallerConnectionTest.java
@@ -0,0 +1,208 @@
+package org.rattanport.connectors.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.rattanport.connectors.http.HttpTransport;
+import org.rattanport.decisions.gateway.ActiveRouting;
+import org.rattanport.decisions.gateway.BodyMemory;
+import org.rattanport.decisions.lifecycle.InFlightRequests;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.gateway.Attempt;
+import org.rattanport.kernel.gateway.CallerExchange;
+import org.rattanport.kernel.gateway.CallerRequest;
+import org.rattanport.kernel.gateway.Header;
+import org.rattanport.kernel.gateway.ResponseHead;
+import org.rattanport.kernel.gateway.ResponseWriter;
+import org.rattanport.kernel.gateway.UnansweredExchange;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.SystemTimeSource;
+
+/** What callers get on real connections when a request ends in an unusual way. */
+final class CallerConnectionTest {
+    private static final int READ_TIMEOUT_MILLIS = 20_000;
+    private static final long MAX_WAIT_SECONDS = 20;
+    private static final int MAX_HEADER_BYTES = 8_192;
+    private static final String CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n";
+
+    private final SystemTimeSource mTime = new SystemTimeSource();
+    private final HttpTransport mTransport = new HttpTransport();
+    private final InFlightRequests mInFlight = new InFlightRequests(mTime);
+    private final BlockingQueue<UnansweredExchange> mUnanswered = new LinkedBlockingQueue<>();
+    private final BlockingQueue<CallerRequest> mServed = new LinkedBlockingQueue<>();
+
+    /** Number of requests in flight at each refusal. */
+    private final BlockingQueue<Integer> mCountAtRefusal = new LinkedBlockingQueue<>();
+
+    private CallerConnection.Handler mHandler = CallerConnectionTest::respond;
+
+    private final Channel mListener =
+            mTransport.listen(
+                    "127.0.0.1:0",
+                    () -> MAX_HEADER_BYTES,
+                    channel ->
+                            new CallerConnection(
+                                            channel,
+                                            new FakeDialect(),
+                                            this::serve,
+                                            new ActiveRouting(new EventStreams()),
+                                            mInFlight,
+                                            new BodyMemory(Long.MAX_VALUE),
+                                            () -> false,
+                                            mUnanswered::add)
+                                    .run());
+
+    @AfterEach
+    void close() {
+        mTransport.close();
+    }
+
+    private void serve(CallerRequest request, CallerExchange exchange) {
+        mServed.add(request);
+        mHandler.serve(request, exchange);
+    }
+
+    private static void respond(CallerRequest request, CallerExchange exchange) {
+        ResponseWriter response =
+                exchange.startResponse(ResponseHead.builder(200).build(), OptionalInt.of(2));
+        response.write("ok".getBytes(StandardCharsets.US_ASCII));
+        response.finish();
+    }
+
+    private static <T> T await(BlockingQueue<T> queue) throws InterruptedException {
+        return Optional.ofNullable(queue.poll(MAX_WAIT_SECONDS, TimeUnit.SECONDS)).orElseThrow();
+    }
+
+    private boolean isEmptyWithin(Duration timeout) {
+        return mInFlight.awaitEmpty(Deadline.after(mTime, timeout));
+    }
+
+    private Socket connect() throws IOException {
+        int port = ((InetSocketAddress) mListener.localAddress()).getPort();
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout(READ_TIMEOUT_MILLIS);
+        return socket;
+    }
+
+    private static void send(Socket socket, String bytes) throws IOException {
+        socket.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Reads to the end of the connection. */
+    private static String receive(Socket socket) throws IOException {
+        return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+
+    private static String head(int bodyLength) {
+        return "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: " + bodyLength + "\r\n\r\n";
+    }
+
+    /** Sends the first of two bytes of a body, once the head was read. */
+    private static void sendPartOfBody(Socket socket) throws IOException {
+        send(socket, "POST /a HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+        byte[] interim = socket.getInputStream().readNBytes(CONTINUE.length());
+        assertThat(new String(interim, StandardCharsets.US_ASCII)).isEqualTo(CONTINUE);
+        send(socket, "b");
+    }
+
+    /** Reads no headers, and adds none. */
+    private final class FakeDialect implements GatewayDialect {
+        @Override
+        public CallerRequest decodeRequest(HttpRequest head, byte[] body) {
+            return new CallerRequest(
+                    head.method().name(),
+                    head.uri(),
+                    "h",
+                    "attempt",
+                    Optional.empty(),
+                    Optional.empty(),
+                    Optional.empty(),
+                    List.of(),
+                    Optional.empty(),
+                    List.of(),
+                    body);
+        }
+
+        @Override
+        public FullHttpRequest encodeRequest(Attempt attempt) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public ResponseHead decodeResponseHead(HttpResponse head) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public List<Header> errorHeaders(CallerRequest request, RattanportException error) {
+            mCountAtRefusal.add(mInFlight.count());
+            return List.of();
+        }
+    }
+
+    @Nested
+    final class StopWhileABodyArrives {
+        /** The stop saw no request in flight, and the process ended under it. */
+        @Test
+        void shouldWaitForTheBodyAndRefuse() throws Exception {
+            try (Socket caller = connect()) {
+                sendPartOfBody(caller);
+                mInFlight.refuseNew();
+                assertThat(isEmptyWithin(Duration.ZERO)).isFalse();
+                send(caller, "b");
+                String response = receive(caller);
+                assertThat(response).startsWith("HTTP/1.1 503 ");
+                assertThat(response.toLowerCase(Locale.ROOT)).contains("connection: close");
+                assertThat(isEmptyWithin(Duration.ofSeconds(MAX_WAIT_SECONDS))).isTrue();
+                assertThat(mServed).isEmpty();
+            }
+        }
+    }
+
+    @Nested
+    final class StopDuringARefusal {
+        /** A refusal was written outside the count, and the process could end before it. */
+        @Test
+        void shouldWaitForTheRefusal() throws Exception {
+            try (Socket caller = connect()) {
+                send(caller, head(Integer.MAX_VALUE) + "b");
+                assertThat(receive(caller)).startsWith("HTTP/1.1 413 ");
+                assertThat(await(mCountAtRefusal)).isEqualTo(1);
+            }
+        }
+
+        /** A caller that sends the rest of its body after the end got a reset for its answer. */
+        @Test
+        void shouldWaitUntilTheCallerHasTheRefusal() throws Exception {
+            try (Socket caller = connect()) {
+                send(caller, head(Integer.MAX_VALUE) + "b");
+                await(mCountAtRefusal);
+                assertThat(isEmptyWithin(Duration.ZERO)).isFalse();
+                send(caller, "b");
+                assertThat(receive(caller)).startsWith("HTTP/1.1 413 ");
+                caller.close();
+                assertThat(isEmptyWithin(Duration.ofSeconds(MAX_WAIT_SECONDS))).isTrue();
+            }
+        }
+    }
+}
--- a/connectors/src/test/java/org/rattanport/connectors/gateway/NettyCallerExchangeTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/gateway/NettyCallerExchangeTest.java
@@ -21,7 +21,7 @@
     private final EmbeddedChannel mEmbedded = new EmbeddedChannel(new HttpServerCodec());
     private final HttpChannel mChannel = new HttpChannel(mEmbedded);
     private final NettyCallerExchange mExchange =
-            new NettyCallerExchange(mChannel, false, false, true);
+            new NettyCallerExchange(mChannel, () -> false, false, true);
 
     NettyCallerExchangeTest() {
         mEmbedded.pipeline().addLast(mChannel);
@@ -108,7 +108,7 @@
     @Nested
     final class CallersWithoutChunks {
         private final NettyCallerExchange mOldCaller =
-                new NettyCallerExchange(mChannel, true, false, false);
+                new NettyCallerExchange(mChannel, () -> true, false, false);
 
         @Test
         void shouldGetTheResponseWithItsLengthOnceItIsWhole() {
--- a/decisions/src/main/java/org/rattanport/decisions/lifecycle/InFlightRequests.java
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/InFlightRequests.java
@@ -11,8 +11,9 @@
 import org.rattanport.kernel.time.TimeSource;
 
 /**
- * Counts the requests in flight, refuses new ones once the instance stops accepting them, and cuts
- * those that are left at the end of a drain.
+ * Counts the requests in flight from their first byte to the last byte of their response, refuses
+ * new ones once the instance stops accepting them, and cuts those that are left at the end of a
+ * drain.
  */
 public final class InFlightRequests {
     private final TimeSource mTime;
@@ -26,38 +27,74 @@
     }
 
     /** A request in flight; closing it ends it. */
-    private final class Entry implements AutoCloseable {
+    public final class Entry implements AutoCloseable {
         private final Runnable mOnCut;
 
         private Entry(Runnable onCut) {
             mOnCut = onCut;
         }
 
+        /**
+         * Accepts the request, which was read as a whole.
+         *
+         * @throws RattanportException {@code STOPPING} with verdict {@code NOT_RUN} when the
+         *     instance no longer accepts requests
+         */
+        public void accept() {
+            mLock.lock();
+            try {
+                if (mIsClosed) {
+                    throw new RattanportException(ErrorCode.STOPPING, "this instance is stopping");
+                }
+            } finally {
+                mLock.unlock();
+            }
+        }
+
         @Override
         public void close() {
             end(this);
         }
     }
 
-    /** Registers a request that ends by itself when the connection of its caller is closed. */
-    public AutoCloseable begin() {
+    /**
+     * Registers a request that ends by itself when the connection of its caller is closed.
+     *
+     * @throws RattanportException {@code STOPPING} with verdict {@code NOT_RUN} when the instance
+     *     no longer accepts requests
+     */
+    public Entry begin() {
         return begin(() -> {});
     }
 
     /**
-     * Registers a request; closing the result ends it.
+     * Registers a request that was read as a whole.
      *
      * @param onCut makes the task of the request end it, without waiting for that
      * @throws RattanportException {@code STOPPING} with verdict {@code NOT_RUN} when the instance
      *     no longer accepts requests
      */
-    public AutoCloseable begin(Runnable onCut) {
+    public Entry begin(Runnable onCut) {
+        Entry entry = enter(onCut);
+        try {
+            entry.accept();
+        } catch (RattanportException e) {
+            entry.close();
+            throw e;
+        }
+        return entry;
+    }
+
+    /**
+     * Registers a request whose head was read. It counts until it is closed, also if it is refused,
+     * because a refusal too has to reach its caller before the instance ends.
+     *
+     * @param onCut makes the task of the request end it, without waiting for that
+     */
+    public Entry enter(Runnable onCut) {
+        Entry entry = new Entry(onCut);
         mLock.lock();
         try {
-            if (mIsClosed) {
-                throw new RattanportException(ErrorCode.STOPPING, "this instance is stopping");
-            }
-            Entry entry = new Entry(onCut);
             mEntries.add(entry);
             return entry;
         } finally {
