End each exchange with a caller in one place

Callers saw their connection end without an answer after an unexpected exception in their task (closed in order), after an error of the virtual machine such as a lack of memory (the task died), when anything but the caller was cancelled (taken for a caller that left), and with HTTP/1.0 when a response was too long to be held.

CallerConnection ended exchanges at seven places, each with its own idea of what the caller has. Now serve returns how the request ended, and end alone decides: an exchange of which nothing was sent gets an error with a true verdict (may have run once the request was read, unless its error says more), one with a part of a response is reset. A held response that is given up leaves its exchange unanswered, so that it gets an error too. Forwarding keeps the verdict of a cancelled attempt, and names the outcome of an unexpected error internal and not answered.

Evidence: CallerConnectionTest.UnexpectedErrors and HeldResponseThatIsTooLong on the code before: four times "value of: split(...).length" (no answer), "expected to start with: HTTP/1.1 502" (an empty end), and no reset inside a response. ForwardingTest.CancelledAttempts before: verdict not_run for a request that a back end had (twice). All pass now, as do the other tests of the gateway.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
@@ -9,7 +9,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
@@ -86,86 +85,107 @@
                         () -> !HttpUtil.isKeepAlive(head) || mIsDraining.getAsBoolean(),
                         head.method().equals(HttpMethod.HEAD),
                         head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
-        String reason = "an unexpected error";
         try (InFlightRequests.Entry entry = mInFlight.enter(exchange.cutSignal()::cancel);
                 BodyMemory.Claim claim = mBodyMemory.open()) {
-            if (head.decoderResult().isFailure()) {
-                sendError(exchange, Optional.empty(), malformedRequest(head));
-                mChannel.endOutput();
-                return false;
-            }
-            boolean mayContinue = serveRequest(head, exchange, entry, claim);
-            reason = "the request ended without a response";
-            return mayContinue;
-        } catch (RattanportException e) {
-            reason = String.valueOf(e.getMessage());
-            throw e;
-        } finally {
-            if (exchange.state() != UnansweredExchange.State.ANSWERED) {
-                mOnUnanswered.accept(
-                        new UnansweredExchange(
-                                attemptId(head), exchange.state(), exchange.causeOfEnd(), reason));
-            }
+            end(head, exchange, serve(head, exchange, entry, claim));
         }
+        return !exchange.closesConnection();
     }
 
-    private String attemptId(HttpRequest head) {
-        return head.decoderResult().isFailure()
-                ? "-"
-                : mDialect.decodeRequest(head, new byte[0]).attemptId();
-    }
-
-    private boolean serveRequest(
+    /** Serves a request; returns the error with which it ended, if any. */
+    private Optional<RattanportException> serve(
             HttpRequest head,
             NettyCallerExchange exchange,
             InFlightRequests.Entry entry,
             BodyMemory.Claim claim) {
-        CallerRequest request;
         try {
+            if (head.decoderResult().isFailure()) {
+                throw malformedRequest(head);
+            }
             byte[] body = RequestBody.read(mChannel, head, bodyLimits(claim));
-            request = mDialect.decodeRequest(head, body);
+            CallerRequest request = mDialect.decodeRequest(head, body);
             exchange.requestRead();
+            entry.accept();
+            mHandler.serve(request, exchange);
+            return Optional.empty();
         } catch (RattanportException e) {
-            if (e.code() == ErrorCode.CANCELLED) {
-                throw e;
-            }
-            sendError(exchange, Optional.of(mDialect.decodeRequest(head, new byte[0])), e);
+            return Optional.of(e);
+        } catch (RuntimeException | Error e) {
+            return Optional.of(internalError(exchange, e));
+        }
+    }
+
+    /**
+     * Ends an exchange, however its request was served: one of which nothing was sent gets an
+     * error, and one with a part of a response is reset.
+     */
+    private void end(
+            HttpRequest head, NettyCallerExchange exchange, Optional<RattanportException> error) {
+        boolean isRead = exchange.isRead();
+        if (exchange.mayRespond()) {
+            trySendError(head, exchange, error.orElseGet(CallerConnection::noResponse));
+        }
+        if (!exchange.isAnswered()) {
+            UnansweredExchange.Cause cause = exchange.causeOfEnd();
+            exchange.abort();
+            mOnUnanswered.accept(
+                    new UnansweredExchange(
+                            attemptId(head),
+                            exchange.state(),
+                            cause,
+                            String.valueOf(
+                                    error.orElseGet(CallerConnection::noResponse).getMessage())));
+        } else if (!isRead) {
             // The caller may still be sending the body; it reads the response before the close.
             mChannel.endOutput();
-            return false;
         }
+        error.filter(each -> each.code() == ErrorCode.INTERNAL)
+                .ifPresent(
+                        each ->
+                                LOGGER.errorf(
+                                        each, "unexpected error in exchange %s", attemptId(head)));
+    }
+
+    private void trySendError(
+            HttpRequest head, NettyCallerExchange exchange, RattanportException error) {
         try {
-            entry.accept();
-            if (!forward(request, exchange)) {
-                return false;
-            }
+            sendError(head, exchange, error);
         } catch (RattanportException e) {
-            if (e.code() == ErrorCode.CANCELLED) {
-                return false;
-            }
-            // The instance no longer accepts requests.
-            sendError(exchange, Optional.of(request), e);
-        } catch (RuntimeException e) {
-            LOGGER.errorf(
-                    e,
-                    "unexpected error while serving request %s; closing its connection",
-                    request.attemptId());
-            return false;
+            LOGGER.debugf("cannot send the error of an exchange: %s", e.getMessage());
+        } catch (RuntimeException | Error e) {
+            LOGGER.errorf(e, "cannot send the error of an exchange");
         }
-        return !exchange.closesConnection();
     }
 
-    /** Returns false if the caller is gone. An error response is still part of the request. */
-    private boolean forward(CallerRequest request, NettyCallerExchange exchange) {
+    private static RattanportException noResponse() {
+        return RattanportException.builder(ErrorCode.ANSWER_CUT, "the response broke off")
+                .verdict(Verdict.MAY_HAVE_RUN)
+                .build();
+    }
+
+    /** An error of this instance; a request that was read may have been passed on. */
+    private static RattanportException internalError(
+            NettyCallerExchange exchange, Throwable cause) {
+        return RattanportException.builder(ErrorCode.INTERNAL, "unexpected error: " + cause)
+                .verdict(exchange.isRead() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN)
+                .cause(cause)
+                .build();
+    }
+
+    /** Decodes a head without its body; empty if it is malformed. */
+    private Optional<CallerRequest> decodeHead(HttpRequest head) {
         try {
-            mHandler.serve(request, exchange);
-        } catch (RattanportException e) {
-            if (mChannel.disconnection().isCancelled() || e.code() == ErrorCode.CANCELLED) {
-                return false;
-            }
-            sendError(exchange, Optional.of(request), e);
+            return head.decoderResult().isFailure()
+                    ? Optional.empty()
+                    : Optional.of(mDialect.decodeRequest(head, new byte[0]));
+        } catch (RuntimeException e) {
+            LOGGER.debugf("cannot decode the head of a request: %s", e);
+            return Optional.empty();
         }
-        return true;
+    }
+
+    private String attemptId(HttpRequest head) {
+        return decodeHead(head).map(CallerRequest::attemptId).orElse("-");
     }
 
     private static RattanportException malformedRequest(HttpRequest head) {
@@ -179,10 +199,9 @@
         return new RequestBody.Limits(limits.maxBodyBytes(), limits.idleTimeout(), claim::growTo);
     }
 
-    private void sendError(
-            NettyCallerExchange exchange, Optional<CallerRequest> request, RattanportException e) {
-        boolean isUnread = exchange.state() == UnansweredExchange.State.READING;
-        if (isUnread || e.code() == ErrorCode.STOPPING) {
+    private void sendError(HttpRequest head, NettyCallerExchange exchange, RattanportException e) {
+        Optional<CallerRequest> request = decodeHead(head);
+        if (!exchange.isRead() || e.code() == ErrorCode.STOPPING) {
             exchange.closeConnection();
         }
         byte[] body =
@@ -201,9 +220,8 @@
                         .with("document", mRouting.version())
                         .with("reason", e.getMessage()));
         ResponseWriter response =
-                exchange.startResponse(
-                        ResponseHead.builder(status).headers(headers).build(),
-                        OptionalInt.of(body.length));
+                exchange.startError(
+                        ResponseHead.builder(status).headers(headers).build(), body.length);
         response.write(body);
         response.finish();
     }
@@ -215,7 +233,13 @@
     private static int status(RattanportException error) {
         // A poison request may be valid, so its refusal must not say 422 (an invalid request). The
         // refused attempt did not run, which 503 expresses.
-        int status = error.code() == ErrorCode.POISON_REQUEST ? 503 : error.code().httpStatus();
+        int status =
+                switch (error.code()) {
+                    case POISON_REQUEST -> 503;
+                    // The caller is there to read it, so something else was cancelled.
+                    case CANCELLED -> 502;
+                    default -> error.code().httpStatus();
+                };
         if (error.verdict() != Verdict.NOT_RUN && ResponseHead.impliesNotRun(status)) {
             return 502;
         }
--- a/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/NettyCallerExchange.java
@@ -41,6 +41,7 @@
     private final BooleanSupplier mMustClose;
     private boolean mClosesConnection;
     private UnansweredExchange.State mState = UnansweredExchange.State.READING;
+    private boolean mIsHeld;
     private boolean mIsAborted;
 
     NettyCallerExchange(
@@ -69,6 +70,22 @@
         return mState;
     }
 
+    /** Whether the whole request was read. */
+    boolean isRead() {
+        return mState != UnansweredExchange.State.READING;
+    }
+
+    /** Whether a response may start: the caller is there and has nothing of another one. */
+    boolean mayRespond() {
+        return mState.compareTo(UnansweredExchange.State.STARTED) < 0
+                && !disconnectSignal().isCancelled();
+    }
+
+    /** Whether the caller has a whole response. */
+    boolean isAnswered() {
+        return mState == UnansweredExchange.State.ANSWERED;
+    }
+
     /** Records that the whole request was read. */
     void requestRead() {
         mState = UnansweredExchange.State.UNANSWERED;
@@ -99,10 +116,9 @@
 
     @Override
     public ResponseWriter startResponse(ResponseHead head, OptionalInt length) {
-        if (mState.compareTo(UnansweredExchange.State.STARTED) >= 0) {
+        if (mIsHeld || mState.compareTo(UnansweredExchange.State.STARTED) >= 0) {
             throw new IllegalStateException("a response to this request has already started");
         }
-        mState = UnansweredExchange.State.STARTED;
         DefaultHttpResponse response =
                 new DefaultHttpResponse(
                         HttpVersion.HTTP_1_1,
@@ -121,12 +137,20 @@
         } else if (mSupportsChunked) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
         } else {
+            mIsHeld = true;
             return new HeldResponse(response);
         }
         return new SentResponse(response);
     }
 
-    private void abortConnection() {
+    /** Starts an error response, in place of one that is held and of which nothing was sent. */
+    ResponseWriter startError(ResponseHead head, int length) {
+        mIsHeld = false;
+        return startResponse(head, OptionalInt.of(length));
+    }
+
+    /** Ends the exchange with a reset of the connection. */
+    void abort() {
         mClosesConnection = true;
         mIsAborted = true;
         mChannel.reset();
@@ -135,6 +159,7 @@
     /** A response that is sent as it comes. */
     private final class SentResponse implements ResponseWriter {
         private SentResponse(HttpResponse head) {
+            mState = UnansweredExchange.State.STARTED;
             requireSent(mChannel.write(head, MAX_WRITE_STALL));
         }
 
@@ -156,7 +181,7 @@
 
         @Override
         public void abort() {
-            abortConnection();
+            NettyCallerExchange.this.abort();
         }
     }
 
@@ -190,7 +215,8 @@
 
         @Override
         public void abort() {
-            abortConnection();
+            // Nothing was sent, so the caller can still get an error.
+            mBody.reset();
         }
     }
 
--- a/connectors/src/test/java/org/rattanport/connectors/gateway/CallerConnectionTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/gateway/CallerConnectionTest.java
@@ -1,6 +1,7 @@
 package org.rattanport.connectors.gateway;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -26,7 +27,9 @@
 import org.rattanport.decisions.gateway.ActiveRouting;
 import org.rattanport.decisions.gateway.BodyMemory;
 import org.rattanport.decisions.lifecycle.InFlightRequests;
+import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.gateway.Attempt;
 import org.rattanport.kernel.gateway.CallerExchange;
@@ -205,4 +208,90 @@
             }
         }
     }
+
+    @Nested
+    final class UnexpectedErrors {
+        private String receiveAfterRequest(CallerConnection.Handler handler) throws IOException {
+            mHandler = handler;
+            try (Socket caller = connect()) {
+                send(caller, head(1) + "b" + "GET /b HTTP/1.1\r\nConnection: close\r\n\r\n");
+                return receive(caller);
+            }
+        }
+
+        /** The connection was closed in order, without an answer. */
+        @Test
+        void shouldBeAnswered() throws Exception {
+            String responses =
+                    receiveAfterRequest(
+                            (request, exchange) -> {
+                                throw new IllegalStateException("broken");
+                            });
+            assertThat(responses.split("HTTP/1.1 500 ", -1)).hasLength(3);
+        }
+
+        /** An error of the virtual machine ended the task without an answer. */
+        @Test
+        void shouldBeAnsweredWhenMemoryIsShort() throws Exception {
+            String responses =
+                    receiveAfterRequest(
+                            (request, exchange) -> {
+                                throw new OutOfMemoryError("simulated");
+                            });
+            assertThat(responses.split("HTTP/1.1 500 ", -1)).hasLength(3);
+        }
+
+        /** The connection of an interrupted task was closed as if its caller had left. */
+        @Test
+        void shouldBeAnsweredWhenSomethingElseIsCancelled() throws Exception {
+            String responses =
+                    receiveAfterRequest(
+                            (request, exchange) -> {
+                                throw RattanportException.builder(ErrorCode.CANCELLED, "cancelled")
+                                        .verdict(Verdict.MAY_HAVE_RUN)
+                                        .build();
+                            });
+            assertThat(responses.split("HTTP/1.1 502 ", -1)).hasLength(3);
+        }
+
+        @Test
+        void shouldBeAnsweredWhenNothingWasSent() throws Exception {
+            String responses = receiveAfterRequest((request, exchange) -> {});
+            assertThat(responses.split("HTTP/1.1 502 ", -1)).hasLength(3);
+        }
+
+        @Test
+        void shouldResetAResponseThatHasStarted() throws Exception {
+            mHandler =
+                    (request, exchange) -> {
+                        exchange.startResponse(
+                                ResponseHead.builder(200).build(), OptionalInt.empty());
+                        throw new IllegalStateException("broken");
+                    };
+            try (Socket caller = connect()) {
+                send(caller, head(1) + "b");
+                assertThrows(IOException.class, () -> receive(caller));
+                assertThat(await(mUnanswered).state()).isEqualTo(UnansweredExchange.State.STARTED);
+            }
+        }
+    }
+
+    @Nested
+    final class HeldResponseThatIsTooLong {
+        private static final int TOO_LONG_BYTES = 2 * 1024 * 1024;
+
+        /** A caller of HTTP/1.0 got the end of the connection instead of an answer. */
+        @Test
+        void shouldBeAnsweredWithAnError() throws Exception {
+            mHandler =
+                    (request, exchange) ->
+                            exchange.startResponse(
+                                            ResponseHead.builder(200).build(), OptionalInt.empty())
+                                    .write(new byte[TOO_LONG_BYTES]);
+            try (Socket caller = connect()) {
+                send(caller, "GET /a HTTP/1.0\r\n\r\n");
+                assertThat(receive(caller)).startsWith("HTTP/1.1 502 ");
+            }
+        }
+    }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -118,10 +118,10 @@
 
     /** Forwards the request; throws when nothing was sent to the caller. */
     void run() {
-        String outcome = RequestOutcome.ANSWERED;
+        String outcome = ErrorCode.INTERNAL.wireName();
         try {
             tryBackEnds();
-            outcome = mIsTruncated ? RequestOutcome.TRUNCATED : outcome;
+            outcome = mIsTruncated ? RequestOutcome.TRUNCATED : RequestOutcome.ANSWERED;
         } catch (RattanportException e) {
             outcome = e.code().wireName();
             throw e;
@@ -422,7 +422,8 @@
 
     private boolean handleFailure(BackEnd backEnd, RattanportException error, int runsBefore) {
         if (error.code() == ErrorCode.CANCELLED && mCaller.disconnectSignal().isCancelled()) {
-            throw ForwardingErrors.callerDisconnected();
+            mVerdict = mVerdict.combinedWith(error.verdict());
+            throw ForwardingErrors.callerDisconnected().withVerdict(mVerdict);
         }
         if (mCaller.cutSignal().isCancelled()) {
             mVerdict = mVerdict.combinedWith(error.verdict());
@@ -432,7 +433,11 @@
             return true;
         }
         if (error.code() == ErrorCode.CANCELLED) {
-            throw ForwardingErrors.callerDisconnected();
+            mVerdict = mVerdict.combinedWith(error.verdict());
+            mLastError = error;
+            traceFailure(backEnd, error);
+            endWithoutResponse();
+            return true;
         }
         if (error.code() == ErrorCode.DEADLINE_EXCEEDED && !hasTimeForAttempt()) {
             mVerdict = mVerdict.combinedWith(error.verdict());
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -284,6 +284,25 @@
         }
     }
 
+    @Nested
+    final class CancelledAttempts {
+        /** The log said of a request that was sent to a back end that it had not run. */
+        @Test
+        void shouldBeSaidToHavePossiblyRunWhenTheCallerLeaves() {
+            mBackEnds.mWhileWaiting = mCaller.mDisconnect::cancel;
+            serveExpectingError("/book/a", Reaction.CUT);
+            assertThat(mOutcomes.getFirst().verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+        }
+
+        /** The attempt's end was taken for that of the caller. */
+        @Test
+        void shouldBeSaidToHavePossiblyRunWhileTheCallerIsThere() {
+            RattanportException error = serveExpectingError("/book/a", Reaction.CUT);
+            assertThat(error.code()).isEqualTo(ErrorCode.CANCELLED);
+            assertThat(error.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+        }
+    }
+
     @Nested
     final class PoisonRequests {
         @Test
