End every wait of a caller's request when a stop cuts it

Callers whose request outlived the drain of a planned stop got an answer only if its task waited for the response of a back end. Other waits went on under the cut, and the process ended 200 ms later: for the rest of a body (up to the idle timeout), for a connection (0.5 s), a memory lease (1 s), a coordinator, and for a slow caller to read (10 s). Their connections ended without an answer.

The cut now also interrupts the task of the request (TaskInterrupt), so every wait ends, those that will be added too; the interrupt never outlives the exchange. The end of the exchange tells the caller what is true: 503 for a body that was still arriving, else the verdict of the attempts so far. For that, an interrupted wait for a back end's response says that the request may have run, and an error between two attempts keeps the verdict of the first. A request whose head comes after the cut is cut at once.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/CallerConnection.java
@@ -28,6 +28,7 @@
 import org.rattanport.kernel.gateway.ResponseHead;
 import org.rattanport.kernel.gateway.ResponseWriter;
 import org.rattanport.kernel.gateway.UnansweredExchange;
+import org.rattanport.kernel.task.TaskInterrupt;
 
 /** The task of one caller's connection. Reads a request, sends the response, and reads the next. */
 final class CallerConnection {
@@ -85,13 +86,21 @@
                         () -> !HttpUtil.isKeepAlive(head) || mIsDraining.getAsBoolean(),
                         head.method().equals(HttpMethod.HEAD),
                         head.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0);
-        try (InFlightRequests.Entry entry = mInFlight.enter(exchange.cutSignal()::cancel);
+        TaskInterrupt interrupt = new TaskInterrupt();
+        try (InFlightRequests.Entry entry = mInFlight.enter(() -> cut(exchange, interrupt));
                 BodyMemory.Claim claim = mBodyMemory.open()) {
-            end(head, exchange, serve(head, exchange, entry, claim));
+            Optional<RattanportException> error = serve(head, exchange, entry, claim);
+            interrupt.close();
+            end(head, exchange, error);
         }
         return !exchange.closesConnection();
     }
 
+    private static void cut(NettyCallerExchange exchange, TaskInterrupt interrupt) {
+        exchange.cutSignal().cancel();
+        interrupt.interrupt();
+    }
+
     /** Serves a request; returns the error with which it ended, if any. */
     private Optional<RattanportException> serve(
             HttpRequest head,
@@ -109,7 +118,8 @@
             mHandler.serve(request, exchange);
             return Optional.empty();
         } catch (RattanportException e) {
-            return Optional.of(e);
+            boolean isCut = e.code() == ErrorCode.CANCELLED && exchange.cutSignal().isCancelled();
+            return Optional.of(isCut ? stopping(e.verdict()) : e);
         } catch (RuntimeException | Error e) {
             return Optional.of(internalError(exchange, e));
         }
@@ -157,6 +167,12 @@
         }
     }
 
+    private static RattanportException stopping(Verdict verdict) {
+        return RattanportException.builder(ErrorCode.STOPPING, "this instance is stopping")
+                .verdict(verdict)
+                .build();
+    }
+
     private static RattanportException noResponse() {
         return RattanportException.builder(ErrorCode.ANSWER_CUT, "the response broke off")
                 .verdict(Verdict.MAY_HAVE_RUN)
--- a/connectors/src/main/java/org/rattanport/connectors/gateway/NettyBackEndClient.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/NettyBackEndClient.java
@@ -89,7 +89,7 @@
         }
 
         private HttpMessagePart nextPart(Deadline deadline) {
-            Optional<HttpMessagePart> part = mChannel.poll(deadline.remaining(mTime));
+            Optional<HttpMessagePart> part = poll(deadline);
             if (mIsAborted) {
                 throw RattanportException.builder(ErrorCode.CANCELLED, "the caller disconnected")
                         .verdict(Verdict.MAY_HAVE_RUN)
@@ -108,6 +108,14 @@
             return part.get();
         }
 
+        private Optional<HttpMessagePart> poll(Deadline deadline) {
+            try {
+                return mChannel.poll(deadline.remaining(mTime));
+            } catch (RattanportException e) {
+                throw e.withVerdict(Verdict.MAY_HAVE_RUN);
+            }
+        }
+
         private static RattanportException backEndFailed(String reason) {
             return RattanportException.builder(ErrorCode.TARGET_FAILED, reason)
                     .verdict(Verdict.MAY_HAVE_RUN)
--- a/connectors/src/test/java/org/rattanport/connectors/gateway/CallerConnectionTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/gateway/CallerConnectionTest.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -294,4 +295,71 @@
             }
         }
     }
+
+    @Nested
+    final class CutAtTheEndOfADrain {
+        private static final int LONG_BYTES = 64 * 1024 * 1024;
+        private static final Duration MAX_CUT_TIME = Duration.ofSeconds(5);
+
+        private final CountDownLatch mNever = new CountDownLatch(1);
+
+        /** The body was waited for until the end of the process, and nothing was said of it. */
+        @Test
+        void shouldRefuseARequestWhoseBodyIsStillArriving() throws Exception {
+            try (Socket caller = connect()) {
+                sendPartOfBody(caller);
+                mInFlight.refuseNew();
+                mInFlight.cutAll();
+                assertThat(receive(caller)).startsWith("HTTP/1.1 503 ");
+                caller.close();
+                assertThat(isEmptyWithin(MAX_CUT_TIME)).isTrue();
+            }
+        }
+
+        /** A connect, a lease or a coordinator was waited for longer than the cut lasts. */
+        @Test
+        void shouldEndAnyWait() throws Exception {
+            mHandler = (request, exchange) -> waitForever();
+            try (Socket caller = connect()) {
+                send(caller, head(1) + "b");
+                await(mServed);
+                mInFlight.refuseNew();
+                mInFlight.cutAll();
+                assertThat(receive(caller)).startsWith("HTTP/1.1 502 ");
+                caller.close();
+                assertThat(isEmptyWithin(MAX_CUT_TIME)).isTrue();
+            }
+        }
+
+        private void waitForever() {
+            try {
+                mNever.await();
+            } catch (InterruptedException e) {
+                throw RattanportException.interrupted().withVerdict(Verdict.MAY_HAVE_RUN);
+            }
+        }
+
+        /** A caller that did not read held its request in flight for ten seconds. */
+        @Test
+        void shouldEndTheWaitForASlowCaller() throws Exception {
+            mHandler =
+                    (request, exchange) -> {
+                        ResponseWriter response =
+                                exchange.startResponse(
+                                        ResponseHead.builder(200).build(), OptionalInt.empty());
+                        response.write(new byte[LONG_BYTES]);
+                        response.finish();
+                    };
+            try (Socket caller = connect()) {
+                send(caller, head(1) + "b");
+                await(mServed);
+                mInFlight.refuseNew();
+                mInFlight.cutAll();
+                assertThat(isEmptyWithin(MAX_CUT_TIME)).isTrue();
+                UnansweredExchange unanswered = await(mUnanswered);
+                assertThat(unanswered.cause()).isEqualTo(UnansweredExchange.Cause.STOPPING);
+                assertThat(unanswered.state()).isEqualTo(UnansweredExchange.State.STARTED);
+            }
+        }
+    }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -124,7 +124,8 @@
             outcome = mIsTruncated ? RequestOutcome.TRUNCATED : RequestOutcome.ANSWERED;
         } catch (RattanportException e) {
             outcome = e.code().wireName();
-            throw e;
+            // A wait between two attempts knows nothing of the earlier one.
+            throw mVerdict.compareTo(e.verdict()) > 0 ? e.withVerdict(mVerdict) : e;
         } finally {
             boolean isAnswered = outcome.equals(RequestOutcome.ANSWERED);
             String reason = isAnswered ? "" : String.valueOf(mLastError.getMessage());
--- a/decisions/src/main/java/org/rattanport/decisions/lifecycle/InFlightRequests.java
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/InFlightRequests.java
@@ -21,6 +21,7 @@
     private final Condition mCountChanged = mLock.newCondition();
     private final Set<Entry> mEntries = new LinkedHashSet<>();
     private boolean mIsClosed;
+    private boolean mIsCut;
 
     public InFlightRequests(TimeSource time) {
         mTime = time;
@@ -93,13 +94,18 @@
      */
     public Entry enter(Runnable onCut) {
         Entry entry = new Entry(onCut);
+        boolean isCut;
         mLock.lock();
         try {
             mEntries.add(entry);
-            return entry;
+            isCut = mIsCut;
         } finally {
             mLock.unlock();
         }
+        if (isCut) {
+            onCut.run();
+        }
+        return entry;
     }
 
     public int count() {
@@ -140,11 +146,12 @@
         }
     }
 
-    /** Cuts the requests in flight; they end as soon as their tasks see it. */
+    /** Cuts the requests in flight and all later ones; their tasks end them without a wait. */
     public void cutAll() {
         List<Entry> entries;
         mLock.lock();
         try {
+            mIsCut = true;
             entries = List.copyOf(mEntries);
         } finally {
             mLock.unlock();
--- a/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
@@ -124,6 +124,17 @@
             assertThat(mInFlight.count()).isEqualTo(0);
         }
 
+        /** A request whose head came after the cut was waited for without a cut. */
+        @Test
+        void shouldCutRequestsThatComeAfterTheCut() {
+            AutoCloseable late = mInFlight.begin();
+            mDrain.drain(Deadline.after(mTime, Duration.ofSeconds(10)));
+            closeRequest(late);
+            AtomicInteger cuts = new AtomicInteger();
+            closeRequest(mInFlight.enter(cuts::incrementAndGet));
+            assertThat(cuts.get()).isEqualTo(1);
+        }
+
         private static void closeRequest(AutoCloseable request) {
             try {
                 request.close();
