Count a planned stop from its signal, also while the instance starts

A process that got SIGTERM while it started waited for its start first (up to 5 s) and then drained for the whole drain limit of 7.4 s, so the platform killed it 8 s after the signal, with the requests that it had accepted meanwhile. A start that lasted longer ended in a halt: its requests got nothing.

Instance.stop may now be called while start runs. It drains at once if the instance can have accepted requests, else it waits for the start until the drain limit; the limit and the time to live of addresses count from the call, and whatever is left at the limit is cut with an answer. Builder.build returns the instance before it starts, so that the shutdown hook has it.

--- a/daemon/src/main/java/org/rattanport/daemon/Instance.java
+++ b/daemon/src/main/java/org/rattanport/daemon/Instance.java
@@ -4,9 +4,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
 import org.rattanport.decisions.lifecycle.Drain;
+import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.model.InstanceId;
@@ -27,11 +32,14 @@
 
     private final Kernel mKernel;
     private final InstanceSettings mSettings;
+    private final Edition mEdition;
     private final TimeSource mTime;
+    private final CompletableFuture<Void> mStarted = new CompletableFuture<>();
 
-    private Instance(Kernel kernel, InstanceSettings settings, TimeSource time) {
+    private Instance(Kernel kernel, InstanceSettings settings, Edition edition, TimeSource time) {
         mKernel = kernel;
         mSettings = settings;
+        mEdition = edition;
         mTime = time;
     }
 
@@ -52,14 +60,67 @@
         return context().require(LocalAddresses.class);
     }
 
-    /** Drains and stops the instance; returns whether all requests ended before the drain limit. */
+    /**
+     * Starts the plug-ins. If one fails to start, those that have started are stopped.
+     *
+     * @throws RuntimeException the error of the plug-in
+     */
+    public void start() {
+        try {
+            mKernel.start(Kernel.registeredPlugins(mEdition));
+            mStarted.complete(null);
+        } catch (RuntimeException e) {
+            mStarted.completeExceptionally(e);
+            mKernel.stop(Deadline.after(mTime, PLUGIN_STOP_TIMEOUT));
+            throw e;
+        }
+        LOGGER.info(
+                LogLine.of("instance-started")
+                        .with("instance", id())
+                        .with("callers", localAddresses().callerAddress())
+                        .with("peers", localAddresses().peerAddress()));
+    }
+
+    /** Whether the start has failed. */
+    public boolean hasFailedToStart() {
+        return mStarted.isCompletedExceptionally();
+    }
+
+    /**
+     * Drains and stops the instance, also while it starts: it may already have accepted requests
+     * then. Returns whether all requests ended before the drain limit, which counts from the call.
+     */
     public boolean stop() {
+        long signalNanos = mTime.nanoTime();
         Deadline deadline = Deadline.after(mTime, mSettings.timings().drainLimit());
-        boolean isDrained = context().require(Drain.class).drain(deadline);
-        kill();
+        if (context().find(Drain.class).isEmpty()) {
+            awaitStart(deadline);
+        }
+        Duration elapsed = Duration.ofNanos(mTime.nanoTime() - signalNanos);
+        boolean isDrained =
+                context()
+                        .find(Drain.class)
+                        .map(drain -> drain.drain(deadline, elapsed))
+                        .orElse(true);
+        if (awaitStart(deadline)) {
+            kill();
+        }
         return isDrained;
     }
 
+    /** Returns whether the instance has started before the deadline. */
+    private boolean awaitStart(Deadline deadline) {
+        try {
+            mStarted.get(deadline.remaining(mTime).toNanos(), TimeUnit.NANOSECONDS);
+            return true;
+        } catch (ExecutionException | TimeoutException e) {
+            LOGGER.warnf("the instance stops before it has started: %s", e);
+            return false;
+        } catch (InterruptedException e) {
+            throw RattanportException.interrupted();
+        }
+    }
+
     /** Stops without draining, as after a crash, but releases ports and threads. */
     public void kill() {
         mKernel.stop(Deadline.after(mTime, PLUGIN_STOP_TIMEOUT));
@@ -98,30 +159,24 @@
             return this;
         }
 
-        /**
-         * Starts every registered plug-in of the edition. If a plug-in fails to start, those that
-         * have started are stopped.
-         */
-        public Instance start() {
+        /** Returns the instance, which has not started. */
+        public Instance build() {
             PluginContext context = new PluginContext(new EventStreams(), mTime);
             context.provide(InstanceSettings.class, mSettings);
             context.provide(
                     InstanceId.class, new InstanceId(mSettings.instanceName(), mTime.wallMillis()));
             mPolicy.ifPresent(policy -> context.provide(PolicyChoice.class, policy));
             mServiceProviders.forEach(each -> each.accept(context));
-            Kernel kernel = new Kernel(context);
-            try {
-                kernel.start(Kernel.registeredPlugins(mEdition));
-            } catch (RuntimeException e) {
-                kernel.stop(Deadline.after(mTime, PLUGIN_STOP_TIMEOUT));
-                throw e;
-            }
-            Instance instance = new Instance(kernel, mSettings, mTime);
-            LOGGER.info(
-                    LogLine.of("instance-started")
-                            .with("instance", instance.id())
-                            .with("callers", instance.localAddresses().callerAddress())
-                            .with("peers", instance.localAddresses().peerAddress()));
+            return new Instance(new Kernel(context), mSettings, mEdition, mTime);
+        }
+
+        /**
+         * Starts every registered plug-in of the edition. If a plug-in fails to start, those that
+         * have started are stopped.
+         */
+        public Instance start() {
+            Instance instance = build();
+            instance.start();
             return instance;
         }
     }
--- a/daemon/src/main/java/org/rattanport/daemon/command/ServeCommand.java
+++ b/daemon/src/main/java/org/rattanport/daemon/command/ServeCommand.java
@@ -43,7 +43,8 @@
                         Path.of(mOptions.mSettings),
                         ErrorCode.INVALID_SETTINGS,
                         SettingsParser::parse);
-        Instance instance = Serving.start(() -> Instance.builder(settings).start());
+        Instance instance = Instance.builder(settings).build();
+        Serving.start(instance);
         output.results().println("serving at " + instance.localAddresses().callerAddress());
         Serving.awaitShutdown();
         return ExitCode.SUCCESS;
--- a/decisions/src/main/java/org/rattanport/decisions/lifecycle/Drain.java
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/Drain.java
@@ -44,14 +44,23 @@
 
     /** Drains the instance; returns whether all requests ended before the deadline. */
     public boolean drain(Deadline deadline) {
+        return drain(deadline, Duration.ZERO);
+    }
+
+    /**
+     * Drains the instance; returns whether all requests ended before the deadline.
+     *
+     * @param elapsed time since the stop was asked for, when the last addresses were given out
+     */
+    public boolean drain(Deadline deadline, Duration elapsed) {
         mIsDraining = true;
         mMembers.announce(MemberState.LEAVING);
         LOGGER.info(
                 LogLine.of("instance-leaving")
                         .with("addresses_kept", mAddressTimeToLive)
                         .with("in_flight", mInFlight.count()));
-        Duration remaining = deadline.remaining(mTime);
-        mTime.sleep(mAddressTimeToLive.compareTo(remaining) < 0 ? mAddressTimeToLive : remaining);
+        Deadline refusal = deadline.within(mTime, mAddressTimeToLive.minus(elapsed));
+        mTime.sleep(refusal.remaining(mTime));
         mInFlight.refuseNew();
         boolean hasDrained = mInFlight.awaitEmpty(deadline);
         if (!hasDrained) {
--- a/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
@@ -92,6 +92,15 @@
             assertThat(mMembers.self().state()).isEqualTo(MemberState.LEAVING);
         }
 
+        /** A stop that waited for a start accepted requests for the whole time after it. */
+        @Test
+        void shouldCountTheTimeToLiveFromTheStopSignal() {
+            long before = mTime.nanoTime();
+            Deadline deadline = Deadline.after(mTime, Duration.ofMinutes(1));
+            assertThat(mDrain.drain(deadline, Duration.ofSeconds(4))).isTrue();
+            assertThat(mTime.nanoTime() - before).isEqualTo(Duration.ofSeconds(6).toNanos());
+        }
+
         @Test
         void shouldRefuseRequestsAsNotRunAfterTheDrain() {
             mDrain.drain(Deadline.after(mTime, Duration.ofMinutes(1)));
