Give up a silent engine only when another may take over

Callers saw a stream end in the middle although its engine was sound and went on: after 1.2 s of silence the engine was given up for a retry, and only then did the retry budget or the placement say that there was none. The stream was cut. Engines that are slow together, as around a planned stop or a change of configuration, use up the budget together.

The wait now asks when it would end whether a retry is left and a back end that was not tried, and waits on if not, up to the deadline. The decisions about silence are a class of their own, SilencePolicy; an error other than silence no longer asks the coordinator for pending work first. A retry that is refused by all other engines after that still cuts the stream.

Evidence: ForwardingTest.SilentEngines on the code before, both "expected to be false" (the stream is aborted), without a retry and without another engine. The scripted STALL keeps its place when the reader asks again, as a real engine does.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.rattanport.decisions.gateway.EventStreamParser.Event;
 import org.rattanport.kernel.error.ErrorCode;
@@ -28,6 +29,7 @@
     private final TimeSource mTime;
     private final Runnable mOnEvent;
     private final Supplier<SilenceTimeout> mTimeout;
+    private final BooleanSupplier mMayTakeOver;
     private final Supplier<Duration> mRemainingPrefill;
     private Optional<Event> mLastEvent = Optional.empty();
     private final Optional<String> mResumeAfterId;
@@ -38,12 +40,14 @@
             TimeSource time,
             Optional<String> resumeAfterId,
             Supplier<SilenceTimeout> timeout,
+            BooleanSupplier mayTakeOver,
             Supplier<Duration> remainingPrefill,
             Runnable onEvent) {
         mCaller = caller;
         mTime = time;
         mResumeAfterId = resumeAfterId;
         mTimeout = timeout;
+        mMayTakeOver = mayTakeOver;
         mRemainingPrefill = remainingPrefill;
         mOnEvent = onEvent;
     }
@@ -64,7 +68,12 @@
             chunk =
                     hasStarted()
                             ? mTimeout.get()
-                                    .await(mTime, deadline, mRemainingPrefill, exchange::awaitChunk)
+                                    .await(
+                                            mTime,
+                                            deadline,
+                                            mMayTakeOver,
+                                            mRemainingPrefill,
+                                            exchange::awaitChunk)
                             : exchange.awaitChunk(deadline);
         }
         requireComplete(head, parser, hasEvents);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -15,7 +15,6 @@
 import org.rattanport.kernel.gateway.CallerExchange;
 import org.rattanport.kernel.gateway.CallerRequest;
 import org.rattanport.kernel.gateway.EngineGroup;
-import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.GatewayAccount;
 import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.RequestContent;
@@ -48,6 +47,7 @@
     private final BackEndService mService;
     private final Optional<GatewayAccount> mAccount;
     private final Deadline mDeadline;
+    private final SilencePolicy mSilence;
     private ResponseRelay mRelay;
     private final Set<String> mExcluded = new HashSet<>();
     private final RequestTrace mTrace;
@@ -90,6 +90,7 @@
                         request.sharedParts(),
                         components.routing().version());
         mTrace = new RequestTrace(info, components.events(), components.time());
+        mSilence = new SilencePolicy(components, request, route, service);
         mRelay = createRelay();
     }
 
@@ -101,8 +102,9 @@
                 mCaller,
                 mComponents.time(),
                 mRequest.lastEventId(),
-                this::timeoutBetweenEvents,
-                this::remainingPrefill,
+                () -> mSilence.betweenEvents(mRuns),
+                () -> mSilence.mayTakeOver(mExcluded),
+                () -> mSilence.remainingPrefill(mLastBackEndId),
                 this::onForwarded);
     }
 
@@ -301,11 +303,12 @@
     private boolean handleResponse(Placement placement, BackEndExchange exchange) {
         BackEnd backEnd = placement.backEnd();
         ResponseHead head =
-                timeoutBeforeFirstEvent(placement)
+                mSilence.beforeFirstEvent(placement, mRuns, mRelay.hasStarted())
                         .await(
                                 mComponents.time(),
                                 mDeadline,
-                                this::remainingPrefill,
+                                () -> mSilence.mayTakeOver(mExcluded),
+                                () -> mSilence.remainingPrefill(mLastBackEndId),
                                 exchange::awaitHead);
         mTrace.responseReceived(head.status());
         mHasReachedBackEnd = true;
@@ -343,31 +346,6 @@
         }
     }
 
-    /** Once no retry is allowed, only the route limits the silence of the last engine. */
-    private SilenceTimeout timeoutBetweenEvents() {
-        boolean mayRetry = mRoute.isRetryable() && mRuns < mRoute.maxAttempts();
-        return mayRetry
-                ? SilenceTimeout.betweenEvents(mRoute)
-                : SilenceTimeout.routeTimeout(mRoute);
-    }
-
-    /** The wait for a first event ends early only while a retry is allowed. */
-    private SilenceTimeout timeoutBeforeFirstEvent(Placement placement) {
-        boolean mayRetry = mRoute.isRetryable() && mRuns + 1 < mRoute.maxAttempts();
-        if (!mayRetry || mRelay.hasStarted()) {
-            return SilenceTimeout.routeTimeout(mRoute);
-        }
-        double predicted = placement.work().map(EngineWork::predictedFirstEventMillis).orElse(0.0);
-        return SilenceTimeout.beforeFirstEvent(mRoute, predicted);
-    }
-
-    /** Predicted time until the last chosen back end finishes its prefill work. */
-    private Duration remainingPrefill() {
-        return mLastBackEndId
-                .map(id -> mComponents.workNotifier().remainingPrefill(mRequest.attemptId(), id))
-                .orElse(Duration.ZERO);
-    }
-
     /**
      * Records a refusal by the chosen back end or, if the response names one, by a prefill engine.
      */
@@ -433,14 +411,8 @@
             endWithoutResponse();
             return true;
         }
-        if (error.code() == ErrorCode.CANCELLED) {
-            mVerdict = mVerdict.combinedWith(error.verdict());
-            mLastError = error;
-            traceFailure(backEnd, error);
-            endWithoutResponse();
-            return true;
-        }
-        if (error.code() == ErrorCode.DEADLINE_EXCEEDED && !hasTimeForAttempt()) {
+        boolean isOver = error.code() == ErrorCode.DEADLINE_EXCEEDED && !hasTimeForAttempt();
+        if (isOver || error.code() == ErrorCode.CANCELLED) {
             mVerdict = mVerdict.combinedWith(error.verdict());
             mLastError = error;
             traceFailure(backEnd, error);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ServiceRetryBudget.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ServiceRetryBudget.java
@@ -46,16 +46,21 @@
 
     /** Takes one retry; returns false when the budget of the window is exhausted. */
     public synchronized boolean tryAcquire(String service) {
-        Window window = window(service);
-        double slack = (double) mSlack / Math.max(1, mInstances.getAsInt());
-        double allowed = USABLE_FRACTION * (mRatio * window.mFirstAttempts.size() + slack);
-        if (window.mRetries.size() + 1 > allowed) {
+        if (!isAvailable(service)) {
             return false;
         }
-        window.mRetries.add(mTime.nanoTime());
+        window(service).mRetries.add(mTime.nanoTime());
         return true;
     }
 
+    /** Whether the budget of the window allows a retry now. */
+    public synchronized boolean isAvailable(String service) {
+        Window window = window(service);
+        double slack = (double) mSlack / Math.max(1, mInstances.getAsInt());
+        double allowed = USABLE_FRACTION * (mRatio * window.mFirstAttempts.size() + slack);
+        return window.mRetries.size() + 1 <= allowed;
+    }
+
     private Window window(String service) {
         Window window = mWindows.computeIfAbsent(service, name -> new Window());
         long oldest = mTime.nanoTime() - mWindow.toNanos();
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/SilenceTimeout.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/SilenceTimeout.java
@@ -1,6 +1,7 @@
 package org.rattanport.decisions.gateway;
 
 import java.time.Duration;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.rattanport.kernel.error.ErrorCode;
@@ -90,6 +91,8 @@
      * Waits with this timeout.
      *
      * @param read waits until the deadline it receives
+     * @param mayTakeOver whether another back end may take the request over; until then this one is
+     *     not given up
      * @param remainingPrefill predicted time of the back end's pending prefill work
      * @throws RattanportException {@code DEADLINE_EXCEEDED} when the back end was silent for too
      *     long
@@ -97,6 +100,7 @@
     <T> T await(
             TimeSource time,
             Deadline deadline,
+            BooleanSupplier mayTakeOver,
             Supplier<Duration> remainingPrefill,
             Function<Deadline, T> read) {
         long startNanos = time.nanoTime();
@@ -105,13 +109,15 @@
             try {
                 return read.apply(deadline.within(time, timeout));
             } catch (RattanportException e) {
+                if (e.code() != ErrorCode.DEADLINE_EXCEEDED || deadline.hasPassed(time)) {
+                    throw e;
+                }
                 Duration elapsed = Duration.ofNanos(time.nanoTime() - startNanos);
-                timeout = extension(remainingPrefill.get(), max.minus(elapsed));
-                boolean keepsWaiting =
-                        e.code() == ErrorCode.DEADLINE_EXCEEDED
-                                && !deadline.hasPassed(time)
-                                && timeout.isPositive();
-                if (!keepsWaiting) {
+                timeout =
+                        mayTakeOver.getAsBoolean()
+                                ? extension(remainingPrefill.get(), max.minus(elapsed))
+                                : base;
+                if (!timeout.isPositive()) {
                     throw e;
                 }
             }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -140,6 +140,31 @@
         }
     }
 
+    @Nested
+    final class SilentEngines {
+        private void serveStallingStream() {
+            serve("/stream/a", Reaction.STALL);
+            assertThat(mAttempts).hasSize(1);
+            assertThat(mCaller.mIsAborted).isFalse();
+            assertThat(mCaller.mIsFinished).isTrue();
+            assertThat(mCaller.mBody.toString()).contains("id: 2");
+        }
+
+        /** The stream was cut although its engine went on, because no retry was left. */
+        @Test
+        void shouldNotBeGivenUpWithoutARetry() {
+            mSlack = 0;
+            serveStallingStream();
+        }
+
+        /** The stream was cut although its engine went on, because there was no other engine. */
+        @Test
+        void shouldNotBeGivenUpWithoutAnotherEngine() {
+            mRegistry.apply(List.of(), List.of("engine-1", "engine-2", "engine-3"));
+            serveStallingStream();
+        }
+    }
+
     @Nested
     final class ResumedStreams {
         /** After an error that broke off, the stream began again at its first event. */
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
@@ -42,7 +42,7 @@
         TEXT,
         /** Streams one event and then bytes without end that complete no event. */
         ENDLESS,
-        /** Streams one event, stalls, and streams the next. */
+        /** Streams one event, stalls, and streams the next, also to a reader that asks again. */
         STALL,
         /** Refuses without the promise that the request has not run. */
         REFUSE_WITHOUT_PROMISE,
@@ -122,6 +122,7 @@
         private final Attempt mAttempt;
         private final Reaction mReaction;
         private int mChunks;
+        private Duration mRemainingStall = STALL_DURATION;
 
         private ScriptedExchange(Attempt attempt, Reaction reaction) {
             mAttempt = attempt;
@@ -229,11 +230,13 @@
 
         private void stall(Deadline deadline) {
             Duration remaining = deadline.remaining(mTime);
-            if (remaining.compareTo(STALL_DURATION) < 0) {
+            if (remaining.compareTo(mRemainingStall) < 0) {
                 mTime.advance(remaining);
+                mRemainingStall = mRemainingStall.minus(remaining);
+                mChunks--;
                 throw failure(ErrorCode.DEADLINE_EXCEEDED);
             }
-            mTime.advance(STALL_DURATION);
+            mTime.advance(mRemainingStall);
         }
 
         @Override
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/SilenceTimeoutTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/SilenceTimeoutTest.java
@@ -22,6 +22,7 @@
     private final Deadline mDeadline = Deadline.after(mTime, SECOND.multipliedBy(10));
     private long mNextEventMillis = Long.MAX_VALUE;
     private long mPrefillEndMillis;
+    private boolean mMayTakeOver = true;
 
     private String awaitEvent(Deadline deadline) {
         Duration remaining = deadline.remaining(mTime);
@@ -43,7 +44,8 @@
     }
 
     private String await(SilenceTimeout timeout) {
-        return timeout.await(mTime, mDeadline, this::remainingPrefill, this::awaitEvent);
+        return timeout.await(
+                mTime, mDeadline, () -> mMayTakeOver, this::remainingPrefill, this::awaitEvent);
     }
 
     private long millisUntilTimeout(SilenceTimeout timeout) {
@@ -58,6 +60,13 @@
             assertThat(millisUntilTimeout(SilenceTimeout.betweenEvents(mRoute))).isEqualTo(1_200);
         }
 
+        @Test
+        void shouldWaitUntilAnotherBackEndMayTakeOver() {
+            mMayTakeOver = false;
+            mNextEventMillis = 9_000;
+            assertThat(await(SilenceTimeout.betweenEvents(mRoute))).isEqualTo("event");
+        }
+
         @Test
         void shouldWaitWhilePrefillIsPending() {
             mPrefillEndMillis = 1_400;
