End a drain only when no more requests come

Callers of a process that was short of processor time at the end of its planned stop saw their connections close without a byte, although the log had request-refused for each of them: when the process got its processor back, the drain was over before the event loop had read what arrived meanwhile, found nothing in flight, and the process ended under the refusals.

After it has begun to refuse, the drain now waits until no request has come for 200 ms, in four waits, because a pause ends one wait only. Each refusal closes its connection, so a caller cannot keep the drain from its end for long; the deadline bounds it.

--- a/decisions/src/main/java/org/rattanport/decisions/lifecycle/Drain.java
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/Drain.java
@@ -11,8 +11,9 @@
 /**
  * Drains an instance before it stops, so that no request is cut. The instance announces that it is
  * leaving, which removes it from new address responses. It keeps serving until the time to live of
- * earlier address responses has passed, then refuses new requests and waits for those in flight.
- * Requests that outlive the drain get an error, or a reset inside their response.
+ * earlier address responses has passed, then refuses new requests and waits for those in flight,
+ * and until no more come. Requests that outlive the drain get an error, or a reset inside their
+ * response.
  */
 public final class Drain {
     private static final Logger LOGGER = Logger.getLogger(Drain.class);
@@ -20,6 +21,15 @@
     /** Time that cut requests have to send their last response. */
     private static final Duration CUT_TIMEOUT = Duration.ofMillis(200);
 
+    /**
+     * Time without a new request after which none is left that was sent before the refusals began.
+     * It is waited in parts, because a process that was paused finds one wait over before it has
+     * read what arrived meanwhile.
+     */
+    private static final Duration QUIET_INTERVAL = Duration.ofMillis(50);
+
+    private static final int QUIET_INTERVALS = 4;
+
     private final MemberTable mMembers;
     private final InFlightRequests mInFlight;
     private final Duration mAddressTimeToLive;
@@ -62,7 +72,7 @@
         Deadline refusal = deadline.within(mTime, mAddressTimeToLive.minus(elapsed));
         mTime.sleep(refusal.remaining(mTime));
         mInFlight.refuseNew();
-        boolean hasDrained = mInFlight.awaitEmpty(deadline);
+        boolean hasDrained = awaitQuiet(deadline);
         if (!hasDrained) {
             LOGGER.warn(LogLine.of("requests-cut-at-stop").with("requests", mInFlight.count()));
             mInFlight.cutAll();
@@ -70,4 +80,21 @@
         }
         return hasDrained;
     }
+
+    /**
+     * Waits until no request is in flight and none has come for a while; returns false when
+     * requests are left at the deadline.
+     */
+    private boolean awaitQuiet(Deadline deadline) {
+        int quietIntervals = 0;
+        while (quietIntervals < QUIET_INTERVALS && !deadline.hasPassed(mTime)) {
+            long seen = mInFlight.totalCount();
+            if (!mInFlight.awaitEmpty(deadline)) {
+                return false;
+            }
+            mTime.sleep(QUIET_INTERVAL);
+            quietIntervals = mInFlight.totalCount() == seen ? quietIntervals + 1 : 0;
+        }
+        return mInFlight.awaitEmpty(deadline);
+    }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/lifecycle/InFlightRequests.java
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/InFlightRequests.java
@@ -20,6 +20,7 @@
     private final ReentrantLock mLock = new ReentrantLock();
     private final Condition mCountChanged = mLock.newCondition();
     private final Set<Entry> mEntries = new LinkedHashSet<>();
+    private long mTotalCount;
     private boolean mIsClosed;
     private boolean mIsCut;
 
@@ -98,6 +99,7 @@
         mLock.lock();
         try {
             mEntries.add(entry);
+            mTotalCount++;
             isCut = mIsCut;
         } finally {
             mLock.unlock();
@@ -117,6 +119,16 @@
         }
     }
 
+    /** Returns the number of requests that have been in flight so far, or are. */
+    public long totalCount() {
+        mLock.lock();
+        try {
+            return mTotalCount;
+        } finally {
+            mLock.unlock();
+        }
+    }
+
     /** Refuses new requests from now on. */
     public void refuseNew() {
         mLock.lock();
