Count a planned stop from the start of a pause that hid its signal

A process without processor time hears its SIGTERM when it runs again, and then counted its drain from there. With a pause longer than the margin for it (0.6 s) the platform killed the process under its requests, which got no answer.

The process beats every 100 ms (Pulse). A gap between two beats that ends as the signal is received may have hidden the signal, so the stop counts from the start of the gap; without one it counts from the receipt as before. The log says so with stop-heard-late.

PulseTest plays pauses under virtual time.

--- a/daemon/src/main/java/org/rattanport/daemon/Instance.java
+++ b/daemon/src/main/java/org/rattanport/daemon/Instance.java
@@ -21,7 +21,9 @@
 import org.rattanport.kernel.settings.InstanceSettings;
 import org.rattanport.kernel.settings.LocalAddresses;
 import org.rattanport.kernel.settings.PolicyChoice;
+import org.rattanport.kernel.task.PeriodicTask;
 import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.Pulse;
 import org.rattanport.kernel.time.SystemTimeSource;
 import org.rattanport.kernel.time.TimeSource;
 
@@ -35,12 +37,16 @@
     private final Edition mEdition;
     private final TimeSource mTime;
     private final CompletableFuture<Void> mStarted = new CompletableFuture<>();
+    private final Pulse mPulse;
+    private final PeriodicTask mPulseTask;
 
     private Instance(Kernel kernel, InstanceSettings settings, Edition edition, TimeSource time) {
         mKernel = kernel;
         mSettings = settings;
         mEdition = edition;
         mTime = time;
+        mPulse = new Pulse(time);
+        mPulseTask = new PeriodicTask("pulse", time, Pulse.INTERVAL, mPulse::beat);
     }
 
     public static Builder builder(InstanceSettings settings) {
@@ -72,6 +78,7 @@
         } catch (RuntimeException e) {
             mStarted.completeExceptionally(e);
             mKernel.stop(Deadline.after(mTime, PLUGIN_STOP_TIMEOUT));
+            mPulseTask.close();
             throw e;
         }
         LOGGER.info(
@@ -88,11 +95,16 @@
 
     /**
      * Drains and stops the instance, also while it starts: it may already have accepted requests
-     * then. Returns whether all requests ended before the drain limit, which counts from the call.
+     * then. Returns whether all requests ended before the drain limit. The limit counts from the
+     * call, or from the start of a pause of the process under which the call may have come late.
      */
     public boolean stop() {
-        long signalNanos = mTime.nanoTime();
-        Deadline deadline = Deadline.after(mTime, mSettings.timings().drainLimit());
+        Duration pause = mPulse.sincePause();
+        if (pause.isPositive()) {
+            LOGGER.info(LogLine.of("stop-heard-late").with("paused_millis", pause.toMillis()));
+        }
+        long signalNanos = mTime.nanoTime() - pause.toNanos();
+        Deadline deadline = Deadline.after(mTime, mSettings.timings().drainLimit().minus(pause));
         if (context().find(Drain.class).isEmpty()) {
             awaitStart(deadline);
         }
@@ -124,6 +136,7 @@
     /** Stops without draining, as after a crash, but releases ports and threads. */
     public void kill() {
         mKernel.stop(Deadline.after(mTime, PLUGIN_STOP_TIMEOUT));
+        mPulseTask.close();
         LOGGER.info(LogLine.of("instance-stopped").with("instance", mSettings.instanceName()));
     }
 
--- /dev/null
+++ b/kernel/src/test/java/org/rattanport/kernel/time/PulseTest.java
@@ -0,0 +1,55 @@
+package org.rattanport.kernel.time;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+final class PulseTest {
+    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final Pulse mPulse = new Pulse(mTime);
+
+    private void runFor(int beats) {
+        for (int i = 0; i < beats; i++) {
+            mTime.advance(Pulse.INTERVAL);
+            mPulse.beat();
+        }
+    }
+
+    @Nested
+    final class SignalOfARunningProcess {
+        @Test
+        void shouldCountFromItsReceipt() {
+            runFor(10);
+            assertThat(mPulse.sincePause()).isEqualTo(Duration.ZERO);
+        }
+
+        @Test
+        void shouldNotCountAnEarlierPause() {
+            mTime.advance(Duration.ofSeconds(2));
+            runFor(10);
+            assertThat(mPulse.sincePause()).isEqualTo(Duration.ZERO);
+        }
+    }
+
+    @Nested
+    final class SignalDuringAPause {
+        /** A stop that was heard late was counted from then, and outlived the process. */
+        @Test
+        void shouldCountFromTheStartOfThePause() {
+            runFor(10);
+            mTime.advance(Duration.ofMillis(900));
+            assertThat(mPulse.sincePause()).isEqualTo(Duration.ofMillis(900));
+        }
+
+        @Test
+        void shouldCountFromTheStartOfThePauseAlsoAfterABeat() {
+            runFor(10);
+            mTime.advance(Duration.ofMillis(900));
+            mPulse.beat();
+            runFor(1);
+            assertThat(mPulse.sincePause()).isEqualTo(Duration.ofMillis(1_000));
+        }
+    }
+}
