Add the rate limit of a back end to the heads of responses

A back end in need names in its responses how many requests a second it takes from all instances together.

--- a/kernel/src/main/java/org/rattanport/kernel/gateway/ResponseHead.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/ResponseHead.java
@@ -20,6 +20,8 @@
  * @param load load of the back end, if the response reports it
  * @param isLeaving whether the back end says that it stops soon
  * @param pause time for which a back end that refuses the request wants no other one, if it says so
+ * @param rateLimit requests a second that the back end takes from all instances, if it names a
+ *     limit
  */
 public record ResponseHead(
         int status,
@@ -32,7 +34,8 @@
         Optional<String> faultyEngineAddress,
         Optional<BackEndLoad> load,
         boolean isLeaving,
-        Optional<Duration> pause) {
+        Optional<Duration> pause,
+        Optional<RateLimit> rateLimit) {
     private static final Set<Integer> REFUSAL_STATUSES = Set.of(408, 421, 429, 503);
 
     /** Prepares a head that says nothing but its status. */
@@ -63,6 +66,7 @@
         private Optional<BackEndLoad> mLoad = Optional.empty();
         private boolean mIsLeaving;
         private Optional<Duration> mPause = Optional.empty();
+        private Optional<RateLimit> mRateLimit = Optional.empty();
 
         private Builder(int status) {
             mStatus = status;
@@ -118,6 +122,11 @@
             return this;
         }
 
+        public Builder rateLimit(Optional<RateLimit> rateLimit) {
+            mRateLimit = rateLimit;
+            return this;
+        }
+
         /** Returns the head. */
         public ResponseHead build() {
             return new ResponseHead(
@@ -131,7 +140,8 @@
                     mFaultyEngineAddress,
                     mLoad,
                     mIsLeaving,
-                    mPause);
+                    mPause,
+                    mRateLimit);
         }
     }
 }
