--- a/decisions/src/main/java/org/rattanport/decisions/quota/AccountTokenBuckets.java
+++ b/decisions/src/main/java/org/rattanport/decisions/quota/AccountTokenBuckets.java
@@ -14,11 +14,10 @@
  * the rate instead of the burst, since the previous owner may just have granted the burst.
  */
 public final class AccountTokenBuckets {
-    private static final double NANOS_PER_SECOND = 1e9;
     private static final double MAX_ADVANCE_SHARE = 0.1;
 
     private final TimeSource mTime;
-    private final Map<AccountId, Bucket> mBuckets = new HashMap<>();
+    private final Map<AccountId, TokenBucket> mBuckets = new HashMap<>();
 
     public AccountTokenBuckets(TimeSource time) {
         mTime = time;
@@ -32,36 +31,18 @@
      * @return the number of granted tokens: zero, or at least {@code needed}
      */
     public synchronized long grant(ClientAccount account, long needed, long requested) {
-        Bucket bucket = mBuckets.computeIfAbsent(account.id(), ignored -> new Bucket());
-        bucket.refill(account, mTime.nanoTime());
-        if (bucket.mTokens <= 0) {
+        long now = mTime.nanoTime();
+        TokenBucket bucket =
+                mBuckets.computeIfAbsent(
+                        account.id(), ignored -> new TokenBucket(account.tokensPerSecond(), now));
+        bucket.refill(account.tokensPerSecond(), account.burstTokens(), now);
+        if (bucket.tokens() <= 0) {
             return 0;
         }
         // Limits the tokens granted in advance, so that one instance cannot empty the bucket.
-        long advance = (long) (Math.max(0, bucket.mTokens - needed) * MAX_ADVANCE_SHARE);
+        long advance = (long) (Math.max(0, bucket.tokens() - needed) * MAX_ADVANCE_SHARE);
         long granted = needed + Math.min(requested - needed, advance);
-        bucket.mTokens -= granted;
+        bucket.take(granted);
         return granted;
     }
-
-    private static final class Bucket {
-        private double mTokens;
-        private long mRefilledNanos;
-        private boolean mIsInitialized;
-
-        private void refill(ClientAccount account, long nowNanos) {
-            if (mIsInitialized) {
-                double seconds = (nowNanos - mRefilledNanos) / NANOS_PER_SECOND;
-                mTokens =
-                        Math.min(
-                                account.burstTokens(),
-                                mTokens + seconds * account.tokensPerSecond());
-            }
-            if (!mIsInitialized) {
-                mTokens = Math.min(account.burstTokens(), account.tokensPerSecond());
-            }
-            mIsInitialized = true;
-            mRefilledNanos = nowNanos;
-        }
-    }
 }
