Add the messages about rate limits of back ends

An instance asks the owner of a back end's limit for a token, gets its decision, and reports changes of the limit. Each message carries the newest that its sender knows, with the age of the request whose response said so, because the clocks of instances differ. PeerNetworkTest has the messages in its list.

--- a/connectors/src/main/java/org/rattanport/connectors/peer/GatewayMessageCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/GatewayMessageCodec.java
@@ -27,6 +27,12 @@
             case PeerMessage.FleetRequest request ->
                     frame.setFleetRequest(FleetCodec.encode(request));
             case PeerMessage.FleetReply reply -> frame.setFleetReply(FleetCodec.encode(reply));
+            case PeerMessage.RateLimitRequest request ->
+                    frame.setRateLimitRequest(RateLimitCodec.encode(request));
+            case PeerMessage.RateLimitReply reply ->
+                    frame.setRateLimitReply(RateLimitCodec.encode(reply));
+            case PeerMessage.RateLimitReport report ->
+                    frame.setRateLimitReport(RateLimitCodec.encode(report.known()));
         };
     }
 
@@ -43,6 +49,11 @@
                     new PeerMessage.PendingPrefillReply(frame.getPendingPrefillReply().getMillis());
             case FLEET_REQUEST -> FleetCodec.decode(frame.getFleetRequest());
             case FLEET_REPLY -> FleetCodec.decode(frame.getFleetReply());
+            case RATE_LIMIT_REQUEST -> RateLimitCodec.decode(frame.getRateLimitRequest());
+            case RATE_LIMIT_REPLY -> RateLimitCodec.decode(frame.getRateLimitReply());
+            case RATE_LIMIT_REPORT ->
+                    new PeerMessage.RateLimitReport(
+                            RateLimitCodec.decode(frame.getRateLimitReport()));
             default ->
                     throw new IllegalArgumentException(
                             "not a message of gateway instances: " + frame.getBodyCase());
--- a/connectors/src/main/java/org/rattanport/connectors/peer/PeerCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PeerCodec.java
@@ -113,15 +113,7 @@
                             new PeerMessage.DocumentRequest(
                                     Stage.parse(frame.getDocumentRequest().getStage())
                                             .orElse(Stage.PRODUCTION));
-                    case DOCUMENT_REPLY ->
-                            new PeerMessage.DocumentReply(
-                                    frame.getDocumentReply().getVersionsList().stream()
-                                            .map(
-                                                    bytes ->
-                                                            mRowCodec.decode(
-                                                                    GzipCodec.decompress(bytes),
-                                                                    DocumentVersion.class))
-                                            .toList());
+                    case DOCUMENT_REPLY -> documents(frame.getDocumentReply());
                     case QUOTA_REQUEST -> quotaRequest(frame.getQuotaRequest());
                     case QUOTA_REPLY ->
                             new PeerMessage.QuotaReply(
@@ -136,7 +128,10 @@
                             PENDING_PREFILL_REQUEST,
                             PENDING_PREFILL_REPLY,
                             FLEET_REQUEST,
-                            FLEET_REPLY ->
+                            FLEET_REPLY,
+                            RATE_LIMIT_REQUEST,
+                            RATE_LIMIT_REPLY,
+                            RATE_LIMIT_REPORT ->
                             GatewayMessageCodec.decode(frame);
                     case RECEIVED -> new PeerMessage.Received();
                     case UNHANDLED -> new PeerMessage.Unhandled();
@@ -144,6 +139,15 @@
                 });
     }
 
+    private PeerMessage.DocumentReply documents(
+            org.rattanport.connectors.peer.protocol.DocumentReply reply) {
+        return new PeerMessage.DocumentReply(
+                reply.getVersionsList().stream()
+                        .map(GzipCodec::decompress)
+                        .map(row -> mRowCodec.decode(row, DocumentVersion.class))
+                        .toList());
+    }
+
     private static org.rattanport.connectors.peer.protocol.MembersReply members(
             PeerMessage.MembersReply reply) {
         return org.rattanport.connectors.peer.protocol.MembersReply.newBuilder()
--- a/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
@@ -32,6 +32,8 @@
 import org.rattanport.kernel.gateway.FleetUpdate;
 import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.PromptSize;
+import org.rattanport.kernel.gateway.RateLimit;
+import org.rattanport.kernel.gateway.RateLimitUpdate;
 import org.rattanport.kernel.gateway.WorkUpdate;
 import org.rattanport.kernel.model.Fingerprint;
 import org.rattanport.kernel.model.InstanceId;
@@ -182,11 +184,30 @@
                                             true, Optional.empty(), Optional.of(registry()))),
                             new PeerMessage.Received(),
                             new PeerMessage.Unhandled())
-                    .forEach(
-                            message ->
-                                    assertThat(mCodec.decode(mCodec.encode(message).build()))
-                                            .hasValue(message));
+                    .forEach(this::checkRoundTrip);
         }
+
+        @Test
+        void shouldRoundTripMessagesAboutRateLimits() {
+            List.of(
+                            new PeerMessage.RateLimitRequest(
+                                    rateLimit(Optional.of(new RateLimit(0.2))),
+                                    new InstanceId("a", 7),
+                                    4,
+                                    true),
+                            new PeerMessage.RateLimitReply(
+                                    rateLimit(Optional.of(new RateLimit(0))), true, 120),
+                            new PeerMessage.RateLimitReport(rateLimit(Optional.empty())))
+                    .forEach(this::checkRoundTrip);
+        }
+
+        private void checkRoundTrip(PeerMessage message) {
+            assertThat(mCodec.decode(mCodec.encode(message).build())).hasValue(message);
+        }
+    }
+
+    private static RateLimitUpdate rateLimit(Optional<RateLimit> limit) {
+        return new RateLimitUpdate("e", 9, limit, "a#7", 12, Duration.ofMillis(350));
     }
 
     private static PlacementDemand demand(Optional<PromptSize> size) {
--- a/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
+++ b/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
@@ -7,7 +7,9 @@
 import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.FleetUpdate;
 import org.rattanport.kernel.gateway.PlacementDemand;
+import org.rattanport.kernel.gateway.RateLimitUpdate;
 import org.rattanport.kernel.gateway.WorkUpdate;
+import org.rattanport.kernel.model.InstanceId;
 import org.rattanport.kernel.request.Explanation;
 
 /** A message between instances: a request, its response, or a one-way message. */
@@ -95,6 +97,31 @@
     /** What the store has changed, as far as the responding instance has read it. */
     record FleetReply(FleetUpdate update) implements GatewayMessage {}
 
+    /**
+     * Requests a token for one request from the owner of a back end's rate limit.
+     *
+     * @param known what the sender knows of the limit
+     * @param sender instance that wants to write the request
+     * @param urgency urgency of the request, 0 for the most urgent
+     * @param isForwarded whether another instance than the sender passed the request on
+     */
+    record RateLimitRequest(
+            RateLimitUpdate known, InstanceId sender, int urgency, boolean isForwarded)
+            implements GatewayMessage {}
+
+    /**
+     * The decision of the owner.
+     *
+     * @param known what the owner knows of the limit
+     * @param isGranted whether the sender may write its request now
+     * @param waitMillis time after which the sender may ask again
+     */
+    record RateLimitReply(RateLimitUpdate known, boolean isGranted, long waitMillis)
+            implements GatewayMessage {}
+
+    /** Tells the owner of a back end's rate limit that the limit has changed. */
+    record RateLimitReport(RateLimitUpdate known) implements GatewayMessage {}
+
     /** The message was accepted; the response carries no data. */
     record Received() implements PeerMessage {}
 
