Split the choice of back ends from the forwarding of a request

No behaviour changes: ForwardingTest, ForwardingNoticesTest, BackEndNoticesTest, BackEndRegistryTest and MemoryLeasesTest pass as they are.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -1,9 +1,7 @@
 package org.rattanport.decisions.gateway;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
@@ -14,10 +12,8 @@
 import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.CallerExchange;
 import org.rattanport.kernel.gateway.CallerRequest;
-import org.rattanport.kernel.gateway.EngineGroup;
 import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.GatewayAccount;
-import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.RequestContent;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.ResponseHead;
@@ -49,7 +45,7 @@
     private final Optional<GatewayAccount> mAccount;
     private final Deadline mDeadline;
     private ResponseRelay mRelay;
-    private final Set<String> mExcluded = new HashSet<>();
+    private final BackEndSelection mSelection;
     private final RequestTrace mTrace;
     private final RequestContent mContent;
     private Optional<String> mLastBackEndId = Optional.empty();
@@ -89,6 +85,7 @@
                         account.map(GatewayAccount::name).orElse("-"),
                         request.sharedParts(),
                         components.routing().version());
+        mSelection = new BackEndSelection(components, request, route, service);
         mTrace = new RequestTrace(info, components.events(), components.time());
         mRelay = createRelay();
     }
@@ -147,7 +144,7 @@
             if (mHasReachedBackEnd && !mComponents.retryBudget().tryAcquire(mService.name())) {
                 break;
             }
-            Optional<Placement> placement = place();
+            Optional<Placement> placement = mSelection.place();
             if (placement.isEmpty()) {
                 mComponents
                         .registry()
@@ -173,30 +170,11 @@
         return mDeadline.remaining(mComponents.time()).compareTo(MIN_ATTEMPT_TIME) >= 0;
     }
 
-    private Optional<Placement> place() {
-        BackEndPlacement policy =
-                mService.engineSpec().isPresent()
-                        ? mComponents.promptPlacement()
-                        : mComponents.servicePlacement();
-        Set<String> excluded = new HashSet<>(mExcluded);
-        excluded.addAll(mComponents.registry().refusing(mService.name()));
-        PlacementDemand demand =
-                new PlacementDemand(
-                        mRequest.attemptId(),
-                        mService.name(),
-                        EngineGroup.ALL,
-                        mRequest.promptSize(),
-                        mRoute.latencyObjective(),
-                        mRoute.maxEventGap(),
-                        Set.copyOf(excluded));
-        return policy.place(new PlacementQuery(mService, demand));
-    }
-
     /** Sends the request to one back end; returns whether the request has ended for the caller. */
     private boolean attempt(Placement placement) {
         BackEnd backEnd = placement.backEnd();
         int runsBefore = mRuns;
-        mExcluded.add(backEnd.id());
+        mSelection.exclude(backEnd);
         mLastBackEndId = Optional.of(backEnd.id());
         mHasReachedBackEnd = false;
         mHasBegun = false;
@@ -232,7 +210,8 @@
         MemoryLeases.Lease lease =
                 mComponents
                         .leases()
-                        .acquire(placement.reservations(), placement.backEnd(), this::exclude);
+                        .acquire(
+                                placement.reservations(), placement.backEnd(), mSelection::exclude);
         mLease = Optional.of(lease);
         return () -> {
             mLease = Optional.empty();
@@ -240,10 +219,6 @@
         };
     }
 
-    private void exclude(BackEnd engine) {
-        mExcluded.add(engine.id());
-    }
-
     /** Sends the request, unless the caller left or the time ran out during the preparations. */
     private BackEndExchange send(Placement placement) {
         requireWorthSending();
@@ -268,7 +243,7 @@
                         mDeadline.within(mComponents.time(), CONNECT_TIMEOUT),
                         () -> {
                             requireWorthSending();
-                            requireAccepting(placement.backEnd());
+                            mSelection.requireAccepting(placement);
                             mTrace.attemptSent(placement);
                         });
     }
@@ -290,13 +265,6 @@
         }
     }
 
-    /** The back end may have asked for a pause, or begun to leave, since it was chosen. */
-    private void requireAccepting(BackEnd backEnd) {
-        if (!mComponents.notices().tryUse(backEnd)) {
-            throw ForwardingErrors.wantsNoRequests();
-        }
-    }
-
     private boolean handleResponse(Placement placement, BackEndExchange exchange) {
         BackEnd backEnd = placement.backEnd();
         ResponseHead head =
@@ -375,8 +343,8 @@
                 head.faultyEngineAddress()
                         .flatMap(placement::findByAddress)
                         .orElse(placement.backEnd());
-        mExcluded.remove(placement.backEnd().id());
-        mExcluded.add(faultyEngine.id());
+        mSelection.allow(placement.backEnd());
+        mSelection.exclude(faultyEngine);
         if (head.isMisdirected()) {
             mComponents.registry().removeReplaced(faultyEngine);
         }
@@ -445,7 +413,7 @@
         mLastError = error;
         if (error.code() == ErrorCode.TARGET_REFUSED) {
             // A prefill engine granted no memory lease; the decode engine is not at fault.
-            mExcluded.remove(backEnd.id());
+            mSelection.allow(backEnd);
             return false;
         }
         mComponents.notices().recordFailure(backEnd.id());
