Keep the rate limits that back ends name in their responses

Callers and engines saw: an engine that named a limit of a request a second for all instances together got 13 in 4 s, as instances read no limit at all.

Now the limit is one resource of the fleet. Each limited back end has an owner, the first alive member by rendezvous hashing, which grants tokens from one bucket. An instance asks it at the moment of writing, one token a request and for each engine that prefills a part; without a token, or without an answer, it writes nothing there. A new owner waits a second, so that it and the one before stay within the limit together; it grants the share of the rate that is due to the members which it believes alive, so that the parts of a parted fleet add up to the limit. Another member than the owner passes a request on; the next owner is named by the failure detector. Of two responses the one to the request that was written later counts, so a late response does not bring an old limit back.

If no back end of a service takes requests, callers are refused at once with the time until the first may, spread by up to a quarter. BackEndRegistry asks a list of gates now, of which notices and limits are two.

Evidence: ForwardingRateLimitsTest failed before (in ten seconds at one request a second "expected to be in range: [8..12], but was: 100", and requests that should be refused were sent). BackEndRateLimitsTest plays 1, 15 and 60 instances under full demand in virtual time at limits of 0.2, 1, 10 and 100, and owners that die, freeze, wake, are cut off one way or parted, members that join and restart, and limits that change: no window of 4 s over 1.5 x 4 x limit + 5, and at least 80% of the limit used.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndNotices.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndNotices.java
@@ -1,7 +1,6 @@
 package org.rattanport.decisions.gateway;
 
 import java.time.Duration;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -19,7 +18,7 @@
  * or that they want no requests for a time. A notice holds for one run of a back end, whatever the
  * registry says of that run; only a later run under the same id ends it early.
  */
-public final class BackEndNotices {
+public final class BackEndNotices implements RequestGate {
     private static final Logger LOGGER = Logger.getLogger(BackEndNotices.class);
 
     /** Time after which a back end that left is forgotten; it ends within minutes. */
@@ -114,6 +113,7 @@
     }
 
     /** Ends the notice of an earlier run when the registry shows a later one under the same id. */
+    @Override
     public synchronized void recordRegistered(BackEnd backEnd) {
         Notice notice = mNotices.get(backEnd.id());
         if (notice != null && isEarlierRun(notice, backEnd)) {
@@ -143,6 +143,7 @@
     }
 
     /** Whether the back end may get a request now. */
+    @Override
     public synchronized boolean accepts(BackEnd backEnd) {
         Notice notice = mNotices.get(backEnd.id());
         if (notice == null || isEarlierRun(notice, backEnd)) {
@@ -172,20 +173,12 @@
         return true;
     }
 
-    /** The time until the first of these back ends ends its pause, if all of them pause. */
-    public synchronized Optional<Duration> shortestPause(Collection<BackEnd> backEnds) {
-        boolean doAllPause =
-                !backEnds.isEmpty()
-                        && backEnds.stream()
-                                .map(each -> mNotices.get(each.id()))
-                                .allMatch(notice -> notice != null && notice.kind() == Kind.PAUSE);
-        if (!doAllPause) {
-            return Optional.empty();
-        }
-        long now = mTime.nanoTime();
-        return backEnds.stream()
-                .map(each -> mNotices.get(each.id()).untilNanos() - now)
-                .min(Long::compare)
+    /** The time until the back end ends its pause. */
+    @Override
+    public synchronized Optional<Duration> waitTime(BackEnd backEnd) {
+        return Optional.ofNullable(mNotices.get(backEnd.id()))
+                .filter(notice -> notice.kind() == Kind.PAUSE)
+                .map(notice -> notice.untilNanos() - mTime.nanoTime())
                 .map(nanos -> Duration.ofNanos(Math.max(0, nanos)));
     }
 }
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRateLimits.java
@@ -0,0 +1,216 @@
+package org.rattanport.decisions.gateway;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.RateLimit;
+import org.rattanport.kernel.gateway.RateLimitEvent;
+import org.rattanport.kernel.gateway.RateLimitUpdate;
+import org.rattanport.kernel.gateway.ResponseHead;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.peer.PeerMessage.RateLimitReply;
+import org.rattanport.kernel.peer.PeerMessage.RateLimitRequest;
+import org.rattanport.kernel.time.TimeSource;
+
+/**
+ * Keeps the rate limits that back ends name in their responses. Each request to a limited back end
+ * needs a token of the owner of the limit; without a response of an owner no request is written.
+ */
+public final class BackEndRateLimits implements RequestGate {
+    /** Timeout of an owner, which may pass the request on to another one. */
+    private static final Duration OWNER_TIMEOUT = Duration.ofMillis(80);
+
+    /** Members that learn a change at once: the owner, and the one that would take over. */
+    private static final int INFORMED_MEMBERS = 2;
+
+    /** Time for which no request is tried after no owner has responded. */
+    private static final Duration UNANSWERED_WAIT = Duration.ofMillis(200);
+
+    /** Age after which a token is void; this instance was frozen since it asked. */
+    private static final Duration TOKEN_LIFETIME = Duration.ofMillis(250);
+
+    /** Keeps requests away from a back end while its limit stays the same. */
+    private record Hold(long startWallMillis, Optional<RateLimit> limit, long untilNanos) {}
+
+    private final RateLimitTable mTable;
+    private final RateLimitOwner mOwner;
+    private final CoordinatorDirectory mDirectory;
+    private final RateLimitPeers mPeers;
+    private final Executor mBackground;
+    private final Consumer<RateLimitEvent> mOnEvent;
+    private final TimeSource mTime;
+    private final Random mRandom;
+    private final AtomicLong mResponses = new AtomicLong();
+    private final Map<String, Hold> mHolds = new ConcurrentHashMap<>();
+
+    BackEndRateLimits(
+            RateLimitTable table,
+            RateLimitOwner owner,
+            CoordinatorDirectory directory,
+            RateLimitPeers peers,
+            Executor background,
+            Consumer<RateLimitEvent> onEvent,
+            TimeSource time,
+            Random random) {
+        mTable = table;
+        mOwner = owner;
+        mDirectory = directory;
+        mPeers = peers;
+        mBackground = background;
+        mOnEvent = onEvent;
+        mTime = time;
+        mRandom = random;
+    }
+
+    /**
+     * Records what a response says about the limit of the back end.
+     *
+     * @param written when the request was written
+     */
+    void recordResponse(BackEnd backEnd, ResponseHead head, ClockReading written) {
+        if (head.isMisdirected()) {
+            return;
+        }
+        RateLimitUpdate update =
+                new RateLimitUpdate(
+                        backEnd.id(),
+                        backEnd.startWallMillis(),
+                        head.rateLimit(),
+                        mDirectory.self().id().toString(),
+                        mResponses.incrementAndGet(),
+                        written.age(mTime));
+        if (mTable.record(update)) {
+            mBackground.execute(() -> report(backEnd.id()));
+        }
+    }
+
+    /** Tells the owner and the next one in order, which may have to take over. */
+    private void report(String backEndId) {
+        mTable.known(backEndId)
+                .ifPresent(
+                        known ->
+                                mDirectory.candidates(RateLimitOwner.key(backEndId)).stream()
+                                        .limit(INFORMED_MEMBERS)
+                                        .filter(each -> !mDirectory.isSelf(each))
+                                        .forEach(each -> mPeers.report(each, known)));
+    }
+
+    @Override
+    public void recordRegistered(BackEnd backEnd) {
+        mTable.recordRegistered(backEnd);
+    }
+
+    @Override
+    public boolean accepts(BackEnd backEnd) {
+        return waitTime(backEnd).isEmpty();
+    }
+
+    @Override
+    public Optional<Duration> waitTime(BackEnd backEnd) {
+        Hold hold = mHolds.get(backEnd.id());
+        if (hold == null) {
+            return Optional.empty();
+        }
+        long remaining = hold.untilNanos() - mTime.nanoTime();
+        boolean isInForce =
+                remaining > 0
+                        && mTable.limited(backEnd)
+                                .filter(known -> known.limit().equals(hold.limit()))
+                                .filter(known -> known.startWallMillis() == hold.startWallMillis())
+                                .isPresent();
+        if (!isInForce) {
+            mHolds.remove(backEnd.id(), hold);
+            return Optional.empty();
+        }
+        return Optional.of(Duration.ofNanos(remaining));
+    }
+
+    /**
+     * Whether a request may be written to the back end at this moment. For a limited one, this asks
+     * the owner of the limit for a token.
+     *
+     * @param urgency urgency of the request, 0 for the most urgent
+     */
+    boolean tryUse(BackEnd backEnd, int urgency) {
+        Optional<RateLimitUpdate> limited = mTable.limited(backEnd);
+        if (limited.isEmpty()) {
+            return true;
+        }
+        boolean isGranted = accepts(backEnd) && takeToken(backEnd, limited.get(), urgency);
+        publish(backEnd, isGranted ? RateLimitEvent.Kind.GRANTED : RateLimitEvent.Kind.HELD_BACK);
+        return isGranted;
+    }
+
+    private boolean takeToken(BackEnd backEnd, RateLimitUpdate known, int urgency) {
+        ClockReading asked = ClockReading.now(mTime);
+        RateLimitRequest request =
+                new RateLimitRequest(known, mDirectory.self().id(), urgency, false);
+        Optional<RateLimitReply> reply =
+                isAlone(backEnd) ? Optional.of(mOwner.decide(request)) : askOwner(backEnd, request);
+        if (reply.isEmpty()) {
+            publish(backEnd, RateLimitEvent.Kind.UNANSWERED);
+            hold(backEnd, UNANSWERED_WAIT);
+            return false;
+        }
+        if (!reply.get().isGranted()) {
+            hold(backEnd, Duration.ofMillis(reply.get().waitMillis()));
+            return false;
+        }
+        return asked.age(mTime).compareTo(TOKEN_LIFETIME) <= 0;
+    }
+
+    /** Asks the owner, or while that is silent another member, which may reach it. */
+    private Optional<RateLimitReply> askOwner(BackEnd backEnd, RateLimitRequest request) {
+        List<Member> members = mDirectory.order(RateLimitOwner.key(backEnd.id()));
+        Member owner = members.getFirst();
+        Optional<RateLimitReply> reply =
+                mDirectory.isSilent(owner) ? Optional.empty() : ask(owner, request);
+        return reply.isPresent() ? reply : anyOther(members).flatMap(each -> ask(each, request));
+    }
+
+    private Optional<Member> anyOther(List<Member> members) {
+        List<Member> others =
+                members.stream()
+                        .skip(1)
+                        .filter(each -> !mDirectory.isSelf(each) && !mDirectory.isSilent(each))
+                        .toList();
+        return others.isEmpty()
+                ? Optional.empty()
+                : Optional.of(others.get(mRandom.nextInt(others.size())));
+    }
+
+    /** Whether no member is alive, as in a fleet of one that stops. */
+    private boolean isAlone(BackEnd backEnd) {
+        return mDirectory.order(RateLimitOwner.key(backEnd.id())).isEmpty();
+    }
+
+    private Optional<RateLimitReply> ask(Member member, RateLimitRequest request) {
+        if (mDirectory.isSelf(member)) {
+            return Optional.of(mOwner.decide(request));
+        }
+        return mPeers.ask(member, request, OWNER_TIMEOUT);
+    }
+
+    private void hold(BackEnd backEnd, Duration duration) {
+        mTable.limited(backEnd)
+                .ifPresent(
+                        known ->
+                                mHolds.put(
+                                        backEnd.id(),
+                                        new Hold(
+                                                known.startWallMillis(),
+                                                known.limit(),
+                                                mTime.nanoTime() + duration.toNanos())));
+    }
+
+    private void publish(BackEnd backEnd, RateLimitEvent.Kind kind) {
+        mOnEvent.accept(new RateLimitEvent(backEnd.id(), kind));
+    }
+}
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
@@ -25,15 +25,20 @@
     private static final Duration REREGISTRATION_GRACE = Duration.ofSeconds(2);
 
     private final TimeSource mTime;
-    private final BackEndNotices mNotices;
+    private final List<RequestGate> mGates;
     private final Map<String, BackEnd> mBackEnds = new HashMap<>();
     private final Map<String, Long> mRemovalNanos = new HashMap<>();
     private Optional<Long> mStoreRecoveredNanos = Optional.empty();
     private boolean mIsInitialized;
 
-    public BackEndRegistry(TimeSource time, BackEndNotices notices) {
+    /**
+     * Creates an empty registry.
+     *
+     * @param gates what keeps requests away from registered back ends
+     */
+    public BackEndRegistry(TimeSource time, RequestGate... gates) {
         mTime = time;
-        mNotices = notices;
+        mGates = List.of(gates);
     }
 
     /** Records that the store responds again after an outage. */
@@ -48,7 +53,7 @@
     public synchronized void replace(List<BackEnd> entries) {
         if (!mIsInitialized) {
             entries.forEach(each -> mBackEnds.put(each.id(), each));
-            entries.forEach(mNotices::recordRegistered);
+            entries.forEach(this::recordRegistered);
             mIsInitialized = true;
             LOGGER.info(LogLine.of("registry-known").with("back_ends", mBackEnds.size()));
             return;
@@ -65,7 +70,7 @@
     }
 
     private void put(BackEnd backEnd) {
-        mNotices.recordRegistered(backEnd);
+        recordRegistered(backEnd);
         mRemovalNanos.remove(backEnd.id());
         BackEnd previous = mBackEnds.put(backEnd.id(), backEnd);
         if (previous == null || !previous.equals(backEnd)) {
@@ -78,6 +83,10 @@
         }
     }
 
+    private void recordRegistered(BackEnd backEnd) {
+        mGates.forEach(gate -> gate.recordRegistered(backEnd));
+    }
+
     private void remove(String id) {
         BackEnd current = mBackEnds.get(id);
         if (current == null) {
@@ -130,23 +139,43 @@
 
     /** Returns the back ends of the service that accept requests now. */
     public List<BackEnd> available(String service) {
-        return registered(service).stream().filter(mNotices::accepts).toList();
+        return registered(service).stream().filter(this::isAccepting).toList();
     }
 
     /** Returns the ids of registered back ends of the service that want no requests now. */
     public Set<String> refusing(String service) {
         return registered(service).stream()
-                .filter(each -> !mNotices.accepts(each))
+                .filter(each -> !isAccepting(each))
                 .map(BackEnd::id)
                 .collect(Collectors.toSet());
     }
 
+    private boolean isAccepting(BackEnd backEnd) {
+        return mGates.stream().allMatch(gate -> gate.accepts(backEnd));
+    }
+
     /**
-     * Returns the time until a back end of the service accepts requests again, if all of them have
-     * asked for a pause.
+     * Returns the time until a back end of the service may accept requests again, if none does now
+     * and the time is known for each of them.
      */
-    public Optional<Duration> shortestPause(String service) {
-        return mNotices.shortestPause(registered(service));
+    public Optional<Duration> shortestWait(String service) {
+        List<Optional<Duration>> waits = registered(service).stream().map(this::waitTime).toList();
+        return waits.stream().allMatch(Optional::isPresent)
+                ? waits.stream().flatMap(Optional::stream).min(Duration::compareTo)
+                : Optional.empty();
+    }
+
+    /** Returns the time until no gate keeps requests away; empty if one does not know it. */
+    private Optional<Duration> waitTime(BackEnd backEnd) {
+        List<RequestGate> closed = mGates.stream().filter(gate -> !gate.accepts(backEnd)).toList();
+        List<Duration> waits =
+                closed.stream()
+                        .map(gate -> gate.waitTime(backEnd))
+                        .flatMap(Optional::stream)
+                        .toList();
+        return waits.size() == closed.size()
+                ? waits.stream().max(Duration::compareTo)
+                : Optional.empty();
     }
 
     /** Returns the back ends of the service that are not draining by their entries. */
@@ -167,7 +196,7 @@
 
     /** Returns the back end if it accepts requests now. */
     public Optional<BackEnd> findAvailable(String id) {
-        return find(id).filter(each -> !each.isDraining() && mNotices.accepts(each));
+        return find(id).filter(each -> !each.isDraining() && isAccepting(each));
     }
 
     /** Whether the registry was read in full at least once. */
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
@@ -59,8 +59,24 @@
         mExcluded.remove(backEnd.id());
     }
 
-    /** The back end may have asked for a pause, or begun to leave, since it was chosen. */
+    /**
+     * Checks at the moment of writing that the request may be written: the back end may have asked
+     * for a pause, or begun to leave, since it was chosen, and each engine with a rate limit that
+     * processes a part of the request needs a token.
+     */
     void requireAccepting(Placement placement) {
+        if (!mComponents.notices().accepts(placement.backEnd())) {
+            throw ForwardingErrors.wantsNoRequests();
+        }
+        int urgency = Urgency.of(mRoute.latencyObjective());
+        Optional<BackEnd> held =
+                placement
+                        .engines()
+                        .filter(each -> !mComponents.rateLimits().tryUse(each, urgency))
+                        .findFirst();
+        if (held.isPresent()) {
+            throw ForwardingErrors.heldBack(held.get());
+        }
         if (!mComponents.notices().tryUse(placement.backEnd())) {
             throw ForwardingErrors.wantsNoRequests();
         }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatorDirectory.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatorDirectory.java
@@ -11,9 +11,10 @@
 import org.rattanport.kernel.time.TimeSource;
 
 /**
- * Chooses the coordinator of each group of engines by rendezvous hashing over the alive members,
- * weighted by the capacity of their machines, so that instances with the same view of the members
- * agree without an election. A coordinator that does not respond is passed over for a while.
+ * Chooses who coordinates a group of engines, or owns the rate limit of a back end, by rendezvous
+ * hashing over the alive members, weighted by the capacity of their machines, so that instances
+ * with the same view of the members agree without an election. A coordinator that does not respond
+ * is passed over for a while.
  */
 final class CoordinatorDirectory {
     /** Mean number of engines in a group; a prompt is prefilled by up to 17 of them. */
@@ -22,6 +23,8 @@
     /** Time for which a silent coordinator is passed over; the failure detector takes longer. */
     private static final Duration SILENCE_PENALTY = Duration.ofSeconds(1);
 
+    private static final int MAX_CACHED_ORDERS = 1_000;
+
     /** Members in the order of their preference for a key, as of a state of the member table. */
     private record Order(long changeCount, List<Member> members) {}
 
@@ -42,16 +45,23 @@
 
     /** Returns the members that may coordinate the group, the preferred one first. */
     List<Member> candidates(String service, EngineGroup group) {
-        return order(service + "/" + group.index()).members().stream()
-                .filter(each -> !isSilent(each))
-                .toList();
+        return candidates(service + "/" + group.index());
+    }
+
+    /** Returns the members that respond and may coordinate the key, the preferred one first. */
+    List<Member> candidates(String key) {
+        return order(key).stream().filter(each -> !isSilent(each)).toList();
     }
 
-    private Order order(String key) {
+    /** Returns all alive members in the order of their preference for the key. */
+    List<Member> order(String key) {
         long changeCount = mMembers.changeCount();
         Order known = mOrders.get(key);
         if (known != null && known.changeCount() == changeCount) {
-            return known;
+            return known.members();
+        }
+        if (mOrders.size() >= MAX_CACHED_ORDERS) {
+            mOrders.clear();
         }
         Order order =
                 new Order(
@@ -62,18 +72,27 @@
                                 each -> each.id().name(),
                                 Member::dutyWeight));
         mOrders.put(key, order);
-        return order;
+        return order.members();
+    }
+
+    Member self() {
+        return mMembers.self();
     }
 
     boolean isSelf(Member member) {
         return member.id().equals(mMembers.self().id());
     }
 
-    private boolean isSilent(Member member) {
+    boolean isSilent(Member member) {
         Long silenceNanos = mSilenceNanos.get(member.peerAddress());
         return silenceNanos != null && mTime.nanoTime() - silenceNanos < SILENCE_PENALTY.toNanos();
     }
 
+    /** Whether the member has not responded since it was silent. */
+    boolean wasSilent(Member member) {
+        return mSilenceNanos.containsKey(member.peerAddress());
+    }
+
     void recordResponse(Member member) {
         mSilenceNanos.remove(member.peerAddress());
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -57,6 +57,9 @@
     /** Whether the back end of the current attempt has sent an event. */
     private boolean mHasBegun;
 
+    /** When the request of the current attempt was written. */
+    private ClockReading mWritten;
+
     private Verdict mVerdict = Verdict.NOT_RUN;
     private RattanportException mLastError =
             new RattanportException(ErrorCode.NO_TARGET, "no back end takes requests");
@@ -87,6 +90,7 @@
                         components.routing().version());
         mSelection = new BackEndSelection(components, request, route, service);
         mTrace = new RequestTrace(info, components.events(), components.time());
+        mWritten = ClockReading.now(components.time());
         mRelay = createRelay();
     }
 
@@ -148,8 +152,8 @@
             if (placement.isEmpty()) {
                 mComponents
                         .registry()
-                        .shortestPause(mService.name())
-                        .ifPresent(pause -> mLastError = ForwardingErrors.allPause(pause));
+                        .shortestWait(mService.name())
+                        .ifPresent(wait -> mLastError = ForwardingErrors.noneAccepts(wait));
                 break;
             }
             if (attempt(placement.get())) {
@@ -244,6 +248,7 @@
                         () -> {
                             requireWorthSending();
                             mSelection.requireAccepting(placement);
+                            mWritten = ClockReading.now(mComponents.time());
                             mTrace.attemptSent(placement);
                         });
     }
@@ -277,6 +282,7 @@
         mTrace.responseReceived(head.status());
         mHasReachedBackEnd = true;
         mComponents.notices().recordResponse(backEnd, head);
+        mComponents.rateLimits().recordResponse(backEnd, head, mWritten);
         head.load().ifPresent(load -> mComponents.loadTable().recordReport(backEnd.id(), load));
         if (head.isNotRun() && !isForeign(head)) {
             recordRefusal(placement, head);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ForwardingErrors.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ForwardingErrors.java
@@ -5,6 +5,7 @@
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.CallerRequest;
 import org.rattanport.kernel.gateway.RequestContent;
 import org.rattanport.kernel.model.Fingerprint;
@@ -14,8 +15,8 @@
     /** Delay after which a refused caller may retry; short requests end within it. */
     private static final Duration RETRY_AFTER = Duration.ofMillis(200);
 
-    /** Largest addition to the pause of back ends, as a fraction of it. */
-    private static final double PAUSE_SPREAD = 0.25;
+    /** Largest addition to the time until back ends take requests, as a fraction of it. */
+    private static final double WAIT_SPREAD = 0.25;
 
     private ForwardingErrors() {}
 
@@ -44,12 +45,13 @@
                 .build();
     }
 
-    /** Callers return at different times after the pause, so that they do not come as a herd. */
-    static RattanportException allPause(Duration pause) {
-        double spread = 1 + PAUSE_SPREAD * ThreadLocalRandom.current().nextDouble();
+    /** Callers return at different times after the wait, so that they do not come as a herd. */
+    static RattanportException noneAccepts(Duration wait) {
+        double spread = 1 + WAIT_SPREAD * ThreadLocalRandom.current().nextDouble();
         return RattanportException.builder(
-                        ErrorCode.TARGET_REFUSED, "every back end asked for a pause")
-                .retryAfter(Duration.ofMillis(Math.round(pause.toMillis() * spread)))
+                        ErrorCode.TARGET_REFUSED,
+                        "every back end asked for a pause or has reached its rate limit")
+                .retryAfter(Duration.ofMillis(Math.round(wait.toMillis() * spread)))
                 .build();
     }
 
@@ -58,6 +60,12 @@
                 ErrorCode.TARGET_REFUSED, "the back end wants no requests now");
     }
 
+    static RattanportException heldBack(BackEnd backEnd) {
+        return new RattanportException(
+                ErrorCode.TARGET_REFUSED,
+                "the rate limit of back end " + backEnd.id() + " leaves no token for the request");
+    }
+
     static RattanportException failedRun(String reason) {
         return RattanportException.builder(ErrorCode.TARGET_FAILED, reason)
                 .verdict(Verdict.RAN)
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayComponents.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayComponents.java
@@ -9,6 +9,7 @@
         ActiveRouting routing,
         BackEndRegistry registry,
         BackEndNotices notices,
+        BackEndRateLimits rateLimits,
         BackEndPlacement promptPlacement,
         BackEndPlacement servicePlacement,
         BackEndClient client,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -68,7 +68,8 @@
         GatewaySettings settings = context.require(GatewaySettings.class);
         ActiveRouting routing = context.require(ActiveRouting.class);
         BackEndNotices notices = new BackEndNotices(time, context.events()::publish);
-        BackEndRegistry registry = new BackEndRegistry(time, notices);
+        BackEndRateLimits rateLimits = rateLimits(context);
+        BackEndRegistry registry = new BackEndRegistry(time, notices, rateLimits);
         WorkTracker tracker = new WorkTracker(time);
         BackEndHealth health = new BackEndHealth(time);
         GatewayService service =
@@ -78,6 +79,7 @@
                                 settings,
                                 registry,
                                 notices,
+                                rateLimits,
                                 health,
                                 placement(context, registry, health, tracker)),
                         new Random());
@@ -102,6 +104,39 @@
         context.provide(GatewayService.class, service);
     }
 
+    private BackEndRateLimits rateLimits(PluginContext context) {
+        TimeSource time = context.time();
+        PeerNetwork peers = context.require(PeerNetwork.class);
+        CoordinatorDirectory directory =
+                new CoordinatorDirectory(context.require(MemberTable.class), time);
+        MissingMembers missing = new MissingMembers(time);
+        RateLimitTable table = new RateLimitTable(time, context.events()::publish);
+        RateLimitPeers owners = new RateLimitPeers(peers, directory, table, time);
+        RateLimitOwner owner =
+                new RateLimitOwner(table, directory, missing, owners, time, new Random());
+        owner.registerHandlers(peers);
+        Membership membership = context.require(Membership.class);
+        mSubscriptions.add(
+                membership
+                        .memberChanges()
+                        .doOnNext(missing::recordChange)
+                        .filter(member -> owner.hasAllocations())
+                        .subscribe(
+                                member ->
+                                        Tasks.start(
+                                                "hand-over-rate-limits", owner::membersChanged)));
+        membership.aliveMembers().forEach(missing::recordChange);
+        return new BackEndRateLimits(
+                table,
+                owner,
+                directory,
+                owners,
+                report -> Tasks.start("report-rate-limit", report),
+                context.events()::publish,
+                time,
+                new Random());
+    }
+
     private CoordinatedPlacement placement(
             PluginContext context,
             BackEndRegistry registry,
@@ -157,6 +192,7 @@
             GatewaySettings settings,
             BackEndRegistry registry,
             BackEndNotices notices,
+            BackEndRateLimits rateLimits,
             BackEndHealth health,
             CoordinatedPlacement placement) {
         TimeSource time = context.time();
@@ -175,6 +211,7 @@
                 context.require(ActiveRouting.class),
                 registry,
                 notices,
+                rateLimits,
                 placement,
                 new LeastLoadedPlacement(dataCentre, registry, health, loadTable, new Random()),
                 context.require(BackEndClient.class),
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Placement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Placement.java
@@ -69,10 +69,13 @@
                 .findFirst();
     }
 
+    /** All back ends of this placement. */
+    Stream<BackEnd> engines() {
+        return Stream.concat(Stream.of(backEnd), prefillEngines.stream());
+    }
+
     /** The back end of this placement with the address. */
     public Optional<BackEnd> findByAddress(String address) {
-        return Stream.concat(Stream.of(backEnd), prefillEngines.stream())
-                .filter(each -> each.address().equals(address))
-                .findFirst();
+        return engines().filter(each -> each.address().equals(address)).findFirst();
     }
 }
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RateLimitOwner.java
@@ -0,0 +1,258 @@
+package org.rattanport.decisions.gateway;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.jboss.logging.Logger;
+import org.rattanport.decisions.quota.TokenBucket;
+import org.rattanport.kernel.event.LogLine;
+import org.rattanport.kernel.gateway.RateLimit;
+import org.rattanport.kernel.gateway.RateLimitUpdate;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.peer.PeerMessage;
+import org.rattanport.kernel.peer.PeerMessage.RateLimitReply;
+import org.rattanport.kernel.peer.PeerMessage.RateLimitReport;
+import org.rattanport.kernel.peer.PeerMessage.RateLimitRequest;
+import org.rattanport.kernel.peer.PeerNetwork;
+import org.rattanport.kernel.time.TimeSource;
+
+/**
+ * Grants the tokens of the rate limits that this instance owns. A token is for one request that is
+ * written at once.
+ *
+ * <p>The first alive member in the order of a back end is its owner. It grants the share of the
+ * rate that is due to the members which it believes alive, so that the grants in both parts of a
+ * parted fleet add up to the limit. Another member that is asked passes the request on to the
+ * owner. A silent owner has no deputy: the next member takes over when the failure detector
+ * suspects it.
+ */
+final class RateLimitOwner {
+    private static final Logger LOGGER = Logger.getLogger(RateLimitOwner.class);
+
+    /** Tokens that a bucket holds: a number of requests and the tokens of a time. */
+    private static final double BURST_REQUESTS = 2;
+
+    private static final double BURST_SECONDS = 0.1;
+
+    /** A new owner grants nothing for so long, while members still ask the one before. */
+    private static final Duration HANDOVER_TIME = Duration.ofSeconds(1);
+
+    /** A limit of 0 is tried at this rate, as only a response can end it. */
+    private static final double MIN_REQUESTS_PER_SECOND = 0.1;
+
+    /** Time for which an instance that asked counts as one that wants tokens. */
+    private static final Duration DEMAND_LIFETIME = Duration.ofSeconds(5);
+
+    /** Longest time by which instances that want tokens are spread. */
+    private static final double MAX_SPREAD_SECONDS = 5;
+
+    /** Longest time after which an instance asks again, apart from the spread. */
+    private static final double MAX_WAIT_SECONDS = 10;
+
+    /** Time for which a token is kept for a more urgent request than the one that asks. */
+    private static final Duration RESERVATION_TIME = Duration.ofSeconds(2);
+
+    private static final Duration FORWARD_TIMEOUT = Duration.ofMillis(40);
+    private static final long NO_OWNER_WAIT_MILLIS = 200;
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    /** An instance that asked for a token, and the urgency of a request that got none. */
+    private record Demand(long askedNanos, Optional<Integer> refusedUrgency) {}
+
+    /** The tokens of one back end's limit and the instances that want them. */
+    private static final class Allocation {
+        private final long mStartWallMillis;
+        private final TokenBucket mBucket;
+        private final Map<String, Demand> mDemands = new HashMap<>();
+
+        private Allocation(long startWallMillis, TokenBucket bucket) {
+            mStartWallMillis = startWallMillis;
+            mBucket = bucket;
+        }
+    }
+
+    private final RateLimitTable mTable;
+    private final CoordinatorDirectory mDirectory;
+    private final MissingMembers mMissing;
+    private final RateLimitPeers mPeers;
+    private final TimeSource mTime;
+    private final Random mRandom;
+    private final Map<String, Allocation> mAllocations = new HashMap<>();
+
+    RateLimitOwner(
+            RateLimitTable table,
+            CoordinatorDirectory directory,
+            MissingMembers missing,
+            RateLimitPeers peers,
+            TimeSource time,
+            Random random) {
+        mTable = table;
+        mDirectory = directory;
+        mMissing = missing;
+        mPeers = peers;
+        mTime = time;
+        mRandom = random;
+    }
+
+    /** Registers the handlers of requests for tokens and of reports with the peer network. */
+    void registerHandlers(PeerNetwork peers) {
+        peers.registerHandler(RateLimitRequest.class, this::decide);
+        peers.registerHandler(
+                RateLimitReport.class,
+                report -> {
+                    mTable.record(report.known());
+                    return new PeerMessage.Received();
+                });
+    }
+
+    /** The key of a back end in the order of the members. */
+    static String key(String backEndId) {
+        return "rate-limit/" + backEndId;
+    }
+
+    /** Decides a request for a token, or has the owner decide it. */
+    RateLimitReply decide(RateLimitRequest request) {
+        mTable.record(request.known());
+        Optional<Member> owner =
+                mDirectory.order(key(request.known().backEndId())).stream()
+                        .findFirst()
+                        .filter(each -> !mDirectory.isSelf(each));
+        if (owner.isEmpty()) {
+            return grant(request);
+        }
+        boolean canForward = !request.isForwarded() && !mDirectory.isSilent(owner.get());
+        return canForward
+                ? forward(owner.get(), request)
+                : refusal(request.known(), NO_OWNER_WAIT_MILLIS);
+    }
+
+    private RateLimitReply forward(Member owner, RateLimitRequest request) {
+        RateLimitRequest forwarded =
+                new RateLimitRequest(request.known(), request.sender(), request.urgency(), true);
+        return mPeers.ask(owner, forwarded, FORWARD_TIMEOUT)
+                .orElseGet(() -> refusal(request.known(), NO_OWNER_WAIT_MILLIS));
+    }
+
+    private RateLimitReply refusal(RateLimitUpdate known, long waitMillis) {
+        return new RateLimitReply(mTable.known(known.backEndId()).orElse(known), false, waitMillis);
+    }
+
+    private RateLimitReply grant(RateLimitRequest request) {
+        RateLimitUpdate known = mTable.known(request.known().backEndId()).orElse(request.known());
+        if (known.startWallMillis() != request.known().startWallMillis()) {
+            return refusal(known, NO_OWNER_WAIT_MILLIS);
+        }
+        if (!RateLimitTable.isEnforced(known)) {
+            return new RateLimitReply(known, true, 0);
+        }
+        int alive = Math.max(1, mDirectory.order(key(known.backEndId())).size());
+        int fleetSize = alive + mMissing.count();
+        synchronized (this) {
+            long now = mTime.nanoTime();
+            Allocation allocation = allocation(known, now);
+            allocation.mDemands.values().removeIf(each -> hasLapsed(each, now));
+            allocation.mDemands.putIfAbsent(
+                    name(request.sender()), new Demand(now, Optional.empty()));
+            double rate = effectiveRate(known) * alive / fleetSize;
+            return take(request, known, allocation, rate, now);
+        }
+    }
+
+    private static boolean hasLapsed(Demand demand, long now) {
+        return now - demand.askedNanos() > DEMAND_LIFETIME.toNanos();
+    }
+
+    private static String name(InstanceId sender) {
+        return sender.name();
+    }
+
+    private static double effectiveRate(RateLimitUpdate known) {
+        double named = known.limit().map(RateLimit::requestsPerSecond).orElse(0.0);
+        return Math.max(MIN_REQUESTS_PER_SECOND, named);
+    }
+
+    private Allocation allocation(RateLimitUpdate known, long now) {
+        Allocation current = mAllocations.get(known.backEndId());
+        if (current != null && current.mStartWallMillis == known.startWallMillis()) {
+            return current;
+        }
+        Allocation created =
+                new Allocation(
+                        known.startWallMillis(), new TokenBucket(0, now + HANDOVER_TIME.toNanos()));
+        mAllocations.put(known.backEndId(), created);
+        LOGGER.info(
+                LogLine.of("rate-limit-owned")
+                        .with("back_end", known.backEndId())
+                        .with("requests_per_second", effectiveRate(known))
+                        .with("source", known.source())
+                        .with("age_millis", known.age().toMillis()));
+        return created;
+    }
+
+    private RateLimitReply take(
+            RateLimitRequest request,
+            RateLimitUpdate known,
+            Allocation allocation,
+            double rate,
+            long now) {
+        TokenBucket bucket = allocation.mBucket;
+        bucket.refill(rate, BURST_REQUESTS + rate * BURST_SECONDS, now);
+        double needed = isMoreUrgentWaiting(allocation, request.urgency(), now) ? 2 : 1;
+        boolean isGranted = bucket.tokens() >= needed;
+        allocation.mDemands.put(
+                name(request.sender()),
+                new Demand(now, isGranted ? Optional.empty() : Optional.of(request.urgency())));
+        if (isGranted) {
+            bucket.take(1);
+            return new RateLimitReply(known, true, 0);
+        }
+        double secondsToToken = Math.min(MAX_WAIT_SECONDS, bucket.secondsUntil(needed, rate, now));
+        double spread = Math.min(MAX_SPREAD_SECONDS, allocation.mDemands.size() / (2 * rate));
+        double wait = secondsToToken + mRandom.nextDouble() * spread;
+        return new RateLimitReply(known, false, Math.round(wait * MILLIS_PER_SECOND));
+    }
+
+    private static boolean isMoreUrgentWaiting(Allocation allocation, int urgency, long now) {
+        return allocation.mDemands.values().stream()
+                .filter(each -> now - each.askedNanos() < RESERVATION_TIME.toNanos())
+                .anyMatch(
+                        each -> each.refusedUrgency().filter(other -> other < urgency).isPresent());
+    }
+
+    /** Whether this instance grants tokens, so that changes of the members concern it. */
+    synchronized boolean hasAllocations() {
+        return !mAllocations.isEmpty();
+    }
+
+    /** Gives up the limits that another member owns now, and tells it what is known of them. */
+    void membersChanged() {
+        List<String> owned;
+        synchronized (this) {
+            owned = List.copyOf(mAllocations.keySet());
+        }
+        for (String backEndId : owned) {
+            mDirectory.order(key(backEndId)).stream()
+                    .findFirst()
+                    .filter(first -> !mDirectory.isSelf(first))
+                    .ifPresent(first -> handOver(backEndId, first));
+        }
+    }
+
+    private void handOver(String backEndId, Member owner) {
+        drop(backEndId, "owned by " + owner.id());
+        mTable.known(backEndId).ifPresent(known -> mPeers.report(owner, known));
+    }
+
+    private synchronized void drop(String backEndId, String reason) {
+        if (mAllocations.remove(backEndId) != null) {
+            LOGGER.info(
+                    LogLine.of("rate-limit-given-up")
+                            .with("back_end", backEndId)
+                            .with("reason", reason));
+        }
+    }
+}
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndNoticesTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndNoticesTest.java
@@ -170,14 +170,14 @@
             assertThat(mNotices.tryUse(mFirstRun)).isTrue();
             pause(Duration.ofSeconds(3));
             assertThat(available()).isEmpty();
-            assertThat(mRegistry.shortestPause(TestFleet.CALLS)).hasValue(Duration.ofSeconds(3));
+            assertThat(mRegistry.shortestWait(TestFleet.CALLS)).hasValue(Duration.ofSeconds(3));
         }
 
         @Test
         void shouldNotBeTheShortestOfTheServiceWhileAnotherBackEndIsFree() {
             mRegistry.apply(List.of(backEnd("b", 1)), List.of());
             pause(Duration.ofSeconds(3));
-            assertThat(mRegistry.shortestPause(TestFleet.CALLS)).isEmpty();
+            assertThat(mRegistry.shortestWait(TestFleet.CALLS)).isEmpty();
             assertThat(available()).containsExactly("b");
         }
     }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
@@ -24,7 +24,9 @@
     final ManualTimeSource mTime = new ManualTimeSource();
     final EventStreams mEvents = new EventStreams();
     final BackEndNotices mNotices = new BackEndNotices(mTime, notice -> {});
-    final BackEndRegistry mRegistry = new BackEndRegistry(mTime, mNotices);
+    final RateLimitInstance mRateLimitInstance = TestFleet.rateLimits(mTime);
+    final BackEndRateLimits mRateLimits = mRateLimitInstance.limits();
+    final BackEndRegistry mRegistry = new BackEndRegistry(mTime, mNotices, mRateLimits);
     final BackEndHealth mHealth = new BackEndHealth(mTime);
     final ActiveRouting mRouting = new ActiveRouting(mEvents);
     final ScriptedBackEnds mBackEnds = new ScriptedBackEnds(mTime);
@@ -71,6 +73,7 @@
                         mRouting,
                         mRegistry,
                         mNotices,
+                        mRateLimits,
                         delayedCalls,
                         delayedCalls,
                         mBackEnds,
--- /dev/null
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/RateLimitInstance.java
@@ -0,0 +1,65 @@
+package org.rattanport.decisions.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.rattanport.decisions.membership.MemberTable;
+import org.rattanport.decisions.membership.RumorQueue;
+import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.gateway.RateLimitEvent;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.peer.PeerNetwork;
+import org.rattanport.kernel.time.TimeSource;
+
+/** The rate limits of one instance and its view of the members. */
+final class RateLimitInstance {
+    private final EventStreams mEvents = new EventStreams();
+    private final MemberTable mMembers;
+    private final RateLimitOwner mOwner;
+    private final BackEndRateLimits mLimits;
+    private final List<RateLimitEvent> mPublished = new ArrayList<>();
+
+    RateLimitInstance(PeerNetwork peers, Member self, TimeSource time, long seed) {
+        mMembers = new MemberTable(self, new RumorQueue(), mEvents);
+        CoordinatorDirectory directory = new CoordinatorDirectory(mMembers, time);
+        MissingMembers missing = new MissingMembers(time);
+        mMembers.memberChanges().subscribe(missing::recordChange);
+        RateLimitTable table = new RateLimitTable(time, mPublished::add);
+        RateLimitPeers owners = new RateLimitPeers(peers, directory, table, time);
+        mOwner = new RateLimitOwner(table, directory, missing, owners, time, new Random(seed));
+        mOwner.registerHandlers(peers);
+        mLimits =
+                new BackEndRateLimits(
+                        table,
+                        mOwner,
+                        directory,
+                        owners,
+                        Runnable::run,
+                        mPublished::add,
+                        time,
+                        new Random(seed + 1));
+    }
+
+    BackEndRateLimits limits() {
+        return mLimits;
+    }
+
+    Member self() {
+        return mMembers.self();
+    }
+
+    MemberTable members() {
+        return mMembers;
+    }
+
+    /** The events of this instance, in order. */
+    List<RateLimitEvent> events() {
+        return mPublished;
+    }
+
+    /** Learns the state of a member, and gives up the limits that it no longer owns. */
+    void learn(Member member) {
+        mMembers.merge(member);
+        mOwner.membersChanged();
+    }
+}
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
@@ -15,6 +15,7 @@
 import org.rattanport.kernel.gateway.Attempt;
 import org.rattanport.kernel.gateway.BackEndClient;
 import org.rattanport.kernel.gateway.BackEndExchange;
+import org.rattanport.kernel.gateway.RateLimit;
 import org.rattanport.kernel.gateway.ResponseHead;
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.ManualTimeSource;
@@ -81,6 +82,9 @@
     private final List<Attempt> mAttempts = new ArrayList<>();
     private int mEndlessBytes;
 
+    /** The rate limit that each back end names in its responses. */
+    Optional<RateLimit> mRateLimit = Optional.empty();
+
     /** What happens while the connection to a back end is opened. */
     Runnable mDuringConnect = () -> {};
 
@@ -157,6 +161,7 @@
                     .signed(isSigned)
                     .notRun(isNotRun)
                     .leaving(mReaction.name().startsWith("LEAVING"))
+                    .rateLimit(mRateLimit)
                     .pause(mReaction == Reaction.PAUSE ? Optional.of(PAUSE_TIME) : Optional.empty())
                     .build();
         }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
@@ -19,6 +19,9 @@
 import org.rattanport.kernel.gateway.RouteKind;
 import org.rattanport.kernel.gateway.RoutingDocument;
 import org.rattanport.kernel.gateway.WeightedService;
+import org.rattanport.kernel.model.InstanceId;
+import org.rattanport.kernel.peer.Member;
+import org.rattanport.kernel.peer.MemberState;
 import org.rattanport.kernel.time.TimeSource;
 
 /** Back ends, documents and requests for tests of the gateway's decisions. */
@@ -36,6 +39,16 @@
         return new BackEndRegistry(time, new BackEndNotices(time, notice -> {}));
     }
 
+    /** The rate limits that a fleet of one instance keeps. */
+    static RateLimitInstance rateLimits(TimeSource time) {
+        return new RateLimitInstance(
+                new PeerHub().networkOf("a:peer"),
+                new Member(
+                        new InstanceId("a", 1), "a:caller", "a:peer", "zone", MemberState.ALIVE, 0),
+                time,
+                1);
+    }
+
     static BackEnd backEnd(String id, String service, boolean isDraining) {
         return new BackEnd(id, 1, service, "10.0.0.1:" + id.hashCode(), "zone", 8, isDraining);
     }
