Place a request that was held back for want of a token elsewhere

Callers were refused while a back end without a limit was free: a request that gets no token counted as one of the five placements that a request has, so five limited back ends in a row ended it.

Now three of them do not count, and from then on the request avoids limited back ends, unless all that are left have a limit. Evidence: ForwardingRateLimitsTest.shouldNotKeepARequestFromTheOnlyFreeBackEnd, with 29 limited back ends and a free one, failed before with "the back end wants no requests now".

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRateLimits.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRateLimits.java
@@ -132,6 +132,11 @@
         return Optional.of(Duration.ofNanos(remaining));
     }
 
+    /** Whether requests to the back end need tokens. */
+    boolean isLimited(BackEnd backEnd) {
+        return mTable.limited(backEnd).isPresent();
+    }
+
     /**
      * Whether a request may be written to the back end at this moment. For a limited one, this asks
      * the owner of the limit for a token.
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
@@ -1,8 +1,10 @@
 package org.rattanport.decisions.gateway;
 
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.CallerRequest;
@@ -12,11 +14,18 @@
 
 /** Chooses the back ends for the attempts of one request. */
 final class BackEndSelection {
+    /**
+     * Times that a request is held back for want of a token before it avoids back ends with a rate
+     * limit.
+     */
+    private static final int MAX_HELD_BACK = 3;
+
     private final GatewayComponents mComponents;
     private final CallerRequest mRequest;
     private final Route mRoute;
     private final BackEndService mService;
     private final Set<String> mExcluded = new HashSet<>();
+    private int mHeldBack;
 
     BackEndSelection(
             GatewayComponents components,
@@ -37,6 +46,9 @@
                         : mComponents.servicePlacement();
         Set<String> excluded = new HashSet<>(mExcluded);
         excluded.addAll(mComponents.registry().refusing(mService.name()));
+        if (mHeldBack >= MAX_HELD_BACK) {
+            excluded.addAll(avoidableLimited());
+        }
         PlacementDemand demand =
                 new PlacementDemand(
                         mRequest.attemptId(),
@@ -75,10 +87,28 @@
                         .filter(each -> !mComponents.rateLimits().tryUse(each, urgency))
                         .findFirst();
         if (held.isPresent()) {
+            mHeldBack = Math.min(MAX_HELD_BACK, mHeldBack + 1);
             throw ForwardingErrors.heldBack(held.get());
         }
         if (!mComponents.notices().tryUse(placement.backEnd())) {
             throw ForwardingErrors.wantsNoRequests();
         }
     }
+
+    /** Placements that do not count, as the request was held back for want of a token. */
+    int heldBack() {
+        return mHeldBack;
+    }
+
+    /** The back ends with a rate limit, unless all that are left have one. */
+    private Set<String> avoidableLimited() {
+        Map<Boolean, Set<String>> isLimited =
+                mComponents.registry().available(mService.name()).stream()
+                        .filter(each -> !mExcluded.contains(each.id()))
+                        .collect(
+                                Collectors.partitioningBy(
+                                        mComponents.rateLimits()::isLimited,
+                                        Collectors.mapping(BackEnd::id, Collectors.toSet())));
+        return isLimited.get(false).isEmpty() ? Set.of() : isLimited.get(true);
+    }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -134,7 +134,9 @@
     }
 
     private void tryBackEnds() {
-        for (int placements = 0; placements < MAX_PLACEMENTS; placements++) {
+        for (int placements = 0;
+                placements - mSelection.heldBack() < MAX_PLACEMENTS;
+                placements++) {
             requireWanted();
             if (!hasTimeForAttempt()) {
                 mLastError = ForwardingErrors.deadlineExceeded();
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingRateLimitsTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingRateLimitsTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.rattanport.decisions.gateway.ScriptedBackEnds.Reaction;
@@ -81,6 +82,18 @@
             assertThat(mAttempts).isEmpty();
         }
 
+        @Test
+        void shouldNotKeepARequestFromTheOnlyFreeBackEnd() {
+            List<BackEnd> backEnds =
+                    IntStream.range(0, 30)
+                            .mapToObj(i -> TestFleet.backEnd("many-" + i, TestFleet.CALLS, false))
+                            .toList();
+            mRegistry.replace(backEnds);
+            backEnds.stream().skip(1).forEach(ForwardingRateLimitsTest.this::name);
+            serve("/read/a", Reaction.RESPOND);
+            assertThat(mAttempts.getFirst().backEnd().id()).isEqualTo("many-0");
+        }
+
         private void tryServing(String path, Reaction reaction) {
             try {
                 serve(path, reaction);
