Count the events about rate limits of back ends

rattanport_gateway_rate_limits_total says how often a limit was named and ended, and how many requests got a token, were held back or had no response of an owner.

--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
@@ -14,6 +14,7 @@
 import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.BackEndNotice;
 import org.rattanport.kernel.gateway.PlacementDecision;
+import org.rattanport.kernel.gateway.RateLimitEvent;
 import org.rattanport.kernel.gateway.RequestOutcome;
 
 /**
@@ -53,6 +54,14 @@
                     .help("What back ends said about themselves in responses, by kind")
                     .labelNames("kind")
                     .register(mRegistry);
+    private final Counter mRateLimits =
+            Counter.builder()
+                    .name("rattanport_gateway_rate_limits")
+                    .help(
+                            "Events about the rate limits that back ends named: named, ended, and"
+                                    + " requests granted, held_back or unanswered by the owner")
+                    .labelNames("kind")
+                    .register(mRegistry);
     private final Histogram mDurations =
             Histogram.builder()
                     .name("rattanport_gateway_request_seconds")
@@ -95,6 +104,10 @@
         mNotices.labelValues(notice.kind().wireName()).inc();
     }
 
+    void countRateLimit(RateLimitEvent event) {
+        mRateLimits.labelValues(event.kind().wireName()).inc();
+    }
+
     void setState(String name, double value) {
         mState.labelValues(name).set(value);
     }
--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
@@ -13,6 +13,7 @@
 import org.rattanport.kernel.gateway.BackEndNotice;
 import org.rattanport.kernel.gateway.GatewaySettings;
 import org.rattanport.kernel.gateway.PlacementDecision;
+import org.rattanport.kernel.gateway.RateLimitEvent;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.peer.Membership;
 import org.rattanport.kernel.plugin.Edition;
@@ -63,6 +64,8 @@
                         .subscribe(metrics::countPlacement));
         mSubscriptions.add(
                 context.events().stream(BackEndNotice.class).subscribe(metrics::countNotice));
+        mSubscriptions.add(
+                context.events().stream(RateLimitEvent.class).subscribe(metrics::countRateLimit));
         new HttpServer(
                 context.require(HttpTransport.class),
                 address.get(),
