--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
@@ -0,0 +1,114 @@
+package org.rattanport.decisions.gateway;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.BackEndService;
+import org.rattanport.kernel.gateway.CallerRequest;
+import org.rattanport.kernel.gateway.EngineGroup;
+import org.rattanport.kernel.gateway.PlacementDemand;
+import org.rattanport.kernel.gateway.Route;
+
+/** Chooses the back ends for the attempts of one request. */
+final class BackEndSelection {
+    /**
+     * Times that a request is held back for want of a token before it avoids back ends with a rate
+     * limit.
+     */
+    private static final int MAX_HELD_BACK = 3;
+
+    private final GatewayComponents mComponents;
+    private final CallerRequest mRequest;
+    private final Route mRoute;
+    private final BackEndService mService;
+    private final Set<String> mExcluded = new HashSet<>();
+    private int mHeldBack;
+
+    BackEndSelection(
+            GatewayComponents components,
+            CallerRequest request,
+            Route route,
+            BackEndService service) {
+        mComponents = components;
+        mRequest = request;
+        mRoute = route;
+        mService = service;
+    }
+
+    /** Places the next attempt; empty if no back end takes it. */
+    Optional<Placement> place() {
+        BackEndPlacement policy =
+                mService.engineSpec().isPresent()
+                        ? mComponents.promptPlacement()
+                        : mComponents.servicePlacement();
+        Set<String> excluded = new HashSet<>(mExcluded);
+        excluded.addAll(mComponents.registry().refusing(mService.name()));
+        if (mHeldBack >= MAX_HELD_BACK) {
+            excluded.addAll(avoidableLimited());
+        }
+        PlacementDemand demand =
+                new PlacementDemand(
+                        mRequest.attemptId(),
+                        mService.name(),
+                        EngineGroup.ALL,
+                        mRequest.promptSize(),
+                        mRoute.latencyObjective(),
+                        mRoute.maxEventGap(),
+                        Set.copyOf(excluded));
+        return policy.place(new PlacementQuery(mService, demand));
+    }
+
+    /** Keeps further attempts from the back end. */
+    void exclude(BackEnd backEnd) {
+        mExcluded.add(backEnd.id());
+    }
+
+    /** Lets further attempts use the back end. */
+    void allow(BackEnd backEnd) {
+        mExcluded.remove(backEnd.id());
+    }
+
+    /**
+     * Checks at the moment of writing that the request may be written: the back end may have asked
+     * for a pause, or begun to leave, since it was chosen, and each engine with a rate limit that
+     * processes a part of the request needs a token.
+     */
+    void requireAccepting(Placement placement) {
+        if (!mComponents.notices().accepts(placement.backEnd())) {
+            throw ForwardingErrors.wantsNoRequests();
+        }
+        int urgency = Urgency.of(mRoute.latencyObjective());
+        Optional<BackEnd> held =
+                placement
+                        .engines()
+                        .filter(each -> !mComponents.rateLimits().tryUse(each, urgency))
+                        .findFirst();
+        if (held.isPresent()) {
+            mHeldBack = Math.min(MAX_HELD_BACK, mHeldBack + 1);
+            throw ForwardingErrors.heldBack(held.get());
+        }
+        if (!mComponents.notices().tryUse(placement.backEnd())) {
+            throw ForwardingErrors.wantsNoRequests();
+        }
+    }
+
+    /** Placements that do not count, as the request was held back for want of a token. */
+    int heldBack() {
+        return mHeldBack;
+    }
+
+    /** The back ends with a rate limit, unless all that are left have one. */
+    private Set<String> avoidableLimited() {
+        Map<Boolean, Set<String>> isLimited =
+                mComponents.registry().available(mService.name()).stream()
+                        .filter(each -> !mExcluded.contains(each.id()))
+                        .collect(
+                                Collectors.partitioningBy(
+                                        mComponents.rateLimits()::isLimited,
+                                        Collectors.mapping(BackEnd::id, Collectors.toSet())));
+        return isLimited.get(false).isEmpty() ? Set.of() : isLimited.get(true);
+    }
+}
