--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
@@ -14,6 +14,7 @@
 import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.BackEndNotice;
 import org.rattanport.kernel.gateway.PlacementDecision;
+import org.rattanport.kernel.gateway.RateLimitEvent;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.UnansweredExchange;
 
@@ -60,6 +61,14 @@
                     .help("Exchanges that ended without a whole response, by state and cause")
                     .labelNames("state", "cause")
                     .register(mRegistry);
+    private final Counter mRateLimits =
+            Counter.builder()
+                    .name("rattanport_gateway_rate_limits")
+                    .help(
+                            "Events about the rate limits that back ends named: named, ended, and"
+                                    + " requests granted, held_back or unanswered by the owner")
+                    .labelNames("kind")
+                    .register(mRegistry);
     private final Histogram mDurations =
             Histogram.builder()
                     .name("rattanport_gateway_request_seconds")
@@ -106,6 +115,10 @@
         mUnanswered.labelValues(exchange.state().wireName(), exchange.cause().wireName()).inc();
     }
 
+    void countRateLimit(RateLimitEvent event) {
+        mRateLimits.labelValues(event.kind().wireName()).inc();
+    }
+
     void setState(String name, double value) {
         mState.labelValues(name).set(value);
     }
--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
@@ -13,6 +13,7 @@
 import org.rattanport.kernel.gateway.BackEndNotice;
 import org.rattanport.kernel.gateway.GatewaySettings;
 import org.rattanport.kernel.gateway.PlacementDecision;
+import org.rattanport.kernel.gateway.RateLimitEvent;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.UnansweredExchange;
 import org.rattanport.kernel.peer.Membership;
@@ -67,6 +68,8 @@
         mSubscriptions.add(
                 context.events().stream(UnansweredExchange.class)
                         .subscribe(metrics::countUnanswered));
+        mSubscriptions.add(
+                context.events().stream(RateLimitEvent.class).subscribe(metrics::countRateLimit));
         new HttpServer(
                 context.require(HttpTransport.class),
                 address.get(),
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -1,9 +1,7 @@
 package org.rattanport.decisions.gateway;
 
 import java.time.Duration;
-import java.util.HashSet;
 import java.util.Optional;
-import java.util.Set;
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
@@ -14,9 +12,7 @@
 import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.CallerExchange;
 import org.rattanport.kernel.gateway.CallerRequest;
-import org.rattanport.kernel.gateway.EngineGroup;
 import org.rattanport.kernel.gateway.GatewayAccount;
-import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.RequestContent;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.ResponseHead;
@@ -49,7 +45,7 @@
     private final Deadline mDeadline;
     private final SilencePolicy mSilence;
     private ResponseRelay mRelay;
-    private final Set<String> mExcluded = new HashSet<>();
+    private final BackEndSelection mSelection;
     private final RequestTrace mTrace;
     private final RequestContent mContent;
     private Optional<String> mLastBackEndId = Optional.empty();
@@ -61,6 +57,9 @@
     /** Whether the back end of the current attempt has sent an event. */
     private boolean mHasBegun;
 
+    /** When the request of the current attempt was written. */
+    private ClockReading mWritten;
+
     private Verdict mVerdict = Verdict.NOT_RUN;
     private RattanportException mLastError =
             new RattanportException(ErrorCode.NO_TARGET, "no back end takes requests");
@@ -89,8 +88,10 @@
                         account.map(GatewayAccount::name).orElse("-"),
                         request.sharedParts(),
                         components.routing().version());
+        mSelection = new BackEndSelection(components, request, route, service);
         mTrace = new RequestTrace(info, components.events(), components.time());
-        mSilence = new SilencePolicy(components, request, route, service);
+        mSilence = new SilencePolicy(components, request, route, service, mSelection);
+        mWritten = ClockReading.now(components.time());
         mRelay = createRelay();
     }
 
@@ -103,7 +104,7 @@
                 mComponents.time(),
                 mRequest.lastEventId(),
                 () -> mSilence.betweenEvents(mRuns),
-                () -> mSilence.mayTakeOver(mExcluded),
+                mSilence::mayTakeOver,
                 () -> mSilence.remainingPrefill(mLastBackEndId),
                 this::onForwarded);
     }
@@ -136,7 +137,9 @@
     }
 
     private void tryBackEnds() {
-        for (int placements = 0; placements < MAX_PLACEMENTS; placements++) {
+        for (int placements = 0;
+                placements - mSelection.heldBack() < MAX_PLACEMENTS;
+                placements++) {
             requireWanted();
             if (!hasTimeForAttempt()) {
                 mLastError = ForwardingErrors.deadlineExceeded();
@@ -150,12 +153,12 @@
             if (mHasReachedBackEnd && !mComponents.retryBudget().tryAcquire(mService.name())) {
                 break;
             }
-            Optional<Placement> placement = place();
+            Optional<Placement> placement = mSelection.place();
             if (placement.isEmpty()) {
                 mComponents
                         .registry()
-                        .shortestPause(mService.name())
-                        .ifPresent(pause -> mLastError = ForwardingErrors.allPause(pause));
+                        .shortestWait(mService.name())
+                        .ifPresent(wait -> mLastError = ForwardingErrors.noneAccepts(wait));
                 break;
             }
             if (attempt(placement.get())) {
@@ -176,30 +179,11 @@
         return mDeadline.remaining(mComponents.time()).compareTo(MIN_ATTEMPT_TIME) >= 0;
     }
 
-    private Optional<Placement> place() {
-        BackEndPlacement policy =
-                mService.engineSpec().isPresent()
-                        ? mComponents.promptPlacement()
-                        : mComponents.servicePlacement();
-        Set<String> excluded = new HashSet<>(mExcluded);
-        excluded.addAll(mComponents.registry().refusing(mService.name()));
-        PlacementDemand demand =
-                new PlacementDemand(
-                        mRequest.attemptId(),
-                        mService.name(),
-                        EngineGroup.ALL,
-                        mRequest.promptSize(),
-                        mRoute.latencyObjective(),
-                        mRoute.maxEventGap(),
-                        Set.copyOf(excluded));
-        return policy.place(new PlacementQuery(mService, demand));
-    }
-
     /** Sends the request to one back end; returns whether the request has ended for the caller. */
     private boolean attempt(Placement placement) {
         BackEnd backEnd = placement.backEnd();
         int runsBefore = mRuns;
-        mExcluded.add(backEnd.id());
+        mSelection.exclude(backEnd);
         mLastBackEndId = Optional.of(backEnd.id());
         mHasReachedBackEnd = false;
         mHasBegun = false;
@@ -235,7 +219,8 @@
         MemoryLeases.Lease lease =
                 mComponents
                         .leases()
-                        .acquire(placement.reservations(), placement.backEnd(), this::exclude);
+                        .acquire(
+                                placement.reservations(), placement.backEnd(), mSelection::exclude);
         mLease = Optional.of(lease);
         return () -> {
             mLease = Optional.empty();
@@ -243,10 +228,6 @@
         };
     }
 
-    private void exclude(BackEnd engine) {
-        mExcluded.add(engine.id());
-    }
-
     /** Sends the request, unless the caller left or the time ran out during the preparations. */
     private BackEndExchange send(Placement placement) {
         requireWorthSending();
@@ -271,7 +252,8 @@
                         mDeadline.within(mComponents.time(), CONNECT_TIMEOUT),
                         () -> {
                             requireWorthSending();
-                            requireAccepting(placement.backEnd());
+                            mSelection.requireAccepting(placement);
+                            mWritten = ClockReading.now(mComponents.time());
                             mTrace.attemptSent(placement);
                         });
     }
@@ -293,13 +275,6 @@
         }
     }
 
-    /** The back end may have asked for a pause, or begun to leave, since it was chosen. */
-    private void requireAccepting(BackEnd backEnd) {
-        if (!mComponents.notices().tryUse(backEnd)) {
-            throw ForwardingErrors.wantsNoRequests();
-        }
-    }
-
     private boolean handleResponse(Placement placement, BackEndExchange exchange) {
         BackEnd backEnd = placement.backEnd();
         ResponseHead head =
@@ -307,12 +282,13 @@
                         .await(
                                 mComponents.time(),
                                 mDeadline,
-                                () -> mSilence.mayTakeOver(mExcluded),
+                                mSilence::mayTakeOver,
                                 () -> mSilence.remainingPrefill(mLastBackEndId),
                                 exchange::awaitHead);
         mTrace.responseReceived(head.status());
         mHasReachedBackEnd = true;
         mComponents.notices().recordResponse(backEnd, head);
+        mComponents.rateLimits().recordResponse(backEnd, head, mWritten);
         head.load().ifPresent(load -> mComponents.loadTable().recordReport(backEnd.id(), load));
         if (head.isNotRun() && !isForeign(head)) {
             recordRefusal(placement, head);
@@ -354,8 +330,8 @@
                 head.faultyEngineAddress()
                         .flatMap(placement::findByAddress)
                         .orElse(placement.backEnd());
-        mExcluded.remove(placement.backEnd().id());
-        mExcluded.add(faultyEngine.id());
+        mSelection.allow(placement.backEnd());
+        mSelection.exclude(faultyEngine);
         if (head.isMisdirected()) {
             mComponents.registry().removeReplaced(faultyEngine);
         }
@@ -423,7 +399,7 @@
         mLastError = error;
         if (error.code() == ErrorCode.TARGET_REFUSED) {
             // A prefill engine granted no memory lease; the decode engine is not at fault.
-            mExcluded.remove(backEnd.id());
+            mSelection.allow(backEnd);
             return false;
         }
         mComponents.notices().recordFailure(backEnd.id());
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/SilencePolicy.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/SilencePolicy.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.Set;
 import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.CallerRequest;
 import org.rattanport.kernel.gateway.EngineWork;
@@ -17,16 +16,19 @@
     private final CallerRequest mRequest;
     private final Route mRoute;
     private final BackEndService mService;
+    private final BackEndSelection mSelection;
 
     SilencePolicy(
             GatewayComponents components,
             CallerRequest request,
             Route route,
-            BackEndService service) {
+            BackEndService service,
+            BackEndSelection selection) {
         mComponents = components;
         mRequest = request;
         mRoute = route;
         mService = service;
+        mSelection = selection;
     }
 
     /** Once no retry is allowed, only the route limits the silence of the last engine. */
@@ -48,10 +50,8 @@
     }
 
     /** Whether a retry may be sent, and to a back end that has not been tried. */
-    boolean mayTakeOver(Set<String> excluded) {
-        return mComponents.retryBudget().isAvailable(mService.name())
-                && mComponents.registry().available(mService.name()).stream()
-                        .anyMatch(each -> !excluded.contains(each.id()));
+    boolean mayTakeOver() {
+        return mComponents.retryBudget().isAvailable(mService.name()) && mSelection.hasUntried();
     }
 
     /** Predicted time until the last chosen back end finishes its prefill work. */
