Check that engines which prefill parts of a prompt need tokens too

Each engine with a rate limit that processes a part of a request takes a token. The test fails when only the decode engine is asked for one: the request is written (NoSuchElementException of the scripted back end instead of a refusal).

--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
@@ -35,6 +35,9 @@
     final FakeCaller mCaller = new FakeCaller();
     int mSlack = 100;
 
+    /** Engines that prefill parts of each request. */
+    List<BackEnd> mPrefillEngines = List.of();
+
     /** What happens while a back end is chosen. */
     Runnable mDuringPlacement = () -> {};
 
@@ -63,7 +66,7 @@
         BackEndPlacement delayedCalls =
                 query -> {
                     mDuringPlacement.run();
-                    return calls.place(query);
+                    return calls.place(query).map(this::withPrefillEngines);
                 };
         MemoryLeases leases = new MemoryLeases(new GrantingMemoryClient(), mTime);
         ServiceRetryBudget retryBudget =
@@ -89,6 +92,15 @@
         return new GatewayService(components, random);
     }
 
+    private Placement withPrefillEngines(Placement placement) {
+        return new Placement(
+                placement.backEnd(),
+                mPrefillEngines,
+                placement.reservations(),
+                placement.work(),
+                placement.cost());
+    }
+
     void serve(String path, Reaction... reactions) {
         mBackEnds.reactions().addAll(List.of(reactions));
         service().serve(TestFleet.request(path, 0), mCaller);
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingRateLimitsTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingRateLimitsTest.java
@@ -165,4 +165,24 @@
             assertThat(granted()).isEqualTo(0);
         }
     }
+
+    /** Engines with a limit got parts of prompts without a token. */
+    @Nested
+    final class PrefillEngines {
+        private final BackEnd mEngine = TestFleet.backEnd("engine-0", TestFleet.ENGINES, false);
+
+        @Test
+        void shouldNeedATokenToo() {
+            mPrefillEngines = List.of(mEngine);
+            name(mEngine);
+            assertThat(serveExpectingError("/read/early").verdict()).isEqualTo(Verdict.NOT_RUN);
+            assertThat(mAttempts).isEmpty();
+            mTime.advance(Duration.ofSeconds(10));
+            serve("/read/a", Reaction.RESPOND);
+            serve("/read/b", Reaction.RESPOND);
+            serveExpectingError("/read/c");
+            assertThat(mAttempts).hasSize(2);
+            assertThat(granted()).isEqualTo(2);
+        }
+    }
 }
