Give up the tokens of rate limits that nobody asks for

An instance kept a bucket for each back end that ever named a limit, also when the back end was long gone. The bucket is given up with the limit, and ten minutes after the last request for a token. Evidence: without that, BackEndRateLimitsTest$ForgottenLimits fails ("expected to be at most: 4, but was: 20").

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRateLimits.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRateLimits.java
@@ -36,6 +36,8 @@
     /** Age after which a token is void; this instance was frozen since it asked. */
     private static final Duration TOKEN_LIFETIME = Duration.ofMillis(250);
 
+    private static final int MAX_HOLDS = 1_000;
+
     /** Keeps requests away from a back end while its limit stays the same. */
     private record Hold(long startWallMillis, Optional<RateLimit> limit, long untilNanos) {}
 
@@ -204,6 +206,10 @@
     }
 
     private void hold(BackEnd backEnd, Duration duration) {
+        if (mHolds.size() >= MAX_HOLDS) {
+            // Those of back ends that have ended are not looked at any more.
+            mHolds.values().removeIf(each -> each.untilNanos() - mTime.nanoTime() <= 0);
+        }
         mTable.limited(backEnd)
                 .ifPresent(
                         known ->
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -123,7 +123,7 @@
                 membership
                         .memberChanges()
                         .doOnNext(missing::recordChange)
-                        .filter(member -> owner.hasAllocations())
+                        .filter(member -> owner.ownedLimits() > 0)
                         .subscribe(
                                 member ->
                                         Tasks.start(
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RateLimitOwner.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RateLimitOwner.java
@@ -11,7 +11,6 @@
 import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.RateLimit;
 import org.rattanport.kernel.gateway.RateLimitUpdate;
-import org.rattanport.kernel.model.InstanceId;
 import org.rattanport.kernel.peer.Member;
 import org.rattanport.kernel.peer.PeerMessage;
 import org.rattanport.kernel.peer.PeerMessage.RateLimitReply;
@@ -56,6 +55,9 @@
     /** Time for which a token is kept for a more urgent request than the one that asks. */
     private static final Duration RESERVATION_TIME = Duration.ofSeconds(2);
 
+    /** Time after which the tokens of a limit that no instance asks for are given up. */
+    private static final Duration IDLE_LIFETIME = Duration.ofMinutes(10);
+
     private static final Duration FORWARD_TIMEOUT = Duration.ofMillis(40);
     private static final long NO_OWNER_WAIT_MILLIS = 200;
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -68,11 +70,16 @@
         private final long mStartWallMillis;
         private final TokenBucket mBucket;
         private final Map<String, Demand> mDemands = new HashMap<>();
+        private long mAskedNanos;
 
         private Allocation(long startWallMillis, TokenBucket bucket) {
             mStartWallMillis = startWallMillis;
             mBucket = bucket;
         }
+
+        private boolean isIdle(long now) {
+            return now - mAskedNanos > IDLE_LIFETIME.toNanos();
+        }
     }
 
     private final RateLimitTable mTable;
@@ -147,6 +154,7 @@
             return refusal(known, NO_OWNER_WAIT_MILLIS);
         }
         if (!RateLimitTable.isEnforced(known)) {
+            drop(known.backEndId(), "the limit has ended");
             return new RateLimitReply(known, true, 0);
         }
         int alive = Math.max(1, mDirectory.order(key(known.backEndId())).size());
@@ -154,9 +162,8 @@
         synchronized (this) {
             long now = mTime.nanoTime();
             Allocation allocation = allocation(known, now);
+            allocation.mAskedNanos = now;
             allocation.mDemands.values().removeIf(each -> hasLapsed(each, now));
-            allocation.mDemands.putIfAbsent(
-                    name(request.sender()), new Demand(now, Optional.empty()));
             double rate = effectiveRate(known) * alive / fleetSize;
             return take(request, known, allocation, rate, now);
         }
@@ -166,10 +173,6 @@
         return now - demand.askedNanos() > DEMAND_LIFETIME.toNanos();
     }
 
-    private static String name(InstanceId sender) {
-        return sender.name();
-    }
-
     private static double effectiveRate(RateLimitUpdate known) {
         double named = known.limit().map(RateLimit::requestsPerSecond).orElse(0.0);
         return Math.max(MIN_REQUESTS_PER_SECOND, named);
@@ -180,6 +183,7 @@
         if (current != null && current.mStartWallMillis == known.startWallMillis()) {
             return current;
         }
+        mAllocations.values().removeIf(each -> each.isIdle(now));
         Allocation created =
                 new Allocation(
                         known.startWallMillis(), new TokenBucket(0, now + HANDOVER_TIME.toNanos()));
@@ -204,7 +208,7 @@
         double needed = isMoreUrgentWaiting(allocation, request.urgency(), now) ? 2 : 1;
         boolean isGranted = bucket.tokens() >= needed;
         allocation.mDemands.put(
-                name(request.sender()),
+                request.sender().name(),
                 new Demand(now, isGranted ? Optional.empty() : Optional.of(request.urgency())));
         if (isGranted) {
             bucket.take(1);
@@ -223,9 +227,9 @@
                         each -> each.refusedUrgency().filter(other -> other < urgency).isPresent());
     }
 
-    /** Whether this instance grants tokens, so that changes of the members concern it. */
-    synchronized boolean hasAllocations() {
-        return !mAllocations.isEmpty();
+    /** Number of limits whose tokens this instance grants. */
+    synchronized int ownedLimits() {
+        return mAllocations.size();
     }
 
     /** Gives up the limits that another member owns now, and tells it what is known of them. */
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndRateLimitsTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndRateLimitsTest.java
@@ -112,6 +112,29 @@
         }
     }
 
+    /** Owners kept the tokens of each back end that ever named a limit. */
+    @Nested
+    final class ForgottenLimits {
+        private final ManualTimeSource mTime = new ManualTimeSource();
+        private final RateLimitInstance mInstance = TestFleet.rateLimits(mTime);
+
+        private void name(String id, Optional<RateLimit> limit) {
+            BackEnd backEnd = TestFleet.backEnd(id, TestFleet.CALLS, false);
+            ResponseHead head = ResponseHead.builder(200).rateLimit(limit).build();
+            mInstance.limits().recordResponse(backEnd, head, ClockReading.now(mTime));
+            mInstance.limits().tryUse(backEnd, 1);
+        }
+
+        @Test
+        void shouldLeaveNothingWhenNobodyAsksForTheirTokens() {
+            for (int i = 0; i < 20; i++) {
+                name("back-end-" + i, RateLimit.of(1));
+                mTime.advance(Duration.ofMinutes(3));
+            }
+            assertThat(mInstance.owner().ownedLimits()).isAtMost(4);
+        }
+    }
+
     /** Owners that changed let more requests through than the limit, or none. */
     @Nested
     final class ChangingOwners {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/RateLimitInstance.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/RateLimitInstance.java
@@ -44,6 +44,10 @@
         return mLimits;
     }
 
+    RateLimitOwner owner() {
+        return mOwner;
+    }
+
     Member self() {
         return mMembers.self();
     }
