Count no paused wait as quiet at the end of a drain

A drain ends after four waits without a new request. A pause of the process in the last of them ended it at once, before the event loop had read what arrived meanwhile: callers whose request was read then saw their connection close without an answer, as in the case that the four waits are for.

A wait that lasts more than twice its time no longer counts, so after a pause there is always another wait in which the event loop runs. The deadline bounds a process that never gets a wait in time.

Evidence: LifecycleTest.shouldWaitForRequestsOfAPauseInItsLastWait, a pause of 700 ms in the last wait under virtual time, on the code before: "expected to be false" (the drain says that all ended, and nobody waits for the request). It passes now.

--- a/decisions/src/main/java/org/rattanport/decisions/lifecycle/Drain.java
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/Drain.java
@@ -30,6 +30,9 @@
 
     private static final int QUIET_INTERVALS = 4;
 
+    /** A wait that lasts longer has met a pause, and what arrived meanwhile may be unread. */
+    private static final Duration MAX_QUIET_INTERVAL = QUIET_INTERVAL.multipliedBy(2);
+
     private final MemberTable mMembers;
     private final InFlightRequests mInFlight;
     private final Duration mAddressTimeToLive;
@@ -92,8 +95,13 @@
             if (!mInFlight.awaitEmpty(deadline)) {
                 return false;
             }
+            Deadline pause = Deadline.after(mTime, MAX_QUIET_INTERVAL);
             mTime.sleep(QUIET_INTERVAL);
-            quietIntervals = mInFlight.totalCount() == seen ? quietIntervals + 1 : 0;
+            if (mInFlight.totalCount() != seen) {
+                quietIntervals = 0;
+            } else if (!pause.hasPassed(mTime)) {
+                quietIntervals++;
+            }
         }
         return mInFlight.awaitEmpty(deadline);
     }
--- a/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
@@ -175,6 +175,45 @@
             assertThat(mInFlight.count()).isEqualTo(0);
         }
 
+        /**
+         * A pause in the last wait for quiet ended the drain before the process had read the
+         * requests of the pause, and it ended under their refusals.
+         */
+        @Test
+        void shouldWaitForRequestsOfAPauseInItsLastWait() {
+            int lastQuietSleep = 5;
+            AtomicInteger sleeps = new AtomicInteger();
+            AtomicReference<InFlightRequests.Entry> late = new AtomicReference<>();
+            TimeSource time =
+                    new TimeSource() {
+                        @Override
+                        public long nanoTime() {
+                            return mTime.nanoTime();
+                        }
+
+                        @Override
+                        public long wallMillis() {
+                            return mTime.wallMillis();
+                        }
+
+                        @Override
+                        public void sleep(Duration duration) {
+                            int count = sleeps.incrementAndGet();
+                            mTime.sleep(duration);
+                            if (count == lastQuietSleep) {
+                                mTime.advance(Duration.ofMillis(700));
+                            }
+                            if (count == lastQuietSleep + 1) {
+                                late.set(mInFlight.enter(() -> closeRequest(late.get())));
+                            }
+                        }
+                    };
+            Drain drain = new Drain(mMembers, mInFlight, Duration.ofSeconds(10), time);
+            assertThat(drain.drain(Deadline.after(mTime, Duration.ofSeconds(12)))).isFalse();
+            assertThat(late.get()).isNotNull();
+            assertThat(mInFlight.count()).isEqualTo(0);
+        }
+
         /** A request whose head came after the cut was waited for without a cut. */
         @Test
         void shouldCutRequestsThatComeAfterTheCut() {
