Finish the write of a whole response that a cut interrupts

The cut at the end of a drain interrupts the task of each request, also one that has written a whole response and waits only until the system has taken its last bytes. That wait ended at once and the connection was reset, which drops what the system already had: a caller lost a response that was ready. Without processor time the event loop takes a while for such a write, so this meets the same stops as the requests that ended without an answer.

An interrupted wait for the last bytes now lasts up to 100 ms, less than the 200 ms that the drain gives to what it cuts. The flag of the thread stays set. A caller that does not read is still cut.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
@@ -50,6 +50,9 @@
     /** Time that the other side has to read what is written before the connection closes. */
     private static final Duration FLUSH_TIMEOUT = Duration.ofSeconds(10);
 
+    /** Time that the event loop has to hand over what is written when the writer is interrupted. */
+    private static final Duration INTERRUPTED_FLUSH_TIMEOUT = Duration.ofMillis(100);
+
     private final LinkedBlockingQueue<HttpMessagePart> mParts = new LinkedBlockingQueue<>();
     private final ReentrantLock mLock = new ReentrantLock();
     private final Condition mWritable = mLock.newCondition();
@@ -142,7 +145,8 @@
 
     /**
      * Writes the end of a response, and blocks until the system has taken all that was written.
-     * Resets the connection and returns false when that fails or lasts longer than the timeout.
+     * Resets the connection and returns false when that fails or lasts longer than the timeout. An
+     * interrupt shortens the wait; the flag of the thread stays set.
      */
     public boolean writeLast(HttpObject object, Duration timeout) {
         return isTakenBySystem(mChannel.writeAndFlush(object), timeout);
@@ -154,7 +158,12 @@
                 return true;
             }
         } catch (InterruptedException e) {
-            throw RattanportException.interrupted();
+            RattanportException interruption = RattanportException.interrupted();
+            if (!written.awaitUninterruptibly(INTERRUPTED_FLUSH_TIMEOUT.toMillis())
+                    || !written.isSuccess()) {
+                throw interruption;
+            }
+            return true;
         }
         reset();
         return false;
--- a/connectors/src/test/java/org/rattanport/connectors/gateway/CallerConnectionTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/gateway/CallerConnectionTest.java
@@ -300,6 +300,7 @@
     final class CutAtTheEndOfADrain {
         private static final int LONG_BYTES = 64 * 1024 * 1024;
         private static final Duration MAX_CUT_TIME = Duration.ofSeconds(5);
+        private static final Duration EVENT_LOOP_DELAY = Duration.ofMillis(50);
 
         private final CountDownLatch mNever = new CountDownLatch(1);
 
@@ -339,6 +340,34 @@
             }
         }
 
+        /** A response whose last byte was on its way to the system was reset. */
+        @Test
+        void shouldSendAWholeResponseThatIsBeingWritten() throws Exception {
+            mHandler =
+                    (request, exchange) -> {
+                        ResponseWriter response =
+                                exchange.startResponse(
+                                        ResponseHead.builder(200).build(), OptionalInt.of(2));
+                        response.write("ok".getBytes(StandardCharsets.US_ASCII));
+                        mListener.eventLoop().execute(this::blockEventLoop);
+                        mInFlight.cutAll();
+                        response.finish();
+                    };
+            try (Socket caller = connect()) {
+                send(caller, "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n");
+                assertThat(receive(caller)).endsWith("ok");
+                assertThat(mUnanswered).isEmpty();
+            }
+        }
+
+        private void blockEventLoop() {
+            try {
+                mNever.await(EVENT_LOOP_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                throw RattanportException.interrupted();
+            }
+        }
+
         /** A caller that did not read held its request in flight for ten seconds. */
         @Test
         void shouldEndTheWaitForASlowCaller() throws Exception {
