Let a pause take at most half of a planned stop

A stop counts from the start of a pause that ends as its signal is received, because the signal may have been sent then. After a pause of 6 s that had nothing to do with the signal, the drain had less than one second left: requests were refused at once and those in flight cut a second later, although the platform grants 8 s.

A pause now takes at most half of the drain limit. After a longer pause one of the two readings must be wrong; this one leaves the requests their time.

PulseTest.shouldLeaveTimeAfterALongPause plays it under virtual time.

--- a/daemon/src/main/java/org/rattanport/daemon/Instance.java
+++ b/daemon/src/main/java/org/rattanport/daemon/Instance.java
@@ -32,6 +32,9 @@
     private static final Logger LOGGER = Logger.getLogger(Instance.class);
     private static final Duration PLUGIN_STOP_TIMEOUT = Duration.ofSeconds(5);
 
+    /** Part of the drain limit that a pause before the stop may take from it: one half. */
+    private static final int MAX_PAUSE_DIVISOR = 2;
+
     private final Kernel mKernel;
     private final InstanceSettings mSettings;
     private final Edition mEdition;
@@ -96,15 +99,17 @@
     /**
      * Drains and stops the instance, also while it starts: it may already have accepted requests
      * then. Returns whether all requests ended before the drain limit. The limit counts from the
-     * call, or from the start of a pause of the process under which the call may have come late.
+     * call, or from the start of a pause of the process under which the call may have come late; a
+     * pause takes at most half of the limit.
      */
     public boolean stop() {
-        Duration pause = mPulse.sincePause();
+        Duration drainLimit = mSettings.timings().drainLimit();
+        Duration pause = mPulse.sincePause(drainLimit.dividedBy(MAX_PAUSE_DIVISOR));
         if (pause.isPositive()) {
             LOGGER.info(LogLine.of("stop-heard-late").with("paused_millis", pause.toMillis()));
         }
         long signalNanos = mTime.nanoTime() - pause.toNanos();
-        Deadline deadline = Deadline.after(mTime, mSettings.timings().drainLimit().minus(pause));
+        Deadline deadline = Deadline.after(mTime, drainLimit.minus(pause));
         if (context().find(Drain.class).isEmpty()) {
             awaitStart(deadline);
         }
--- a/kernel/src/main/java/org/rattanport/kernel/time/Pulse.java
+++ b/kernel/src/main/java/org/rattanport/kernel/time/Pulse.java
@@ -38,12 +38,19 @@
         mLastBeatNanos = now;
     }
 
-    /** Time since the start of a pause that has just ended; zero if there was none. */
-    public synchronized Duration sincePause() {
+    /**
+     * Time since the start of a pause that has just ended; zero if there was none.
+     *
+     * @param max longest time that is returned; a signal may as well have been sent at the end of
+     *     the pause
+     */
+    public synchronized Duration sincePause(Duration max) {
         beat();
         long now = mLastBeatNanos;
-        return now - mLastPause.endNanos() < RECEIPT_TIME.toNanos()
-                ? Duration.ofNanos(now - mLastPause.startNanos())
-                : Duration.ZERO;
+        if (now - mLastPause.endNanos() >= RECEIPT_TIME.toNanos()) {
+            return Duration.ZERO;
+        }
+        Duration pause = Duration.ofNanos(now - mLastPause.startNanos());
+        return pause.compareTo(max) < 0 ? pause : max;
     }
 }
--- a/kernel/src/test/java/org/rattanport/kernel/time/PulseTest.java
+++ b/kernel/src/test/java/org/rattanport/kernel/time/PulseTest.java
@@ -7,6 +7,8 @@
 import org.junit.jupiter.api.Test;
 
 final class PulseTest {
+    private static final Duration MAX_PAUSE = Duration.ofSeconds(4);
+
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final Pulse mPulse = new Pulse(mTime);
 
@@ -22,14 +24,14 @@
         @Test
         void shouldCountFromItsReceipt() {
             runFor(10);
-            assertThat(mPulse.sincePause()).isEqualTo(Duration.ZERO);
+            assertThat(mPulse.sincePause(MAX_PAUSE)).isEqualTo(Duration.ZERO);
         }
 
         @Test
         void shouldNotCountAnEarlierPause() {
             mTime.advance(Duration.ofSeconds(2));
             runFor(10);
-            assertThat(mPulse.sincePause()).isEqualTo(Duration.ZERO);
+            assertThat(mPulse.sincePause(MAX_PAUSE)).isEqualTo(Duration.ZERO);
         }
     }
 
@@ -40,7 +42,7 @@
         void shouldCountFromTheStartOfThePause() {
             runFor(10);
             mTime.advance(Duration.ofMillis(900));
-            assertThat(mPulse.sincePause()).isEqualTo(Duration.ofMillis(900));
+            assertThat(mPulse.sincePause(MAX_PAUSE)).isEqualTo(Duration.ofMillis(900));
         }
 
         @Test
@@ -49,7 +51,15 @@
             mTime.advance(Duration.ofMillis(900));
             mPulse.beat();
             runFor(1);
-            assertThat(mPulse.sincePause()).isEqualTo(Duration.ofMillis(1_000));
+            assertThat(mPulse.sincePause(MAX_PAUSE)).isEqualTo(Duration.ofMillis(1_000));
+        }
+
+        /** A stop right after a long pause had no time left, and cut its requests at once. */
+        @Test
+        void shouldLeaveTimeAfterALongPause() {
+            runFor(10);
+            mTime.advance(Duration.ofSeconds(6));
+            assertThat(mPulse.sincePause(MAX_PAUSE)).isEqualTo(MAX_PAUSE);
         }
     }
 }
