Give up an engine that is silent between its head and its first event

Callers saw: an engine that sent the head of a stream and then nothing was waited for until the deadline of the request or the route, although another engine was allowed to run it; callers leave a silent stream earlier. Cause: the timeout before the first event ended the wait for the head only. The relay applied a timeout once it had forwarded an event, so nothing but the deadline bounded the time between the two. Change: the relay always waits with a timeout. After the head an engine has the same time again for its first event, up to shortly before the caller leaves, counted from the request; pending prefill work extends it as before.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
@@ -52,7 +52,7 @@
     public void relay(ResponseHead head, BackEndExchange exchange, Deadline deadline) {
         EventStreamParser parser = new EventStreamParser();
         boolean hasEvents = false;
-        Optional<byte[]> chunk = exchange.awaitChunk(deadline);
+        Optional<byte[]> chunk = awaitChunk(exchange, deadline);
         while (chunk.isPresent()) {
             for (Event event : parser.feed(chunk.get())) {
                 hasEvents = true;
@@ -61,11 +61,7 @@
             if (parser.pendingBytes() > MAX_EVENT_BYTES) {
                 throw brokenOff("an event of the stream is too long");
             }
-            chunk =
-                    hasStarted()
-                            ? mTimeout.get()
-                                    .await(mTime, deadline, mRemainingPrefill, exchange::awaitChunk)
-                            : exchange.awaitChunk(deadline);
+            chunk = awaitChunk(exchange, deadline);
         }
         requireComplete(head, parser, hasEvents);
         ResponseWriter response = start(head);
@@ -73,6 +69,10 @@
         response.finish();
     }
 
+    private Optional<byte[]> awaitChunk(BackEndExchange exchange, Deadline deadline) {
+        return mTimeout.get().await(mTime, deadline, mRemainingPrefill, exchange::awaitChunk);
+    }
+
     /** The end of a connection also ends a stream that has broken off. */
     private static void requireComplete(
             ResponseHead head, EventStreamParser parser, boolean hasEvents) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -58,6 +58,9 @@
     private boolean mIsTruncated;
     private boolean mHasReachedBackEnd;
 
+    /** How long the back end of the current attempt may be silent after its head. */
+    private SilenceTimeout mFirstEventTimeout;
+
     /** Whether the back end of the current attempt has sent an event. */
     private boolean mHasBegun;
 
@@ -90,6 +93,7 @@
                         request.sharedParts(),
                         components.routing().version());
         mTrace = new RequestTrace(info, components.events(), components.time());
+        mFirstEventTimeout = SilenceTimeout.routeTimeout(route);
         mRelay = createRelay();
     }
 
@@ -101,7 +105,7 @@
                 mCaller,
                 mComponents.time(),
                 mRequest.lastEventId(),
-                this::timeoutBetweenEvents,
+                this::timeoutBeforeNextEvent,
                 this::remainingPrefill,
                 this::onForwarded);
     }
@@ -299,13 +303,13 @@
 
     private boolean handleResponse(Placement placement, BackEndExchange exchange) {
         BackEnd backEnd = placement.backEnd();
+        SilenceTimeout timeout = timeoutBeforeFirstEvent(placement);
+        long startNanos = mComponents.time().nanoTime();
         ResponseHead head =
-                timeoutBeforeFirstEvent(placement)
-                        .await(
-                                mComponents.time(),
-                                mDeadline,
-                                this::remainingPrefill,
-                                exchange::awaitHead);
+                timeout.await(
+                        mComponents.time(), mDeadline, this::remainingPrefill, exchange::awaitHead);
+        mFirstEventTimeout =
+                timeout.afterHead(Duration.ofNanos(mComponents.time().nanoTime() - startNanos));
         mTrace.responseReceived(head.status());
         mHasReachedBackEnd = true;
         mComponents.notices().recordResponse(backEnd, head);
@@ -343,7 +347,10 @@
     }
 
     /** Once no retry is allowed, only the route limits the silence of the last engine. */
-    private SilenceTimeout timeoutBetweenEvents() {
+    private SilenceTimeout timeoutBeforeNextEvent() {
+        if (!mRelay.hasStarted()) {
+            return mFirstEventTimeout;
+        }
         boolean mayRetry = mRoute.isRetryable() && mRuns < mRoute.maxAttempts();
         return mayRetry
                 ? SilenceTimeout.betweenEvents(mRoute)
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/SilenceTimeout.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/SilenceTimeout.java
@@ -76,6 +76,12 @@
         return new SilenceTimeout(route.timeout(), route.timeout());
     }
 
+    /** Returns what the first event has left of this timeout after a wait for the head. */
+    SilenceTimeout afterHead(Duration elapsed) {
+        Duration left = max.minus(elapsed);
+        return new SilenceTimeout(base.compareTo(left) < 0 ? base : left, left);
+    }
+
     private static Duration maxOf(Route route) {
         Duration callerTimeout =
                 longer(
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -138,6 +138,16 @@
                     .containsExactly("id: 1", "id: 2", "id: 3")
                     .inOrder();
         }
+
+        /** Only the route ended the wait for the first event of an engine that had sent a head. */
+        @Test
+        void shouldGoOnElsewhereAfterSilenceBetweenHeadAndFirstEvent() {
+            serve("/stream/a", Reaction.STALL_AFTER_HEAD, Reaction.STALL_AFTER_HEAD);
+            assertThat(mAttempts).hasSize(2);
+            assertThat(mAttempts.get(1).remainingTime()).isAtLeast(Duration.ofSeconds(1));
+            assertThat(mCaller.mIsFinished).isTrue();
+            assertThat(mCaller.mBody.toString()).isEqualTo("id: 1\ndata: x\n\n");
+        }
     }
 
     @Nested
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
@@ -44,6 +44,10 @@
         ENDLESS,
         /** Streams one event, stalls, and streams the next. */
         STALL,
+        /** Stalls after its head, and streams one event. */
+        STALL_AFTER_HEAD,
+        /** Streams one event, and then a byte now and then that completes no event. */
+        TRICKLE,
         /** Refuses without the promise that the request has not run. */
         REFUSE_WITHOUT_PROMISE,
         /** Sends more of a plain response than is buffered, and breaks off. */
@@ -74,6 +78,8 @@
 
     private static final Duration STALL_DURATION = Duration.ofMillis(1_500);
 
+    private static final Duration TRICKLE_INTERVAL = Duration.ofMillis(300);
+
     private static final Duration PAUSE_TIME = Duration.ofSeconds(2);
 
     private final ManualTimeSource mTime;
@@ -180,6 +186,10 @@
                 assertThat(mEndlessBytes).isLessThan(MAX_ENDLESS_BYTES);
                 return Optional.of(ENDLESS_CHUNK);
             }
+            if (mReaction == Reaction.TRICKLE && mChunks > 1) {
+                stall(deadline, TRICKLE_INTERVAL);
+                return Optional.of(new byte[] {'x'});
+            }
             if (mReaction == Reaction.FAIL_BROKEN_OFF) {
                 throw failure(ErrorCode.TARGET_FAILED);
             }
@@ -200,10 +210,12 @@
                     switch (mReaction) {
                         case STALL -> 2;
                         case STREAM,
+                                STALL_AFTER_HEAD,
                                 LEAVING_BROKEN_STREAM,
                                 CUT_IN_STREAM,
                                 BREAK_OFF,
                                 END_INSIDE_EVENT,
+                                TRICKLE,
                                 TEXT,
                                 FAIL,
                                 ENDLESS ->
@@ -216,8 +228,8 @@
             if (mReaction == Reaction.TEXT || mReaction == Reaction.FAIL) {
                 return Optional.of("error text".getBytes(StandardCharsets.UTF_8));
             }
-            if (mChunks == 2) {
-                stall(deadline);
+            if (mChunks == 2 || mReaction == Reaction.STALL_AFTER_HEAD) {
+                stall(deadline, STALL_DURATION);
             }
             int last = mAttempt.lastEventId().map(Integer::parseInt).orElse(0);
             String event = "id: " + (last + mChunks) + "\ndata: x\n\n";
@@ -227,13 +239,13 @@
             return Optional.of(event.getBytes(StandardCharsets.UTF_8));
         }
 
-        private void stall(Deadline deadline) {
+        private void stall(Deadline deadline, Duration duration) {
             Duration remaining = deadline.remaining(mTime);
-            if (remaining.compareTo(STALL_DURATION) < 0) {
+            if (remaining.compareTo(duration) < 0) {
                 mTime.advance(remaining);
                 throw failure(ErrorCode.DEADLINE_EXCEEDED);
             }
-            mTime.advance(STALL_DURATION);
+            mTime.advance(duration);
         }
 
         @Override
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/SilenceTimeoutTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/SilenceTimeoutTest.java
@@ -85,6 +85,20 @@
             assertThat(millisUntilTimeout(SilenceTimeout.beforeFirstEvent(mRoute, 1_000)))
                     .isEqualTo(3_500);
         }
+
+        @Test
+        void shouldBeginAgainAfterTheHead() {
+            SilenceTimeout timeout = SilenceTimeout.beforeFirstEvent(mRoute, 100);
+            assertThat(millisUntilTimeout(timeout.afterHead(Duration.ofMillis(200))))
+                    .isEqualTo(1_000);
+        }
+
+        @Test
+        void shouldLeaveTimeForAnotherEngineAfterALateHead() {
+            SilenceTimeout timeout = SilenceTimeout.beforeFirstEvent(mRoute, 100);
+            assertThat(millisUntilTimeout(timeout.afterHead(Duration.ofMillis(950))))
+                    .isEqualTo(800);
+        }
     }
 
     @Nested
