Count only whole events as signs of life of a stream

Callers saw: a stream stood still until the deadline while its engine sent a byte now and then that completed no event, although another engine was allowed to go on. Cause: each chunk of bytes began the timeout between events anew; callers get whole events only. Change: the timeout runs until the bytes complete an event or the response ends. The bound on the bytes of one event is unchanged. Evidence: ForwardingTest.Streams.shouldGoOnElsewhereWhenBytesCompleteNoEvent failed with "expected: 2 but was: 1" attempts.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
@@ -1,6 +1,7 @@
 package org.rattanport.decisions.gateway;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.Supplier;
@@ -52,16 +53,11 @@
     public void relay(ResponseHead head, BackEndExchange exchange, Deadline deadline) {
         EventStreamParser parser = new EventStreamParser();
         boolean hasEvents = false;
-        Optional<byte[]> chunk = awaitChunk(exchange, deadline);
-        while (chunk.isPresent()) {
-            for (Event event : parser.feed(chunk.get())) {
-                hasEvents = true;
-                forward(head, event);
-            }
-            if (parser.pendingBytes() > MAX_EVENT_BYTES) {
-                throw brokenOff("an event of the stream is too long");
-            }
-            chunk = awaitChunk(exchange, deadline);
+        Optional<List<Event>> events = awaitEvents(parser, exchange, deadline);
+        while (events.isPresent()) {
+            hasEvents = true;
+            events.get().forEach(event -> forward(head, event));
+            events = awaitEvents(parser, exchange, deadline);
         }
         requireComplete(head, parser, hasEvents);
         ResponseWriter response = start(head);
@@ -69,8 +65,33 @@
         response.finish();
     }
 
-    private Optional<byte[]> awaitChunk(BackEndExchange exchange, Deadline deadline) {
-        return mTimeout.get().await(mTime, deadline, mRemainingPrefill, exchange::awaitChunk);
+    /** Waits for the next events; bytes that complete none do not extend the wait. */
+    private Optional<List<Event>> awaitEvents(
+            EventStreamParser parser, BackEndExchange exchange, Deadline deadline) {
+        return mTimeout.get()
+                .await(
+                        mTime,
+                        deadline,
+                        mRemainingPrefill,
+                        limit -> readEvents(parser, exchange, limit));
+    }
+
+    /** Reads until the bytes complete an event; empty at the end of the response. */
+    private static Optional<List<Event>> readEvents(
+            EventStreamParser parser, BackEndExchange exchange, Deadline limit) {
+        while (true) {
+            if (parser.pendingBytes() > MAX_EVENT_BYTES) {
+                throw brokenOff("an event of the stream is too long");
+            }
+            Optional<byte[]> chunk = exchange.awaitChunk(limit);
+            if (chunk.isEmpty()) {
+                return Optional.empty();
+            }
+            List<Event> events = parser.feed(chunk.get());
+            if (!events.isEmpty()) {
+                return Optional.of(events);
+            }
+        }
     }
 
     /** The end of a connection also ends a stream that has broken off. */
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -148,6 +148,15 @@
             assertThat(mCaller.mIsFinished).isTrue();
             assertThat(mCaller.mBody.toString()).isEqualTo("id: 1\ndata: x\n\n");
         }
+
+        /** Each byte of an event that never ended began the wait for the next event anew. */
+        @Test
+        void shouldGoOnElsewhereWhenBytesCompleteNoEvent() {
+            serve("/stream/a", Reaction.TRICKLE, Reaction.STREAM);
+            assertThat(mAttempts).hasSize(2);
+            assertThat(mCaller.mIsFinished).isTrue();
+            assertThat(mCaller.mBody.toString()).isEqualTo("id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+        }
     }
 
     @Nested
