--- a/platform/src/test/java/org/rattanport/platform/ResponseScript.java
+++ b/kernel/src/test/java/org/rattanport/kernel/exchange/ResponseScript.java
@@ -1,10 +1,12 @@
-package org.rattanport.platform;
+package org.rattanport.kernel.exchange;
 
 import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.Collectors;
-import org.rattanport.platform.standin.SocketBackEndStandIn;
 
 /**
  * How a back end frames a response, at which byte it stops, and what it does there. The body is
@@ -12,19 +14,19 @@
  *
  * @param cut share of the bytes of head and body that are sent, from 0 to 1
  */
-record ResponseScript(Framing framing, End end, double cut) {
+public record ResponseScript(Framing framing, End end, double cut) {
     /** How the back end frames its response. */
-    enum Framing {
+    public enum Framing {
         LENGTH,
         CHUNKS,
         UNTIL_CLOSE
     }
 
     /** What the back end does after the last byte that it sends. */
-    enum End {
+    public enum End {
         CLOSE,
         RESET,
-        /** Neither sends nor closes, until the gateway closes the connection. */
+        /** Neither sends nor closes, until the other side closes the connection. */
         SILENCE,
         /** Sends another response right behind a whole one, then closes. */
         SURPLUS
@@ -34,7 +36,7 @@
     private static final String SURPLUS_RESPONSE = HEAD_START + "Content-Length: 4\r\n\r\nevil";
 
     /** Every fourth response is whole; cuts are as likely in each part of it. */
-    static ResponseScript random(Random random) {
+    public static ResponseScript random(Random random) {
         Framing framing = Framing.values()[random.nextInt(Framing.values().length)];
         End end = End.values()[random.nextInt(End.values().length)];
         double cut = random.nextInt(4) == 0 ? 1 : random.nextDouble();
@@ -77,7 +79,7 @@
         return (int) (cut * (HEAD_START.length() + rest(parts).length()));
     }
 
-    boolean isWhole() {
+    public boolean isWhole() {
         return cut == 1;
     }
 
@@ -85,18 +87,18 @@
      * Whether the end of the connection also ends the body, so that its length cannot tell a cut
      * response from a whole one.
      */
-    boolean isEndedByClose() {
+    public boolean isEndedByClose() {
         return framing == Framing.UNTIL_CLOSE && end == End.CLOSE;
     }
 
     /** Whether an ideal reader knows the response to be whole; a reset may overtake its end. */
-    boolean isCertainlyWhole() {
+    public boolean isCertainlyWhole() {
         boolean hasKnownEnd = end == End.CLOSE || framing != Framing.UNTIL_CLOSE;
         return isWhole() && end != End.RESET && hasKnownEnd;
     }
 
     /** The sent part of a body that the end of the connection ends; empty in other framings. */
-    String bodyUntilClose(List<String> parts) {
+    public String bodyUntilClose(List<String> parts) {
         if (framing != Framing.UNTIL_CLOSE) {
             return "";
         }
@@ -106,25 +108,36 @@
     }
 
     /** Whether the whole head is sent. */
-    boolean hasHead(List<String> parts) {
+    public boolean hasHead(List<String> parts) {
         return sentBytes(parts)
                 >= HEAD_START.length() + framingHeader(parts).length() + "\r\n".length();
     }
 
-    /** Responds with this body, up to the cut. */
-    void respond(SocketBackEndStandIn.Request request, List<String> parts) throws IOException {
-        request.readBody();
-        String response = HEAD_START + request.signature() + rest(parts);
+    /**
+     * Responds with this body, up to the cut.
+     *
+     * @param input what the other side sends after its request
+     * @param headers lines of headers that depend on the request
+     */
+    public void respond(Socket socket, InputStream input, String headers, List<String> parts)
+            throws IOException {
+        String response = HEAD_START + headers + rest(parts);
         int sent = sentBytes(parts);
-        request.write(
+        write(
+                socket,
                 response.substring(
-                        0,
-                        sent <= HEAD_START.length() ? sent : sent + request.signature().length()));
+                        0, sent <= HEAD_START.length() ? sent : sent + headers.length()));
         switch (end) {
             case CLOSE -> {}
-            case RESET -> request.reset();
-            case SILENCE -> request.input().read();
-            case SURPLUS -> request.write(SURPLUS_RESPONSE);
+            case RESET -> socket.setSoLinger(true, 0);
+            case SILENCE -> input.read();
+            case SURPLUS -> write(socket, SURPLUS_RESPONSE);
         }
+        socket.close();
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+        socket.getOutputStream().flush();
     }
 }
--- a/platform/src/test/java/org/rattanport/platform/SeededCases.java
+++ b/kernel/src/test/java/org/rattanport/kernel/exchange/SeededCases.java
@@ -1,4 +1,4 @@
-package org.rattanport.platform;
+package org.rattanport.kernel.exchange;
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -16,23 +16,23 @@
  * Cases that are generated from seeds and played several at a time. The name of a case contains its
  * seed.
  */
-final class SeededCases<T> {
+public final class SeededCases<T> {
     /** Seeds of the cases; the property names others. */
     private static final String DEFAULT_SEEDS = "1,2,3";
 
     private static final String SEEDS_PROPERTY = "rattanport.exchange.seeds";
 
     /** Cases at a time for each engine; an engine of the stand-in has more slots. */
-    static final int CASES_PER_ENGINE = 6;
+    public static final int CASES_PER_ENGINE = 6;
 
     /** Plays one case; throws if it failed. */
-    interface Player<T> {
+    public interface Player<T> {
         void play(String name, T one) throws Exception;
     }
 
     private final Map<String, T> mCases = new LinkedHashMap<>();
 
-    SeededCases(int casesPerSeed, Function<Random, T> generator) {
+    public SeededCases(int casesPerSeed, Function<Random, T> generator) {
         for (String seed : System.getProperty(SEEDS_PROPERTY, DEFAULT_SEEDS).split(",")) {
             Random random = new Random(Long.parseLong(seed));
             for (int i = 0; i < casesPerSeed; i++) {
@@ -42,7 +42,7 @@
     }
 
     /** Returns the case whose name is the last segment of the request target. */
-    T ofTarget(String target) {
+    public T ofTarget(String target) {
         T found = mCases.get(target.substring(target.lastIndexOf('/') + 1));
         if (found == null) {
             throw new AssertionError("no case is named by " + target);
@@ -51,7 +51,7 @@
     }
 
     /** Plays all cases, a number of them at a time, and fails with every case that failed. */
-    void play(int casesAtATime, Player<T> player) throws InterruptedException {
+    public void play(int casesAtATime, Player<T> player) throws InterruptedException {
         List<String> failures = new ArrayList<>();
         try (ExecutorService tasks =
                 Executors.newFixedThreadPool(casesAtATime, Tasks.factory("case"))) {
