--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -103,7 +103,7 @@
                 mCaller,
                 mComponents.time(),
                 mRequest.lastEventId(),
-                () -> mSilence.betweenEvents(mRuns),
+                () -> mSilence.beforeNextEvent(mRuns, mRelay.hasStarted()),
                 mSilence::mayTakeOver,
                 () -> mSilence.remainingPrefill(mLastBackEndId),
                 this::onForwarded);
@@ -278,13 +278,8 @@
     private boolean handleResponse(Placement placement, BackEndExchange exchange) {
         BackEnd backEnd = placement.backEnd();
         ResponseHead head =
-                mSilence.beforeFirstEvent(placement, mRuns, mRelay.hasStarted())
-                        .await(
-                                mComponents.time(),
-                                mDeadline,
-                                mSilence::mayTakeOver,
-                                () -> mSilence.remainingPrefill(mLastBackEndId),
-                                exchange::awaitHead);
+                mSilence.awaitHead(
+                        placement, mRuns, mRelay.hasStarted(), mDeadline, exchange::awaitHead);
         mTrace.responseReceived(head.status());
         mHasReachedBackEnd = true;
         mComponents.notices().recordResponse(backEnd, head);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/SilencePolicy.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/SilencePolicy.java
@@ -2,10 +2,13 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.Function;
 import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.CallerRequest;
 import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.Route;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.TimeSource;
 
 /**
  * How long the silence of a back end is waited out: to the limit of the route, or until another one
@@ -18,6 +21,9 @@
     private final BackEndService mService;
     private final BackEndSelection mSelection;
 
+    /** How long the back end of the current attempt may be silent after its head. */
+    private SilenceTimeout mAfterHead;
+
     SilencePolicy(
             GatewayComponents components,
             CallerRequest request,
@@ -29,18 +35,36 @@
         mRoute = route;
         mService = service;
         mSelection = selection;
+        mAfterHead = SilenceTimeout.routeTimeout(route);
     }
 
-    /** Once no retry is allowed, only the route limits the silence of the last engine. */
-    SilenceTimeout betweenEvents(int runs) {
-        boolean mayRetry = mRoute.isRetryable() && runs < mRoute.maxAttempts();
-        return mayRetry
-                ? SilenceTimeout.betweenEvents(mRoute)
-                : SilenceTimeout.routeTimeout(mRoute);
+    /**
+     * Waits for the head of a response. What it leaves of the timeout limits the wait for the first
+     * event.
+     *
+     * @param runs runs of the request before this one
+     * @param hasStarted whether the caller has a part of the response
+     * @param read waits until the deadline it receives
+     */
+    <T> T awaitHead(
+            Placement placement,
+            int runs,
+            boolean hasStarted,
+            Deadline deadline,
+            Function<Deadline, T> read) {
+        TimeSource time = mComponents.time();
+        SilenceTimeout timeout = beforeFirstEvent(placement, runs, hasStarted);
+        Optional<String> backEndId = Optional.of(placement.backEnd().id());
+        long startNanos = time.nanoTime();
+        T head =
+                timeout.await(
+                        time, deadline, this::mayTakeOver, () -> remainingPrefill(backEndId), read);
+        mAfterHead = timeout.afterHead(Duration.ofNanos(time.nanoTime() - startNanos));
+        return head;
     }
 
     /** The wait for a first event ends early only while a retry is allowed. */
-    SilenceTimeout beforeFirstEvent(Placement placement, int runs, boolean hasStarted) {
+    private SilenceTimeout beforeFirstEvent(Placement placement, int runs, boolean hasStarted) {
         boolean mayRetry = mRoute.isRetryable() && runs + 1 < mRoute.maxAttempts();
         if (!mayRetry || hasStarted) {
             return SilenceTimeout.routeTimeout(mRoute);
@@ -49,6 +73,17 @@
         return SilenceTimeout.beforeFirstEvent(mRoute, predicted);
     }
 
+    /** Once no retry is allowed, only the route limits the silence of the last engine. */
+    SilenceTimeout beforeNextEvent(int runs, boolean hasStarted) {
+        if (!hasStarted) {
+            return mAfterHead;
+        }
+        boolean mayRetry = mRoute.isRetryable() && runs < mRoute.maxAttempts();
+        return mayRetry
+                ? SilenceTimeout.betweenEvents(mRoute)
+                : SilenceTimeout.routeTimeout(mRoute);
+    }
+
     /** Whether a retry may be sent, and to a back end that has not been tried. */
     boolean mayTakeOver() {
         return mComponents.retryBudget().isAvailable(mService.name()) && mSelection.hasUntried();
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -138,6 +138,25 @@
                     .containsExactly("id: 1", "id: 2", "id: 3")
                     .inOrder();
         }
+
+        /** Only the route ended the wait for the first event of an engine that had sent a head. */
+        @Test
+        void shouldGoOnElsewhereAfterSilenceBetweenHeadAndFirstEvent() {
+            serve("/stream/a", Reaction.STALL_AFTER_HEAD, Reaction.STALL_AFTER_HEAD);
+            assertThat(mAttempts).hasSize(2);
+            assertThat(mAttempts.get(1).remainingTime()).isAtLeast(Duration.ofSeconds(1));
+            assertThat(mCaller.mIsFinished).isTrue();
+            assertThat(mCaller.mBody.toString()).isEqualTo("id: 1\ndata: x\n\n");
+        }
+
+        /** Each byte of an event that never ended began the wait for the next event anew. */
+        @Test
+        void shouldGoOnElsewhereWhenBytesCompleteNoEvent() {
+            serve("/stream/a", Reaction.TRICKLE, Reaction.STREAM);
+            assertThat(mAttempts).hasSize(2);
+            assertThat(mCaller.mIsFinished).isTrue();
+            assertThat(mCaller.mBody.toString()).isEqualTo("id: 1\ndata: x\n\nid: 2\ndata: x\n\n");
+        }
     }
 
     @Nested
@@ -163,6 +182,16 @@
             mRegistry.apply(List.of(), List.of("engine-1", "engine-2", "engine-3"));
             serveStallingStream();
         }
+
+        /** The wait for the first event after a head did not ask whether another may take over. */
+        @Test
+        void shouldNotBeGivenUpAfterTheHeadWithoutARetry() {
+            mSlack = 0;
+            serve("/stream/a", Reaction.STALL_AFTER_HEAD);
+            assertThat(mAttempts).hasSize(1);
+            assertThat(mCaller.mIsFinished).isTrue();
+            assertThat(mCaller.mBody.toString()).isEqualTo("id: 1\ndata: x\n\n");
+        }
     }
 
     @Nested
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/SilenceTimeoutTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/SilenceTimeoutTest.java
@@ -94,6 +94,31 @@
             assertThat(millisUntilTimeout(SilenceTimeout.beforeFirstEvent(mRoute, 1_000)))
                     .isEqualTo(3_500);
         }
+
+        @Test
+        void shouldBeginAgainAfterTheHead() {
+            SilenceTimeout timeout = SilenceTimeout.beforeFirstEvent(mRoute, 100);
+            assertThat(millisUntilTimeout(timeout.afterHead(Duration.ofMillis(200))))
+                    .isEqualTo(1_000);
+        }
+
+        @Test
+        void shouldLeaveTimeForAnotherEngineAfterALateHead() {
+            SilenceTimeout timeout = SilenceTimeout.beforeFirstEvent(mRoute, 100);
+            assertThat(millisUntilTimeout(timeout.afterHead(Duration.ofMillis(950))))
+                    .isEqualTo(800);
+        }
+
+        /**
+         * Nothing was left of the timeout, and the back end was given up although none took over.
+         */
+        @Test
+        void shouldWaitAfterAHeadThatWasAwaitedForLongerThanTheTimeout() {
+            mMayTakeOver = false;
+            mNextEventMillis = 9_000;
+            SilenceTimeout timeout = SilenceTimeout.beforeFirstEvent(mRoute, 100);
+            assertThat(await(timeout.afterHead(Duration.ofSeconds(4)))).isEqualTo("event");
+        }
     }
 
     @Nested
