--- a/decisions/src/main/java/org/rattanport/decisions/gateway/SilenceTimeout.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/SilenceTimeout.java
@@ -31,6 +31,12 @@
      */
     private static final Duration MIN_FIRST_EVENT_TIMEOUT = Duration.ofMillis(1_000);
 
+    /**
+     * Shortest timeout between the head and the first event. A head may come later than {@link
+     * #max}, when no other back end could take over before.
+     */
+    private static final Duration MIN_TIMEOUT_AFTER_HEAD = Duration.ofMillis(100);
+
     /** Timeout before the first event, as a multiple of its predicted time. */
     private static final int PREDICTION_FACTOR = 3;
 
@@ -77,6 +83,12 @@
         return new SilenceTimeout(route.timeout(), route.timeout());
     }
 
+    /** Returns what the first event has left of this timeout after a wait for the head. */
+    SilenceTimeout afterHead(Duration elapsed) {
+        Duration left = longer(MIN_TIMEOUT_AFTER_HEAD, max.minus(elapsed));
+        return new SilenceTimeout(base.compareTo(left) < 0 ? base : left, left);
+    }
+
     private static Duration maxOf(Route route) {
         Duration callerTimeout =
                 longer(
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
@@ -45,6 +45,10 @@
         ENDLESS,
         /** Streams one event, stalls, and streams the next, also to a reader that asks again. */
         STALL,
+        /** Stalls after its head, and streams one event. */
+        STALL_AFTER_HEAD,
+        /** Streams one event, and then a byte now and then that completes no event. */
+        TRICKLE,
         /** Refuses without the promise that the request has not run. */
         REFUSE_WITHOUT_PROMISE,
         /** Sends more of a plain response than is buffered, and breaks off. */
@@ -75,6 +79,8 @@
 
     private static final Duration STALL_DURATION = Duration.ofMillis(1_500);
 
+    private static final Duration TRICKLE_INTERVAL = Duration.ofMillis(300);
+
     private static final Duration PAUSE_TIME = Duration.ofSeconds(2);
 
     private final ManualTimeSource mTime;
@@ -126,7 +132,7 @@
         private final Attempt mAttempt;
         private final Reaction mReaction;
         private int mChunks;
-        private Duration mRemainingStall = STALL_DURATION;
+        private Duration mRemainingStall = Duration.ZERO;
 
         private ScriptedExchange(Attempt attempt, Reaction reaction) {
             mAttempt = attempt;
@@ -186,6 +192,10 @@
                 assertThat(mEndlessBytes).isLessThan(MAX_ENDLESS_BYTES);
                 return Optional.of(ENDLESS_CHUNK);
             }
+            if (mReaction == Reaction.TRICKLE && mChunks > 1) {
+                stall(deadline, TRICKLE_INTERVAL);
+                return Optional.of(new byte[] {'x'});
+            }
             if (mReaction == Reaction.FAIL_BROKEN_OFF) {
                 throw failure(ErrorCode.TARGET_FAILED);
             }
@@ -206,10 +216,12 @@
                     switch (mReaction) {
                         case STALL -> 2;
                         case STREAM,
+                                STALL_AFTER_HEAD,
                                 LEAVING_BROKEN_STREAM,
                                 CUT_IN_STREAM,
                                 BREAK_OFF,
                                 END_INSIDE_EVENT,
+                                TRICKLE,
                                 TEXT,
                                 FAIL,
                                 ENDLESS ->
@@ -222,8 +234,8 @@
             if (mReaction == Reaction.TEXT || mReaction == Reaction.FAIL) {
                 return Optional.of("error text".getBytes(StandardCharsets.UTF_8));
             }
-            if (mChunks == 2) {
-                stall(deadline);
+            if (mChunks == 2 || mReaction == Reaction.STALL_AFTER_HEAD) {
+                stall(deadline, STALL_DURATION);
             }
             int last = mAttempt.lastEventId().map(Integer::parseInt).orElse(0);
             String event = "id: " + (last + mChunks) + "\ndata: x\n\n";
@@ -233,8 +245,9 @@
             return Optional.of(event.getBytes(StandardCharsets.UTF_8));
         }
 
-        private void stall(Deadline deadline) {
+        private void stall(Deadline deadline, Duration duration) {
             Duration remaining = deadline.remaining(mTime);
+            mRemainingStall = mRemainingStall.isZero() ? duration : mRemainingStall;
             if (remaining.compareTo(mRemainingStall) < 0) {
                 mTime.advance(remaining);
                 mRemainingStall = mRemainingStall.minus(remaining);
@@ -242,6 +255,7 @@
                 throw failure(ErrorCode.DEADLINE_EXCEEDED);
             }
             mTime.advance(mRemainingStall);
+            mRemainingStall = Duration.ZERO;
         }
 
         @Override
