End the exchange of a server only when the system has its response

HttpExchange.respond returned as soon as a response was in the event loop's buffer. A prompt or an action was then no longer in flight, so a drain could end, and with it the process, before the last bytes were handed to the system: the caller got a response that breaks off. The gateway's front has waited for this since its responses end with writeLast; the servers of the prompts edition, of the directory and of the readiness check did not.

Evidence: HttpServerTest.ResponseAtTheEndOfAStop, with an event loop that is kept busy, on the code before: "expected to be false" (the handler went on before the response was written). It passes now, as do all HttpServer, HttpClient and HttpChannel tests (27). In one run of all tests up to connectors, HttpClientTest.shouldBeNotRunWhenTheTaskIsInterruptedBeforeItConnects failed once ("expected: NOT_RUN but was: MAY_HAVE_RUN"), a race in the client's connect that this change does not touch.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpExchange.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpExchange.java
@@ -119,7 +119,7 @@
         respond(status, "text/plain", text.getBytes(StandardCharsets.UTF_8));
     }
 
-    /** Sends a complete response. */
+    /** Sends a complete response, and blocks until the system has taken it. */
     public void respond(int status, String contentType, byte[] body) {
         boolean hasNoBody = mRequest.method().equals(HttpMethod.HEAD);
         DefaultFullHttpResponse response =
@@ -128,7 +128,8 @@
                         HttpResponseStatus.valueOf(status),
                         Unpooled.wrappedBuffer(hasNoBody ? new byte[0] : body));
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        sendHead(response, contentType);
+        addHeaders(response, contentType);
+        requireSent(mChannel.writeLast(response, MAX_WRITE_STALL));
     }
 
     /** Starts a response that streams server-sent events. */
@@ -142,17 +143,17 @@
             mClosesConnection = true;
         }
         mHasOpenEventStream = true;
-        sendHead(response, EVENT_STREAM_CONTENT_TYPE);
+        addHeaders(response, EVENT_STREAM_CONTENT_TYPE);
+        requireSent(mChannel.write(response, MAX_WRITE_STALL));
     }
 
-    private void sendHead(HttpResponse response, String contentType) {
+    private void addHeaders(HttpResponse response, String contentType) {
         mIsResponseStarted = true;
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, contentType);
         mResponseHeaders.forEach(each -> response.headers().add(each.name(), each.value()));
         if (mClosesConnection) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        requireSent(mChannel.write(response, MAX_WRITE_STALL));
     }
 
     /**
--- a/connectors/src/test/java/org/rattanport/connectors/http/HttpServerTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/http/HttpServerTest.java
@@ -3,12 +3,15 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.netty.channel.Channel;
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -25,6 +28,7 @@
     private final HttpTransport mTransport = new HttpTransport();
     private final HttpClient mClient = HttpClient.withConnectionPool(mTransport, mTime);
     private final AtomicInteger mHandled = new AtomicInteger();
+    private volatile Routes.ExchangeHandler mHandler = HttpServerTest::failBeforeResponse;
     private final HttpServer mServer =
             new HttpServer(mTransport, "127.0.0.1:0", this::addRoutes, HttpServer::sendErrorAsText);
 
@@ -34,6 +38,7 @@
         routes.post("/deaf", exchange -> exchange.respondText(200, "unread"));
         routes.get("/broken", HttpServerTest::failInsideResponse);
         routes.get("/fails", HttpServerTest::failBeforeResponse);
+        routes.get("/any", exchange -> mHandler.handle(exchange));
     }
 
     private void respondWithParameters(HttpExchange exchange) {
@@ -185,6 +190,44 @@
         }
     }
 
+    @Nested
+    final class ResponseAtTheEndOfAStop {
+        private static final int NO_WAIT_MILLIS = 200;
+        private static final int MAX_WAIT_SECONDS = 10;
+
+        private final CountDownLatch mMayWrite = new CountDownLatch(1);
+
+        /** The request was over before the system had its response, which a stop then dropped. */
+        @Test
+        void shouldBeTakenByTheSystemBeforeTheRequestEnds() throws Exception {
+            Channel other = mTransport.listen("127.0.0.1:0", () -> 1, channel -> {});
+            CountDownLatch responded = new CountDownLatch(1);
+            mHandler =
+                    exchange -> {
+                        other.eventLoop().execute(this::awaitWrite);
+                        exchange.respondText(200, "done");
+                        responded.countDown();
+                    };
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), mServer.port())) {
+                socket.getOutputStream()
+                        .write("GET /any HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                assertThat(responded.await(NO_WAIT_MILLIS, TimeUnit.MILLISECONDS)).isFalse();
+                mMayWrite.countDown();
+                assertThat(responded.await(MAX_WAIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+            } finally {
+                mMayWrite.countDown();
+            }
+        }
+
+        private void awaitWrite() {
+            try {
+                mMayWrite.await();
+            } catch (InterruptedException e) {
+                throw RattanportException.interrupted();
+            }
+        }
+    }
+
     private static final String CONNECTION_CLOSE = "Connection: close";
 
     /** Sends the text unchanged and returns everything received until the connection ends. */
