Open no connection for a task that was interrupted before

A connection that is open before its task begins to wait for it made the wait ignore an interrupt. The request was then written for a task that was to end, and its verdict was may_have_run. The gateway's own requests ask for the cut once more before they are written; those to the store, the engines' memory and other services did not.

The interrupt is now looked at after the wait too, and the connection is closed.

It needs a connection that opens within microseconds, so no test makes the order certain; the order follows from the code.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
@@ -142,8 +142,12 @@
 
     private static boolean isConnected(ChannelFuture connecting, Duration timeout) {
         try {
-            return connecting.await(timeout.toNanos(), TimeUnit.NANOSECONDS)
-                    && connecting.isSuccess();
+            boolean isDone = connecting.await(timeout.toNanos(), TimeUnit.NANOSECONDS);
+            if (Thread.interrupted()) {
+                // The wait for a connection that is already open ignores an interrupt.
+                throw new InterruptedException();
+            }
+            return isDone && connecting.isSuccess();
         } catch (InterruptedException e) {
             connecting.channel().close();
             throw RattanportException.interrupted();
