Stop taking in requests before the plug-ins stop

Cause: the listener and the connections of callers were open until the event loop ended, which nothing coordinated with the tasks that still wrote refusals. A head that lay in the queue of a connection whose task had not run was not counted either.

A front now registers an Intake with the Drain. Once no more requests come, or after a cut, the drain closes it: the listener closes, each connection takes no request that has not begun to arrive, and reading stops. The close waits until the task of each connection has served what was read, also a task that has not run yet, until the drain limit and at least 200 ms; then the rest is cut as before. So a stop lasts at most 400 ms beyond the drain limit, before the plug-ins stop. Connections without a request end in order, and a request that crosses the close is not read.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/GatewayFrontPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/GatewayFrontPlugin.java
@@ -1,6 +1,7 @@
 package org.rattanport.connectors.gateway;
 
 import java.util.Set;
+import org.rattanport.connectors.http.HttpIntake;
 import org.rattanport.connectors.http.HttpTransport;
 import org.rattanport.decisions.gateway.ActiveRouting;
 import org.rattanport.decisions.gateway.BodyMemory;
@@ -47,20 +48,22 @@
         InFlightRequests inFlight = context.require(InFlightRequests.class);
         Drain drain = context.require(Drain.class);
         BodyMemory bodyMemory = new BodyMemory(Runtime.getRuntime().maxMemory() / BODY_SHARE);
-        context.require(HttpTransport.class)
-                .listen(
-                        context.require(LocalAddresses.class).callerAddress(),
-                        () -> routing.limits().maxHeaderBytes(),
-                        channel ->
-                                new CallerConnection(
-                                                channel,
-                                                dialect,
-                                                service::serve,
-                                                routing,
-                                                inFlight,
-                                                bodyMemory,
-                                                drain::isDraining,
-                                                context.events()::publish)
-                                        .run());
+        HttpIntake intake =
+                context.require(HttpTransport.class)
+                        .openIntake(
+                                context.require(LocalAddresses.class).callerAddress(),
+                                () -> routing.limits().maxHeaderBytes(),
+                                channel ->
+                                        new CallerConnection(
+                                                        channel,
+                                                        dialect,
+                                                        service::serve,
+                                                        routing,
+                                                        inFlight,
+                                                        bodyMemory,
+                                                        drain::isDraining,
+                                                        context.events()::publish)
+                                                .run());
+        drain.register(intake::close);
     }
 }
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
@@ -18,6 +18,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.Condition;
@@ -58,9 +59,16 @@
     private final Condition mWritable = mLock.newCondition();
     private final Cancellation mDisconnection = new Cancellation();
     private final Channel mChannel;
+    private final CountDownLatch mServed = new CountDownLatch(1);
     private boolean mIsBroken;
     private boolean mIsOutputEnded;
 
+    /** Whether the last message that the event loop has read still arrives. */
+    private boolean mIsMessageOpen;
+
+    private boolean mMustEndRequests;
+    private volatile boolean mHasEndedRequests;
+
     public HttpChannel(Channel channel) {
         mChannel = channel;
     }
@@ -83,8 +91,8 @@
                 // Later calls find the end too, and do not wait for parts that cannot come.
                 mParts.add(part);
             }
-            if (mParts.size() <= RESUME_READING_AT_PARTS && !mChannel.config().isAutoRead()) {
-                mChannel.config().setAutoRead(true);
+            if (mParts.size() <= RESUME_READING_AT_PARTS) {
+                resumeReading();
             }
             return Optional.ofNullable(part);
         } catch (InterruptedException e) {
@@ -92,27 +100,76 @@
         }
     }
 
+    private void resumeReading() {
+        if (mHasEndedRequests || mChannel.config().isAutoRead()) {
+            return;
+        }
+        mChannel.config().setAutoRead(true);
+        if (mHasEndedRequests) {
+            // The event loop ended the requests meanwhile.
+            mChannel.config().setAutoRead(false);
+        }
+    }
+
     /**
-     * Serves the requests of the connection, one after the other, until it ends.
+     * Serves the requests of the connection, one after the other, until it or its requests end.
      *
      * @param idleTimeout longest wait for a request
      * @param serve serves a request and returns whether the connection may carry another one
      */
     public void serveRequests(Supplier<Duration> idleTimeout, Predicate<HttpRequest> serve) {
-        boolean mayContinue = true;
-        while (mayContinue) {
-            Optional<HttpMessagePart> part = poll(idleTimeout.get());
-            if (part.isEmpty() || part.get() instanceof Closed) {
-                return;
+        try {
+            boolean mayContinue = true;
+            while (mayContinue && !(mHasEndedRequests && mParts.isEmpty())) {
+                Optional<HttpMessagePart> part = poll(idleTimeout.get());
+                if (part.isEmpty() || part.get() instanceof Closed) {
+                    return;
+                }
+                mayContinue =
+                        !(part.get() instanceof Head head)
+                                || !(head.message() instanceof HttpRequest request)
+                                || serve.test(request);
             }
-            mayContinue =
-                    !(part.get() instanceof Head head)
-                            || !(head.message() instanceof HttpRequest request)
-                            || serve.test(request);
+        } finally {
+            markServed();
         }
         endOutput();
     }
 
+    /**
+     * Ends the requests of the connection after the one that has begun to arrive, if any. Nothing
+     * more is read until the output has ended, and then it is dropped. Runs in the event loop.
+     */
+    void endRequests() {
+        mMustEndRequests = true;
+        endRequestsBetweenMessages();
+    }
+
+    private void endRequestsBetweenMessages() {
+        if (mMustEndRequests && !mIsMessageOpen && !mHasEndedRequests) {
+            mHasEndedRequests = true;
+            if (mServed.getCount() > 0) {
+                mChannel.config().setAutoRead(false);
+            }
+            // Wakes the task if it waits for a request.
+            mParts.add(new End());
+        }
+    }
+
+    /** Says that the task serves no more requests. */
+    void markServed() {
+        mServed.countDown();
+    }
+
+    /** Waits until the task serves no more requests; returns whether that is so. */
+    boolean awaitServed(Duration timeout) {
+        try {
+            return mServed.await(timeout.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (InterruptedException e) {
+            throw RattanportException.interrupted();
+        }
+    }
+
     /**
      * Wakes the task that waits for a part; the task finds the connection closed for this reason.
      */
@@ -193,6 +250,7 @@
                 && socket.isActive()
                 && isTakenBySystem(mChannel.writeAndFlush(Unpooled.EMPTY_BUFFER), FLUSH_TIMEOUT)) {
             socket.shutdownOutput();
+            mChannel.config().setAutoRead(true);
             Optional<HttpMessagePart> part = poll(CLOSE_LINGER);
             while (part.isPresent() && !(part.get() instanceof Closed)) {
                 part = poll(CLOSE_LINGER);
@@ -217,8 +275,13 @@
      */
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        if (mHasEndedRequests) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
         try {
             if (message instanceof HttpMessage head) {
+                mIsMessageOpen = true;
                 mParts.add(new Head(head));
             }
             if (message instanceof HttpContent content && content.decoderResult().isFailure()) {
@@ -233,10 +296,14 @@
                     mParts.add(new End());
                 }
             }
+            if (message instanceof LastHttpContent || mIsBroken) {
+                mIsMessageOpen = false;
+                endRequestsBetweenMessages();
+            }
         } finally {
             ReferenceCountUtil.release(message);
         }
-        if (mParts.size() >= MAX_QUEUED_PARTS) {
+        if (mParts.size() >= MAX_QUEUED_PARTS && !mHasEndedRequests) {
             mChannel.config().setAutoRead(false);
             if (mParts.size() <= RESUME_READING_AT_PARTS) {
                 // The task took the parts meanwhile and may already wait for the next one.
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
@@ -48,6 +48,15 @@
 
     /** Accepts connections at the address and starts a task for each. */
     public Channel listen(String address, IntSupplier maxHeaderBytes, Consumer<HttpChannel> task) {
+        return openIntake(address, maxHeaderBytes, task).listener();
+    }
+
+    /**
+     * Accepts connections at the address and starts a task for each, until the intake is closed.
+     */
+    public HttpIntake openIntake(
+            String address, IntSupplier maxHeaderBytes, Consumer<HttpChannel> task) {
+        HttpIntake.Connections connections = new HttpIntake.Connections();
         ServerBootstrap server =
                 new ServerBootstrap()
                         .group(mEventLoop)
@@ -60,7 +69,12 @@
                                 new ChannelInitializer<NioSocketChannel>() {
                                     @Override
                                     protected void initChannel(NioSocketChannel channel) {
-                                        accept(channel, maxHeaderBytes.getAsInt(), task);
+                                        HttpChannel accepted =
+                                                accept(channel, maxHeaderBytes.getAsInt());
+                                        connections.add(accepted);
+                                        Tasks.start(
+                                                "caller-connection",
+                                                () -> connections.serve(accepted, task));
                                     }
                                 });
         var bound = server.bind(SocketAddresses.requireLocal(address)).awaitUninterruptibly();
@@ -70,11 +84,10 @@
                             "cannot listen at " + address + ": " + bound.cause().getMessage())
                     .build();
         }
-        return bound.channel();
+        return new HttpIntake(bound.channel(), connections);
     }
 
-    private static void accept(
-            NioSocketChannel channel, int maxHeaderBytes, Consumer<HttpChannel> task) {
+    private static HttpChannel accept(NioSocketChannel channel, int maxHeaderBytes) {
         HttpChannel accepted = new HttpChannel(channel);
         HttpDecoderConfig config =
                 new HttpDecoderConfig()
@@ -82,7 +95,7 @@
                         .setMaxHeaderSize(maxHeaderBytes)
                         .setValidateHeaders(true);
         channel.pipeline().addLast(new HttpServerCodec(config), accepted);
-        Tasks.start("caller-connection", () -> task.accept(accepted));
+        return accepted;
     }
 
     /**
--- a/connectors/src/test/java/org/rattanport/connectors/gateway/CallerConnectionTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/gateway/CallerConnectionTest.java
@@ -11,6 +11,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
@@ -24,6 +25,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.rattanport.connectors.http.HttpChannel;
+import org.rattanport.connectors.http.HttpIntake;
 import org.rattanport.connectors.http.HttpTransport;
 import org.rattanport.decisions.gateway.ActiveRouting;
 import org.rattanport.decisions.gateway.BodyMemory;
@@ -60,27 +63,40 @@
 
     private CallerConnection.Handler mHandler = CallerConnectionTest::respond;
 
-    private final Channel mListener =
-            mTransport.listen(
-                    "127.0.0.1:0",
-                    () -> MAX_HEADER_BYTES,
-                    channel ->
-                            new CallerConnection(
-                                            channel,
-                                            new FakeDialect(),
-                                            this::serve,
-                                            new ActiveRouting(new EventStreams()),
-                                            mInFlight,
-                                            new BodyMemory(Long.MAX_VALUE),
-                                            () -> false,
-                                            mUnanswered::add)
-                                    .run());
+    /** Holds back the tasks of connections until it is released. */
+    private CountDownLatch mTasksMayRun = new CountDownLatch(0);
+
+    private final BlockingQueue<HttpChannel> mStartedTasks = new LinkedBlockingQueue<>();
+
+    private final HttpIntake mIntake =
+            mTransport.openIntake("127.0.0.1:0", () -> MAX_HEADER_BYTES, this::serveConnection);
+
+    private final Channel mListener = mIntake.listener();
 
     @AfterEach
     void close() {
         mTransport.close();
     }
 
+    private void serveConnection(HttpChannel channel) {
+        mStartedTasks.add(channel);
+        try {
+            mTasksMayRun.await();
+        } catch (InterruptedException e) {
+            throw RattanportException.interrupted();
+        }
+        new CallerConnection(
+                        channel,
+                        new FakeDialect(),
+                        this::serve,
+                        new ActiveRouting(new EventStreams()),
+                        mInFlight,
+                        new BodyMemory(Long.MAX_VALUE),
+                        () -> false,
+                        mUnanswered::add)
+                .run();
+    }
+
     private void serve(CallerRequest request, CallerExchange exchange) {
         mServed.add(request);
         mHandler.serve(request, exchange);
@@ -183,6 +199,91 @@
         }
     }
 
+    @Nested
+    final class CloseOfTheIntake {
+        private static final Duration MAX_CLOSE_TIME = Duration.ofSeconds(MAX_WAIT_SECONDS);
+        private static final String RESPONSE_END = "\r\n\r\nok";
+
+        /** Sends a request that keeps its connection, and reads the response. */
+        private void exchange(Socket caller) throws IOException {
+            send(caller, head(1) + "b");
+            StringBuilder response = new StringBuilder();
+            while (!response.toString().endsWith(RESPONSE_END)) {
+                int next = caller.getInputStream().read();
+                assertThat(next).isAtLeast(0);
+                response.append((char) next);
+            }
+        }
+
+        /** Counts the bytes to the end of the connection, which may be a reset. */
+        private int countToTheEnd(Socket caller) {
+            int count = 0;
+            try {
+                while (caller.getInputStream().read() >= 0) {
+                    count++;
+                }
+            } catch (IOException e) {
+                assertThat(e).isNotInstanceOf(SocketTimeoutException.class);
+            }
+            return count;
+        }
+
+        /**
+         * A request that came between the drain and the end of the event loop was refused in the
+         * log only; its caller saw a plain close. Now it is not taken in.
+         */
+        @Test
+        void shouldNotTakeInALaterRequest() throws Exception {
+            try (Socket caller = connect()) {
+                exchange(caller);
+                mInFlight.refuseNew();
+                assertThat(isEmptyWithin(MAX_CLOSE_TIME)).isTrue();
+                long taken = mInFlight.totalCount();
+                assertThat(mIntake.close(MAX_CLOSE_TIME)).isTrue();
+                send(caller, head(1) + "b");
+                assertThat(countToTheEnd(caller)).isEqualTo(0);
+                assertThat(mInFlight.totalCount()).isEqualTo(taken);
+                assertThat(mCountAtRefusal).isEmpty();
+            }
+        }
+
+        @Test
+        void shouldAcceptNoLaterConnection() throws Exception {
+            assertThat(mIntake.close(MAX_CLOSE_TIME)).isTrue();
+            assertThat(mListener.closeFuture().await(MAX_WAIT_SECONDS, TimeUnit.SECONDS)).isTrue();
+            assertThrows(IOException.class, () -> connect());
+        }
+
+        /** A request was not counted until its task ran, and the stop could end before that. */
+        @Test
+        void shouldWaitForATaskThatHasNotRun() throws Exception {
+            mTasksMayRun = new CountDownLatch(1);
+            try (Socket caller = connect()) {
+                await(mStartedTasks);
+                send(caller, "POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nb");
+                mInFlight.refuseNew();
+                assertThat(mIntake.close(Duration.ofMillis(50))).isFalse();
+                mTasksMayRun.countDown();
+                send(caller, "b");
+                assertThat(receive(caller)).startsWith("HTTP/1.1 503 ");
+                assertThat(mIntake.close(MAX_CLOSE_TIME)).isTrue();
+            }
+        }
+
+        /** What follows a request on its connection is dropped, but its body is waited for. */
+        @Test
+        void shouldRefuseARequestWhoseBodyIsStillArriving() throws Exception {
+            try (Socket caller = connect()) {
+                sendPartOfBody(caller);
+                mInFlight.refuseNew();
+                assertThat(mIntake.close(Duration.ofMillis(50))).isFalse();
+                send(caller, "b" + head(1) + "b");
+                assertThat(receive(caller).split("HTTP/1.1 503 ", -1)).hasLength(2);
+                assertThat(mIntake.close(MAX_CLOSE_TIME)).isTrue();
+            }
+        }
+    }
+
     @Nested
     final class StopDuringARefusal {
         /** A refusal was written outside the count, and the process could end before it. */
--- a/connectors/src/test/java/org/rattanport/connectors/http/HttpChannelTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/http/HttpChannelTest.java
@@ -8,6 +8,7 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
@@ -144,4 +145,59 @@
                     .isTrue();
         }
     }
+
+    @Nested
+    final class EndOfItsRequests {
+        private final EmbeddedChannel mServerEnd = new EmbeddedChannel(new HttpRequestDecoder());
+        private final HttpChannel mServer = new HttpChannel(mServerEnd);
+        private final List<String> mServed = new ArrayList<>();
+
+        EndOfItsRequests() {
+            mServerEnd.pipeline().addLast(mServer);
+        }
+
+        private void receive(String bytes) {
+            mServerEnd.writeInbound(Unpooled.copiedBuffer(bytes, StandardCharsets.US_ASCII));
+        }
+
+        private void serveRequests() {
+            mServer.serveRequests(
+                    () -> Duration.ZERO,
+                    request -> {
+                        mServed.add(request.uri());
+                        return true;
+                    });
+        }
+
+        /** The task resumed reading whenever its queue was short. */
+        @Test
+        void shouldKeepTheChannelFromReading() {
+            mServer.endRequests();
+            assertThat(mServer.poll(Duration.ZERO)).isPresent();
+            assertThat(mServer.poll(Duration.ZERO)).isEmpty();
+            assertThat(mServerEnd.config().isAutoRead()).isFalse();
+        }
+
+        @Test
+        void shouldServeWhatWasReadBefore() {
+            receive("GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
+            mServer.endRequests();
+            receive("GET /c HTTP/1.1\r\n\r\n");
+            assertThat(mServer.awaitServed(Duration.ZERO)).isFalse();
+            serveRequests();
+            assertThat(mServed).containsExactly("/a", "/b").inOrder();
+            assertThat(mServer.awaitServed(Duration.ZERO)).isTrue();
+        }
+
+        @Test
+        void shouldLetARequestArriveThatHasBegun() {
+            receive("POST /a HTTP/1.1\r\nContent-Length: 2\r\n\r\nx");
+            mServer.endRequests();
+            assertThat(mServerEnd.config().isAutoRead()).isTrue();
+            receive("yGET /b HTTP/1.1\r\n\r\n");
+            assertThat(mServerEnd.config().isAutoRead()).isFalse();
+            serveRequests();
+            assertThat(mServed).containsExactly("/a");
+        }
+    }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/lifecycle/Drain.java
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/Drain.java
@@ -1,6 +1,8 @@
 package org.rattanport.decisions.lifecycle;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.jboss.logging.Logger;
 import org.rattanport.decisions.membership.MemberTable;
 import org.rattanport.kernel.event.LogLine;
@@ -12,13 +14,16 @@
  * Drains an instance before it stops, so that no request is cut. The instance announces that it is
  * leaving, which removes it from new address responses. It keeps serving until the time to live of
  * earlier address responses has passed, then refuses new requests and waits for those in flight,
- * and until no more come. Requests that outlive the drain get an error, or a reset inside their
- * response.
+ * and until no more come. Then it closes its intakes, so that none is taken in while it stops.
+ * Requests that outlive the drain get an error, or a reset inside their response.
  */
 public final class Drain {
     private static final Logger LOGGER = Logger.getLogger(Drain.class);
 
-    /** Time that cut requests have to send their last response. */
+    /**
+     * Time that cut requests have to send their last response, and least time that requests have
+     * which the intakes had read when they closed.
+     */
     private static final Duration CUT_TIMEOUT = Duration.ofMillis(200);
 
     /**
@@ -37,6 +42,7 @@
     private final InFlightRequests mInFlight;
     private final Duration mAddressTimeToLive;
     private final TimeSource mTime;
+    private final List<Intake> mIntakes = new CopyOnWriteArrayList<>();
     private volatile boolean mIsDraining;
 
     public Drain(
@@ -50,6 +56,11 @@
         mTime = time;
     }
 
+    /** Registers an intake, which the drain closes once no more requests come. */
+    public void register(Intake intake) {
+        mIntakes.add(intake);
+    }
+
     /** Whether the instance is draining, so that callers should no longer get its address. */
     public boolean isDraining() {
         return mIsDraining;
@@ -75,15 +86,39 @@
         Deadline refusal = deadline.within(mTime, mAddressTimeToLive.minus(elapsed));
         mTime.sleep(refusal.remaining(mTime));
         mInFlight.refuseNew();
-        boolean hasDrained = awaitQuiet(deadline);
+        boolean hasDrained = awaitQuiet(deadline) && takeInNoMore(deadline);
         if (!hasDrained) {
             LOGGER.warn(LogLine.of("requests-cut-at-stop").with("requests", mInFlight.count()));
             mInFlight.cutAll();
-            mInFlight.awaitEmpty(Deadline.after(mTime, CUT_TIMEOUT));
+            Deadline cutDeadline = Deadline.after(mTime, CUT_TIMEOUT);
+            closeIntakes(cutDeadline);
+            mInFlight.awaitEmpty(cutDeadline);
         }
         return hasDrained;
     }
 
+    /**
+     * Closes the intakes and waits for what they had read, at least for a moment, because the drain
+     * may have become quiet at the deadline. Returns whether all requests have ended.
+     */
+    private boolean takeInNoMore(Deadline deadline) {
+        Duration remaining = deadline.remaining(mTime);
+        Deadline closeDeadline =
+                remaining.compareTo(CUT_TIMEOUT) < 0
+                        ? Deadline.after(mTime, CUT_TIMEOUT)
+                        : deadline;
+        return closeIntakes(closeDeadline) && mInFlight.awaitEmpty(closeDeadline);
+    }
+
+    /** Closes every intake; returns whether all requests that they took in have ended. */
+    private boolean closeIntakes(Deadline deadline) {
+        boolean areClosed = true;
+        for (Intake intake : mIntakes) {
+            areClosed &= intake.close(deadline.remaining(mTime));
+        }
+        return areClosed;
+    }
+
     /**
      * Waits until no request is in flight and none has come for a while; returns false when
      * requests are left at the deadline.
--- a/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
@@ -81,6 +81,9 @@
         /** Time without a new request at the end of a drain. */
         private static final Duration QUIET_TIME = Duration.ofMillis(200);
 
+        /** Longest time that a drain lasts after its deadline. */
+        private static final Duration CUT_TIME = Duration.ofMillis(200);
+
         private final MemberTable mMembers =
                 new MemberTable(
                         new FakeMembership().add("a", "dc", MemberState.ALIVE).self(),
@@ -225,6 +228,57 @@
             assertThat(cuts.get()).isEqualTo(1);
         }
 
+        /** Requests that were read while the plug-ins stopped were refused in the log only. */
+        @Test
+        void shouldCloseItsIntakeWhenNoMoreRequestsCome() {
+            long before = mTime.nanoTime();
+            AtomicReference<Duration> closed = new AtomicReference<>();
+            mDrain.register(
+                    timeout -> {
+                        closed.set(Duration.ofNanos(mTime.nanoTime() - before));
+                        return true;
+                    });
+            assertThat(mDrain.drain(Deadline.after(mTime, Duration.ofMinutes(1)))).isTrue();
+            assertThat(closed.get()).isEqualTo(Duration.ofSeconds(10).plus(QUIET_TIME));
+        }
+
+        /** What the intake has read as it closes is waited for, no longer than the drain. */
+        @Test
+        void shouldCutWhatTheIntakeHasReadAtTheDeadline() {
+            long before = mTime.nanoTime();
+            AtomicReference<InFlightRequests.Entry> late = new AtomicReference<>();
+            mDrain.register(
+                    timeout -> {
+                        if (late.get() == null) {
+                            late.set(mInFlight.enter(() -> closeRequest(late.get())));
+                        }
+                        mTime.advance(timeout);
+                        return mInFlight.count() == 0;
+                    });
+            assertThat(mDrain.drain(Deadline.after(mTime, Duration.ofSeconds(12)))).isFalse();
+            assertThat(mInFlight.count()).isEqualTo(0);
+            assertThat(mTime.nanoTime() - before)
+                    .isEqualTo(Duration.ofSeconds(12).plus(CUT_TIME).toNanos());
+        }
+
+        /** A drain that was quiet at its deadline said that it had cut requests. */
+        @Test
+        void shouldLeaveItsIntakeAMomentAtTheDeadline() {
+            mDrain.register(timeout -> timeout.equals(CUT_TIME));
+            assertThat(mDrain.drain(Deadline.after(mTime, Duration.ofSeconds(5)))).isTrue();
+        }
+
+        /** A stop whose requests were cut went on taking in others. */
+        @Test
+        void shouldCloseItsIntakeAfterACut() {
+            AtomicInteger closes = new AtomicInteger();
+            mDrain.register(timeout -> closes.incrementAndGet() > 0);
+            AutoCloseable[] request = new AutoCloseable[1];
+            request[0] = mInFlight.begin(() -> closeRequest(request[0]));
+            assertThat(mDrain.drain(Deadline.after(mTime, Duration.ofSeconds(10)))).isFalse();
+            assertThat(closes.get()).isEqualTo(1);
+        }
+
         private static void closeRequest(AutoCloseable request) {
             try {
                 request.close();
