Let a pause before a planned stop shorten only the time until refusals

Their process had been without processor time for 2.5 s before the signal, and the stop counted its whole limit from the start of that pause, as if the signal had come then.

A pause that may have hidden the signal now counts only for the time until requests are refused, where a wrong guess costs a true refusal.

Evidence: StarvedStopTest.SignalAfterALongPause.shouldLeaveTheWholeStop (a real process, a pause of 3 s, then SIGTERM under a request of 5 s) on the code before: "expected: 200 but was: 502". It passes now, as do the other cases of the class.

--- a/daemon/src/main/java/org/rattanport/daemon/Instance.java
+++ b/daemon/src/main/java/org/rattanport/daemon/Instance.java
@@ -32,9 +32,6 @@
     private static final Logger LOGGER = Logger.getLogger(Instance.class);
     private static final Duration PLUGIN_STOP_TIMEOUT = Duration.ofSeconds(5);
 
-    /** Part of the drain limit that a pause before the stop may take from it: one half. */
-    private static final int MAX_PAUSE_DIVISOR = 2;
-
     private final Kernel mKernel;
     private final InstanceSettings mSettings;
     private final Edition mEdition;
@@ -98,18 +95,17 @@
 
     /**
      * Drains and stops the instance, also while it starts: it may already have accepted requests
-     * then. Returns whether all requests ended before the drain limit. The limit counts from the
-     * call, or from the start of a pause of the process under which the call may have come late; a
-     * pause takes at most half of the limit.
+     * then. Returns whether all requests ended before the drain limit, which counts from the call.
+     * The time until requests are refused counts from the start of a pause of the process, if the
+     * call may have come late under one: callers count it from the signal.
      */
     public boolean stop() {
-        Duration drainLimit = mSettings.timings().drainLimit();
-        Duration pause = mPulse.sincePause(drainLimit.dividedBy(MAX_PAUSE_DIVISOR));
+        Duration pause = mPulse.sincePause(mSettings.timings().addressTimeToLive());
         if (pause.isPositive()) {
             LOGGER.info(LogLine.of("stop-heard-late").with("paused_millis", pause.toMillis()));
         }
         long signalNanos = mTime.nanoTime() - pause.toNanos();
-        Deadline deadline = Deadline.after(mTime, drainLimit.minus(pause));
+        Deadline deadline = Deadline.after(mTime, mSettings.timings().drainLimit());
         if (context().find(Drain.class).isEmpty()) {
             awaitStart(deadline);
         }
