Say that a stop has cut requests only if it has

A stop without a request in flight could log requests-cut-at-stop requests=0 and process-ends nothing_cut=false, and end with exit code 1: its intake was not closed 200 ms after a limit at which it had become quiet.

Whether requests were cut is now what is in flight at the cut. LifecycleTest.shouldNotCountALateIntakeAsACut plays the order (it was not run on the code before, which returned the result of the close). It and GatewayProcessTest pass.

--- a/decisions/src/main/java/org/rattanport/decisions/lifecycle/Drain.java
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/Drain.java
@@ -86,15 +86,18 @@
         Deadline refusal = deadline.within(mTime, mAddressTimeToLive.minus(elapsed));
         mTime.sleep(refusal.remaining(mTime));
         mInFlight.refuseNew();
-        boolean hasDrained = awaitQuiet(deadline) && takeInNoMore(deadline);
-        if (!hasDrained) {
-            LOGGER.warn(LogLine.of("requests-cut-at-stop").with("requests", mInFlight.count()));
-            mInFlight.cutAll();
-            Deadline cutDeadline = Deadline.after(mTime, CUT_TIMEOUT);
-            closeIntakes(cutDeadline);
-            mInFlight.awaitEmpty(cutDeadline);
+        if (awaitQuiet(deadline) && takeInNoMore(deadline)) {
+            return true;
         }
-        return hasDrained;
+        int requests = mInFlight.count();
+        if (requests > 0) {
+            LOGGER.warn(LogLine.of("requests-cut-at-stop").with("requests", requests));
+        }
+        mInFlight.cutAll();
+        Deadline cutDeadline = Deadline.after(mTime, CUT_TIMEOUT);
+        closeIntakes(cutDeadline);
+        mInFlight.awaitEmpty(cutDeadline);
+        return requests == 0;
     }
 
     /**
--- a/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
@@ -268,6 +268,13 @@
             assertThat(mDrain.drain(Deadline.after(mTime, Duration.ofSeconds(5)))).isTrue();
         }
 
+        /** A stop without a request said that it had cut some, as its intake closed too late. */
+        @Test
+        void shouldNotCountALateIntakeAsACut() {
+            mDrain.register(timeout -> false);
+            assertThat(mDrain.drain(Deadline.after(mTime, Duration.ofSeconds(5)))).isTrue();
+        }
+
         /** A stop whose requests were cut went on taking in others. */
         @Test
         void shouldCloseItsIntakeAfterACut() {
