Say where each change of the store came from and how old it is

The record of late documents and entries could not tell which source an instance had its knowledge from, when the store was last heard, or by which version of the registry an attempt was written. Each change now has a line (store-change: part, version, source, age since its first read by any instance), replies to followers hold the ages, and request-ended names the version of the registry. New metrics: registry_version, document_store_age_millis and registry_store_age_millis in rattanport_gateway_state, and the histogram rattanport_gateway_store_change_seconds.

Tests: FleetStateTest.Ages, PeerNetworkTest.Codec (new fields). No decision uses the ages.

--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
@@ -16,6 +16,7 @@
 import org.rattanport.kernel.gateway.PlacementDecision;
 import org.rattanport.kernel.gateway.RateLimitEvent;
 import org.rattanport.kernel.gateway.RequestOutcome;
+import org.rattanport.kernel.gateway.StoreChange;
 import org.rattanport.kernel.gateway.UnansweredExchange;
 
 /**
@@ -79,6 +80,16 @@
                     .classicOnly()
                     .classicUpperBounds(DURATION_BUCKETS_SECONDS)
                     .register(mRegistry);
+    private final Histogram mStoreChanges =
+            Histogram.builder()
+                    .name("rattanport_gateway_store_change_seconds")
+                    .help(
+                            "Time from the first read of a change of the store by any instance"
+                                    + " until it was applied here, by part")
+                    .labelNames("part")
+                    .classicOnly()
+                    .classicUpperBounds(DURATION_BUCKETS_SECONDS)
+                    .register(mRegistry);
     private final Gauge mState =
             Gauge.builder()
                     .name("rattanport_gateway_state")
@@ -119,6 +130,12 @@
         mRateLimits.labelValues(event.kind().wireName()).inc();
     }
 
+    void observeStoreChange(StoreChange change) {
+        mStoreChanges
+                .labelValues(change.part().wireName())
+                .observe(change.origin().age().toMillis() / MILLIS_PER_SECOND);
+    }
+
     void setState(String name, double value) {
         mState.labelValues(name).set(value);
     }
--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
@@ -7,7 +7,7 @@
 import org.rattanport.connectors.http.HttpExchange;
 import org.rattanport.connectors.http.HttpServer;
 import org.rattanport.connectors.http.HttpTransport;
-import org.rattanport.decisions.gateway.ActiveRouting;
+import org.rattanport.decisions.gateway.FleetState;
 import org.rattanport.decisions.lifecycle.InFlightRequests;
 import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.BackEndNotice;
@@ -15,6 +15,8 @@
 import org.rattanport.kernel.gateway.PlacementDecision;
 import org.rattanport.kernel.gateway.RateLimitEvent;
 import org.rattanport.kernel.gateway.RequestOutcome;
+import org.rattanport.kernel.gateway.StoreChange;
+import org.rattanport.kernel.gateway.StorePart;
 import org.rattanport.kernel.gateway.UnansweredExchange;
 import org.rattanport.kernel.peer.Membership;
 import org.rattanport.kernel.plugin.Edition;
@@ -43,7 +45,7 @@
         return Set.of(
                 GatewaySettings.class,
                 HttpTransport.class,
-                ActiveRouting.class,
+                FleetState.class,
                 InFlightRequests.class,
                 Membership.class);
     }
@@ -68,6 +70,8 @@
         mSubscriptions.add(
                 context.events().stream(UnansweredExchange.class)
                         .subscribe(metrics::countUnanswered));
+        mSubscriptions.add(
+                context.events().stream(StoreChange.class).subscribe(metrics::observeStoreChange));
         mSubscriptions.add(
                 context.events().stream(RateLimitEvent.class).subscribe(metrics::countRateLimit));
         new HttpServer(
@@ -81,7 +85,16 @@
             HttpExchange exchange, GatewayMetrics metrics, PluginContext context) {
         metrics.setState("requests_in_flight", context.require(InFlightRequests.class).count());
         metrics.setState("alive_members", context.require(Membership.class).aliveMembers().size());
-        metrics.setState("document_version", context.require(ActiveRouting.class).version());
+        FleetState state = context.require(FleetState.class);
+        metrics.setState("document_version", state.documentVersion());
+        metrics.setState("registry_version", state.registryVersion());
+        for (StorePart part : StorePart.values()) {
+            state.storeAge(part)
+                    .ifPresent(
+                            age ->
+                                    metrics.setState(
+                                            part.wireName() + "_store_age_millis", age.toMillis()));
+        }
         exchange.respond(
                 200,
                 "text/plain; version=0.0.4",
--- a/connectors/src/main/java/org/rattanport/connectors/peer/FleetCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/FleetCodec.java
@@ -33,7 +33,11 @@
     static FleetReply encode(PeerMessage.FleetReply reply) {
         FleetUpdate update = reply.update();
         FleetReply.Builder builder =
-                FleetReply.newBuilder().setIsStoreAvailable(update.isStoreAvailable());
+                FleetReply.newBuilder()
+                        .setIsStoreAvailable(update.isStoreAvailable())
+                        .setStoreAgeMillis(update.ages().storeMillis())
+                        .setDocumentAgeMillis(update.ages().documentMillis())
+                        .setRegistryAgeMillis(update.ages().registryMillis());
         update.documentSource().map(GzipCodec::compress).ifPresent(builder::setDocument);
         update.registry().map(FleetCodec::encode).ifPresent(builder::setRegistry);
         return builder.build();
@@ -43,6 +47,10 @@
         return new PeerMessage.FleetReply(
                 new FleetUpdate(
                         reply.getIsStoreAvailable(),
+                        new FleetUpdate.Ages(
+                                reply.getStoreAgeMillis(),
+                                reply.getDocumentAgeMillis(),
+                                reply.getRegistryAgeMillis()),
                         reply.hasDocument()
                                 ? Optional.of(GzipCodec.decompressBytes(reply.getDocument()))
                                 : Optional.empty(),
--- a/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
@@ -178,10 +178,11 @@
                             new PeerMessage.PendingPrefillReply(120),
                             new PeerMessage.FleetRequest(7, -1, 500),
                             new PeerMessage.FleetReply(
-                                    new FleetUpdate(false, Optional.empty(), Optional.empty())),
+                                    new FleetUpdate(
+                                            false, AGES, Optional.empty(), Optional.empty())),
                             new PeerMessage.FleetReply(
                                     new FleetUpdate(
-                                            true, Optional.empty(), Optional.of(registry()))),
+                                            true, AGES, Optional.empty(), Optional.of(registry()))),
                             new PeerMessage.Received(),
                             new PeerMessage.Unhandled())
                     .forEach(this::checkRoundTrip);
@@ -221,6 +222,8 @@
                 Set.of("engine"));
     }
 
+    private static final FleetUpdate.Ages AGES = new FleetUpdate.Ages(70, 80, 90);
+
     private static FleetUpdate.RegistryUpdate registry() {
         BackEnd backEnd = new BackEnd("e", 9, "service", "10.0.0.1:80", "dc", 8, true);
         return new FleetUpdate.RegistryUpdate(
@@ -247,7 +250,10 @@
                     codec.encode(
                                     new PeerMessage.FleetReply(
                                             new FleetUpdate(
-                                                    true, Optional.of(document), Optional.empty())))
+                                                    true,
+                                                    AGES,
+                                                    Optional.of(document),
+                                                    Optional.empty())))
                             .build();
             assertThat(frame.getSerializedSize()).isLessThan(document.length / 10);
             PeerMessage.FleetReply reply =
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
@@ -24,12 +24,16 @@
     /** Time that running back ends need to register again after a store outage. */
     private static final Duration REREGISTRATION_GRACE = Duration.ofSeconds(2);
 
+    /** Version before the first read. */
+    static final long UNREAD = -1;
+
     private final TimeSource mTime;
     private final List<RequestGate> mGates;
     private final Map<String, BackEnd> mBackEnds = new HashMap<>();
     private final Map<String, Long> mRemovalNanos = new HashMap<>();
     private Optional<Long> mStoreRecoveredNanos = Optional.empty();
     private boolean mIsInitialized;
+    private long mVersion = UNREAD;
 
     /**
      * Creates an empty registry.
@@ -41,6 +45,16 @@
         mGates = List.of(gates);
     }
 
+    /** Records the version of the store that the entries are as of. */
+    public synchronized void setVersion(long version) {
+        mVersion = version;
+    }
+
+    /** Version of the store that the entries are as of; negative before the first read. */
+    public synchronized long version() {
+        return mVersion;
+    }
+
     /** Records that the store responds again after an outage. */
     public synchronized void recordStoreRecovery() {
         mStoreRecoveredNanos = Optional.of(mTime.nanoTime());
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/FleetFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/FleetFollower.java
@@ -10,6 +10,7 @@
 import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
 import org.rattanport.kernel.gateway.FleetSource.Versioned;
 import org.rattanport.kernel.gateway.SourcedDocument;
+import org.rattanport.kernel.gateway.StorePart;
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.TimeSource;
 
@@ -53,16 +54,15 @@
 
     /** Body of the task that follows the routing document. */
     public void followDocument() {
-        followWithRetries(FleetState.Part.DOCUMENT, mDocumentStore, this::followDocumentUntilGap);
+        followWithRetries(StorePart.DOCUMENT, mDocumentStore, this::followDocumentUntilGap);
     }
 
     /** Body of the task that follows the registry. */
     public void followRegistry() {
-        followWithRetries(FleetState.Part.REGISTRY, mRegistryStore, this::followRegistryUntilGap);
+        followWithRetries(StorePart.REGISTRY, mRegistryStore, this::followRegistryUntilGap);
     }
 
-    private void followWithRetries(
-            FleetState.Part part, Dependency dependency, Runnable followUntilGap) {
+    private void followWithRetries(StorePart part, Dependency dependency, Runnable followUntilGap) {
         while (!mRole.isClosed()) {
             try {
                 mRole.awaitReading();
@@ -92,8 +92,9 @@
         return !mRole.isClosed() && mRole.isReading();
     }
 
-    private void markAvailable(FleetState.Part part, Dependency dependency) {
+    private void markAvailable(StorePart part, Dependency dependency) {
         dependency.markAvailable();
+        mState.recordResponse(part);
         mState.setAvailable(part, true);
     }
 
@@ -101,7 +102,7 @@
         Versioned<SourcedDocument> reading =
                 mSource.readDocument(Deadline.after(mTime, READ_TIMEOUT));
         while (isActive()) {
-            markAvailable(FleetState.Part.DOCUMENT, mDocumentStore);
+            markAvailable(StorePart.DOCUMENT, mDocumentStore);
             reading.value().ifPresent(mState::recordDocument);
             reading = mSource.awaitDocument(reading.version(), MAX_LONG_POLL);
         }
@@ -109,11 +110,12 @@
 
     private void followRegistryUntilGap() {
         RegistryChange snapshot = mSource.readRegistry(Deadline.after(mTime, READ_TIMEOUT));
-        markAvailable(FleetState.Part.REGISTRY, mRegistryStore);
+        markAvailable(StorePart.REGISTRY, mRegistryStore);
         mState.recordFullRead(snapshot, mState.hadOutage());
         long version = snapshot.version();
         while (isActive()) {
             RegistryChange change = mSource.awaitRegistryChange(version, MAX_LONG_POLL);
+            mState.recordResponse(StorePart.REGISTRY);
             mState.recordChange(change, false);
             version = change.version();
             mTime.sleep(BATCH_DELAY);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/FleetState.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/FleetState.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Arrays;
 import java.util.Deque;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -10,13 +12,19 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
+import org.jboss.logging.Logger;
 import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
 import org.rattanport.kernel.gateway.FleetUpdate;
 import org.rattanport.kernel.gateway.FleetUpdate.RegistryUpdate;
 import org.rattanport.kernel.gateway.SourcedDocument;
+import org.rattanport.kernel.gateway.StoreChange;
+import org.rattanport.kernel.gateway.StoreChange.Origin;
+import org.rattanport.kernel.gateway.StorePart;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
@@ -25,49 +33,61 @@
  * only what they lack. A version is never replaced by an earlier one.
  */
 public final class FleetState {
+    private static final Logger LOGGER = Logger.getLogger(FleetState.class);
+
     /** Recent changes that are kept; an instance that lacks more gets all entries. */
     private static final int MAX_CHANGES = 256;
 
     /** Time after an outage in which running back ends register again, with a margin. */
     private static final Duration OUTAGE_MEMORY = Duration.ofSeconds(5);
 
-    /** Version before the first read. */
-    private static final long UNREAD = -1;
-
-    /** Parts of the state that are read from the store separately. */
-    enum Part {
-        DOCUMENT,
-        REGISTRY
-    }
-
     private record Change(RegistryChange change, boolean followsOutage) {}
 
     private final ActiveRouting mRouting;
     private final BackEndRegistry mRegistry;
     private final Runnable mOnUpdate;
+    private final Consumer<StoreChange> mOnChange;
     private final TimeSource mTime;
     private final Map<String, BackEnd> mEntries = new HashMap<>();
     private final Deque<Change> mChanges = new ArrayDeque<>();
-    private final Map<Part, Boolean> mIsAvailable = new HashMap<>();
+    private final Map<StorePart, Boolean> mIsAvailable = new EnumMap<>(StorePart.class);
+
+    /** When the store last responded, to this instance or to one that it follows. */
+    private final Map<StorePart, Long> mHeardNanos = new EnumMap<>(StorePart.class);
+
+    /** When the first instance read what this instance has. */
+    private final Map<StorePart, Long> mChangedNanos = new EnumMap<>(StorePart.class);
+
     private Optional<byte[]> mDocumentSource = Optional.empty();
-    private long mRegistryVersion = UNREAD;
+    private long mRegistryVersion = BackEndRegistry.UNREAD;
     private Optional<Long> mOutageNanos = Optional.empty();
 
     /** Version after which all changes are kept. */
-    private long mFirstKeptVersion = UNREAD;
+    private long mFirstKeptVersion = BackEndRegistry.UNREAD;
 
     public FleetState(
-            ActiveRouting routing, BackEndRegistry registry, Runnable onUpdate, TimeSource time) {
+            ActiveRouting routing,
+            BackEndRegistry registry,
+            Runnable onUpdate,
+            Consumer<StoreChange> onChange,
+            TimeSource time) {
         mRouting = routing;
         mRegistry = registry;
         mOnUpdate = onUpdate;
+        mOnChange = onChange;
         mTime = time;
     }
 
+    /** Activates a document that this instance has read if it is newer than the active one. */
+    public void recordDocument(SourcedDocument document) {
+        recordDocument(document, Origin.STORE);
+    }
+
     /** Activates the document if it is newer than the active one. */
-    public synchronized void recordDocument(SourcedDocument document) {
+    public synchronized void recordDocument(SourcedDocument document, Origin origin) {
         if (mRouting.activateIfNewer(document.document())) {
             mDocumentSource = Optional.of(document.source());
+            recordOrigin(StorePart.DOCUMENT, document.document().version(), origin);
             notifyAll();
         }
         mOnUpdate.run();
@@ -78,14 +98,19 @@
      *
      * @param followsOutage whether registrations may have lapsed in an outage of the store
      */
-    public synchronized void recordFullRead(RegistryChange read, boolean followsOutage) {
+    public void recordFullRead(RegistryChange read, boolean followsOutage) {
+        recordFullRead(read, followsOutage, Origin.STORE);
+    }
+
+    private synchronized void recordFullRead(
+            RegistryChange read, boolean followsOutage, Origin origin) {
         if (read.version() < mRegistryVersion) {
             return;
         }
-        if (mRegistryVersion == UNREAD) {
-            recordFirstRead(read);
+        if (mRegistryVersion == BackEndRegistry.UNREAD) {
+            recordFirstRead(read, origin);
         } else {
-            apply(difference(read), followsOutage);
+            apply(difference(read), followsOutage, origin);
         }
         mOnUpdate.run();
     }
@@ -101,23 +126,34 @@
                 mEntries.keySet().stream().filter(id -> !ids.contains(id)).toList());
     }
 
-    private void recordFirstRead(RegistryChange read) {
-        mRegistryVersion = read.version();
+    private void setRegistryVersion(long version) {
+        mRegistryVersion = version;
+        mRegistry.setVersion(version);
+    }
+
+    private void recordFirstRead(RegistryChange read, Origin origin) {
+        setRegistryVersion(read.version());
         mFirstKeptVersion = read.version();
         read.present().forEach(each -> mEntries.put(each.id(), each));
         mRegistry.replace(read.present());
+        recordOrigin(StorePart.REGISTRY, read.version(), origin);
         notifyAll();
     }
 
     /** Applies changes that follow a version which this instance has had. */
-    public synchronized void recordChange(RegistryChange change, boolean followsOutage) {
+    public void recordChange(RegistryChange change, boolean followsOutage) {
+        recordChange(change, followsOutage, Origin.STORE);
+    }
+
+    private synchronized void recordChange(
+            RegistryChange change, boolean followsOutage, Origin origin) {
         if (change.version() > mRegistryVersion) {
-            apply(change, followsOutage);
+            apply(change, followsOutage, origin);
         }
     }
 
-    private void apply(RegistryChange change, boolean followsOutage) {
-        mRegistryVersion = change.version();
+    private void apply(RegistryChange change, boolean followsOutage, Origin origin) {
+        setRegistryVersion(change.version());
         if (followsOutage) {
             mRegistry.recordStoreRecovery();
         }
@@ -127,6 +163,7 @@
         change.present().forEach(each -> mEntries.put(each.id(), each));
         change.removed().forEach(mEntries::remove);
         mRegistry.apply(change.present(), change.removed());
+        recordOrigin(StorePart.REGISTRY, change.version(), origin);
         mChanges.addLast(new Change(change, followsOutage));
         if (mChanges.size() > MAX_CHANGES) {
             mFirstKeptVersion = mChanges.removeFirst().change().version();
@@ -135,14 +172,61 @@
     }
 
     /** Applies what another instance has read. */
-    public synchronized void recordPeerUpdate(RegistryUpdate update) {
+    public synchronized void recordPeerUpdate(RegistryUpdate update, Origin origin) {
         if (update.isFull()) {
-            recordFullRead(update.change(), update.followsOutage());
+            recordFullRead(update.change(), update.followsOutage(), origin);
         } else {
-            recordChange(update.change(), update.followsOutage());
+            recordChange(update.change(), update.followsOutage(), origin);
         }
     }
 
+    private void recordOrigin(StorePart part, long version, Origin origin) {
+        mChangedNanos.put(part, mTime.nanoTime() - origin.age().toNanos());
+        LOGGER.info(
+                LogLine.of("store-change")
+                        .with("part", part.wireName())
+                        .with("version", version)
+                        .with("source", origin.source())
+                        .with("age_millis", origin.age().toMillis()));
+        mOnChange.accept(new StoreChange(part, version, origin));
+    }
+
+    /** Records that the store responded to this instance. */
+    synchronized void recordResponse(StorePart part) {
+        mHeardNanos.put(part, mTime.nanoTime());
+    }
+
+    /** Records how long ago the store responded to an instance that this one follows. */
+    synchronized void recordPeerResponse(Duration age) {
+        long heardNanos = mTime.nanoTime() - age.toNanos();
+        Arrays.stream(StorePart.values())
+                .forEach(part -> mHeardNanos.merge(part, heardNanos, FleetState::later));
+    }
+
+    private static long later(long oneNanos, long otherNanos) {
+        return oneNanos - otherNanos > 0 ? oneNanos : otherNanos;
+    }
+
+    /** Time since the store responded to this instance or to one that it follows. */
+    public synchronized Optional<Duration> storeAge(StorePart part) {
+        return age(mHeardNanos, part);
+    }
+
+    private Optional<Duration> age(Map<StorePart, Long> nanos, StorePart part) {
+        return Optional.ofNullable(nanos.get(part))
+                .map(at -> Duration.ofNanos(mTime.nanoTime() - at));
+    }
+
+    private FleetUpdate.Ages ages() {
+        return new FleetUpdate.Ages(
+                Arrays.stream(StorePart.values())
+                        .mapToLong(part -> age(mHeardNanos, part).orElse(Duration.ZERO).toMillis())
+                        .max()
+                        .orElse(0),
+                age(mChangedNanos, StorePart.DOCUMENT).orElse(Duration.ZERO).toMillis(),
+                age(mChangedNanos, StorePart.REGISTRY).orElse(Duration.ZERO).toMillis());
+    }
+
     /** Records that the store does not respond to this instance or to a reader. */
     synchronized void recordOutage() {
         mOutageNanos = Optional.of(mTime.nanoTime());
@@ -156,7 +240,7 @@
     }
 
     /** Records whether this instance reads the part from the store. */
-    synchronized void setAvailable(Part part, boolean isAvailable) {
+    synchronized void setAvailable(StorePart part, boolean isAvailable) {
         mIsAvailable.put(part, isAvailable);
         if (!isAvailable) {
             notifyAll();
@@ -164,8 +248,8 @@
     }
 
     private boolean isAvailable() {
-        return Boolean.TRUE.equals(mIsAvailable.get(Part.DOCUMENT))
-                && Boolean.TRUE.equals(mIsAvailable.get(Part.REGISTRY));
+        return Boolean.TRUE.equals(mIsAvailable.get(StorePart.DOCUMENT))
+                && Boolean.TRUE.equals(mIsAvailable.get(StorePart.REGISTRY));
     }
 
     /** Version of the store that the registry is as of; negative before the first read. */
@@ -207,6 +291,7 @@
     private FleetUpdate since(long documentVersion, long registryVersion) {
         return new FleetUpdate(
                 isAvailable(),
+                ages(),
                 mDocumentSource.filter(source -> mRouting.version() > documentVersion),
                 registrySince(registryVersion));
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -254,7 +254,7 @@
                             requireWorthSending();
                             mSelection.requireAccepting(placement);
                             mWritten = ClockReading.now(mComponents.time());
-                            mTrace.attemptSent(placement);
+                            mTrace.attemptSent(placement, mComponents.registry().version());
                         });
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -60,7 +60,8 @@
 
     @Override
     public Set<Class<?>> provides() {
-        return Set.of(GatewayService.class, BackEndRegistry.class, Readiness.class);
+        return Set.of(
+                FleetState.class, GatewayService.class, BackEndRegistry.class, Readiness.class);
     }
 
     @Override
@@ -90,11 +91,10 @@
                         registry,
                         context.require(MemberTable.class),
                         context.require(Drain.class)::isDraining);
-        mFollower =
-                Optional.of(
-                        startFollowing(
-                                context,
-                                new FleetState(routing, registry, readiness::update, time)));
+        FleetState state =
+                new FleetState(
+                        routing, registry, readiness::update, context.events()::publish, time);
+        mFollower = Optional.of(startFollowing(context, state));
         RequestLog log = new RequestLog(time);
         mSubscriptions.add(
                 context.events().stream(RequestOutcome.class).subscribe(log::logOutcome));
@@ -102,6 +102,7 @@
                 context.events().stream(AttemptFailure.class).subscribe(log::logFailure));
         mSubscriptions.add(
                 context.events().stream(UnansweredExchange.class).subscribe(log::logUnanswered));
+        context.provide(FleetState.class, state);
         context.provide(Readiness.class, readiness);
         context.provide(BackEndRegistry.class, registry);
         context.provide(GatewayService.class, service);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ReaderFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ReaderFollower.java
@@ -8,6 +8,7 @@
 import org.rattanport.kernel.gateway.FleetSource;
 import org.rattanport.kernel.gateway.FleetUpdate;
 import org.rattanport.kernel.gateway.SourcedDocument;
+import org.rattanport.kernel.gateway.StoreChange.Origin;
 import org.rattanport.kernel.peer.Member;
 import org.rattanport.kernel.peer.PeerMessage;
 import org.rattanport.kernel.peer.PeerNetwork;
@@ -132,8 +133,9 @@
             mTime.sleep(RETRY_DELAY);
             return;
         }
-        apply(fleet.update());
+        apply(fleet.update(), reader);
         if (fleet.update().isStoreAvailable()) {
+            mState.recordPeerResponse(Duration.ofMillis(fleet.update().ages().storeMillis()));
             mLastServedNanos = mTime.nanoTime();
             mWasServed = true;
         } else {
@@ -158,11 +160,23 @@
         return others.get(1 + round / 2 % (others.size() - 1));
     }
 
-    private void apply(FleetUpdate update) {
+    private void apply(FleetUpdate update, Member reader) {
+        FleetUpdate.Ages ages = update.ages();
         update.documentSource()
                 .map(source -> new SourcedDocument(mSource.parseDocument(source), source))
-                .ifPresent(mState::recordDocument);
-        update.registry().ifPresent(mState::recordPeerUpdate);
+                .ifPresent(
+                        document ->
+                                mState.recordDocument(
+                                        document, origin(reader, ages.documentMillis())));
+        update.registry()
+                .ifPresent(
+                        registry ->
+                                mState.recordPeerUpdate(
+                                        registry, origin(reader, ages.registryMillis())));
+    }
+
+    private static Origin origin(Member reader, long ageMillis) {
+        return new Origin(reader.id().name(), Duration.ofMillis(ageMillis));
     }
 
     private Role role() {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RequestLog.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RequestLog.java
@@ -99,6 +99,7 @@
                 .with("first_event_millis", outcome.timing().firstEventMillis())
                 .with("longest_pause_millis", outcome.timing().longestGapMillis())
                 .with("is_late", outcome.timing().isLate())
-                .with("document", outcome.documentVersion());
+                .with("document", outcome.documentVersion())
+                .with("registry", outcome.registryVersion());
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RequestTrace.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RequestTrace.java
@@ -31,6 +31,7 @@
     private final TimeSource mTime;
     private final long mStartNanos;
     private final List<String> mBackEndIds = new ArrayList<>();
+    private long mRegistryVersion = BackEndRegistry.UNREAD;
     private int mStatus;
     private int mPrefillEngineCount;
     private double mPredictedFirstEventMillis;
@@ -45,7 +46,9 @@
         mStartNanos = time.nanoTime();
     }
 
-    void attemptSent(Placement placement) {
+    /** Records that an attempt is written, with the version of the registry that allows it. */
+    void attemptSent(Placement placement, long registryVersion) {
+        mRegistryVersion = registryVersion;
         mBackEndIds.add(placement.backEnd().id());
         mPrefillEngineCount = placement.prefillEngines().size();
         mPredictedFirstEventMillis =
@@ -111,6 +114,7 @@
                         mInfo.sharedParts(),
                         timing(),
                         mInfo.documentVersion(),
+                        mRegistryVersion,
                         reason));
     }
 }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
@@ -28,7 +28,8 @@
     private final ActiveRouting mRouting = new ActiveRouting(new EventStreams());
     private final BackEndRegistry mRegistry = TestFleet.registry(mTime);
     private final ScriptedSource mSource = new ScriptedSource();
-    private final FleetState mState = new FleetState(mRouting, mRegistry, () -> {}, mTime);
+    private final FleetState mState =
+            new FleetState(mRouting, mRegistry, () -> {}, change -> {}, mTime);
     private final ReaderRole mRole = new ReaderRole();
     private final FleetFollower mFollower =
             new FleetFollower(mSource, mState, mRole, mTime, new Random(1));
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/FleetStateTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FleetStateTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.LongStream;
@@ -15,10 +16,15 @@
 import org.rattanport.kernel.gateway.FleetUpdate;
 import org.rattanport.kernel.gateway.FleetUpdate.RegistryUpdate;
 import org.rattanport.kernel.gateway.SourcedDocument;
+import org.rattanport.kernel.gateway.StoreChange;
+import org.rattanport.kernel.gateway.StoreChange.Origin;
+import org.rattanport.kernel.gateway.StorePart;
 import org.rattanport.kernel.time.ManualTimeSource;
 
 /** What an instance passes on to others, and what it accepts from them. */
 final class FleetStateTest {
+    private static final Origin PEER = new Origin("peer", Duration.ofMillis(20));
+
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final Node mReader = new Node();
     private final Node mFollower = new Node();
@@ -30,7 +36,9 @@
     private final class Node {
         private final ActiveRouting mRouting = new ActiveRouting(new EventStreams());
         private final BackEndRegistry mRegistry = TestFleet.registry(mTime);
-        private final FleetState mState = new FleetState(mRouting, mRegistry, () -> {}, mTime);
+        private final List<StoreChange> mChanges = new ArrayList<>();
+        private final FleetState mState =
+                new FleetState(mRouting, mRegistry, () -> {}, mChanges::add, mTime);
 
         private FleetUpdate updateFor(Node other) {
             return mState.await(
@@ -38,7 +46,7 @@
         }
 
         private void take(FleetUpdate update) {
-            update.registry().ifPresent(mState::recordPeerUpdate);
+            update.registry().ifPresent(each -> mState.recordPeerUpdate(each, PEER));
         }
     }
 
@@ -66,7 +74,7 @@
             RegistryUpdate update = mReader.updateFor(mFollower).registry().orElseThrow();
             assertThat(update.isFull()).isFalse();
             assertThat(update.change().present()).containsExactly(mTwoDraining);
-            mFollower.mState.recordPeerUpdate(update);
+            mFollower.mState.recordPeerUpdate(update, PEER);
             assertThat(mFollower.mRegistry.available(TestFleet.CALLS)).containsExactly(mOne);
         }
 
@@ -85,7 +93,7 @@
             mFollower.mState.recordChange(change(12, List.of(), "one"), false);
             assertThat(stale.updateFor(mFollower).registry()).isEqualTo(Optional.empty());
             mFollower.mState.recordPeerUpdate(
-                    new RegistryUpdate(change(9, List.of(mOne)), true, false));
+                    new RegistryUpdate(change(9, List.of(mOne)), true, false), PEER);
             assertThat(mFollower.mRegistry.available(TestFleet.CALLS)).containsExactly(mTwo);
         }
 
@@ -99,7 +107,7 @@
             mReader.mState.recordChange(change(1_000, List.of(), "one"), false);
             RegistryUpdate update = mReader.updateFor(mFollower).registry().orElseThrow();
             assertThat(update.isFull()).isTrue();
-            mFollower.mState.recordPeerUpdate(update);
+            mFollower.mState.recordPeerUpdate(update, PEER);
             assertThat(mFollower.mRegistry.available(TestFleet.CALLS)).containsExactly(mTwo);
         }
 
@@ -113,6 +121,34 @@
         }
     }
 
+    @Nested
+    final class Ages {
+        @Test
+        void shouldAddUpOnTheWayOfAChange() {
+            mTime.advance(Duration.ofMillis(300));
+            mFollower.mState.recordPeerUpdate(
+                    new RegistryUpdate(change(12, List.of(), "one"), false, false),
+                    new Origin("reader", Duration.ofMillis(70)));
+            mTime.advance(Duration.ofMillis(30));
+            assertThat(mFollower.mState.await(0, 12, Duration.ZERO).ages().registryMillis())
+                    .isEqualTo(100);
+            assertThat(mFollower.mChanges.getLast().origin().source()).isEqualTo("reader");
+        }
+
+        @Test
+        void shouldSayWhenTheStoreLastResponded() {
+            mReader.mState.recordResponse(StorePart.DOCUMENT);
+            mReader.mState.recordResponse(StorePart.REGISTRY);
+            mTime.advance(Duration.ofMillis(400));
+            mFollower.mState.recordPeerResponse(
+                    Duration.ofMillis(mReader.updateFor(mFollower).ages().storeMillis()));
+            mFollower.mState.recordPeerResponse(Duration.ofSeconds(3));
+            mTime.advance(Duration.ofMillis(100));
+            assertThat(mFollower.mState.storeAge(StorePart.REGISTRY))
+                    .hasValue(Duration.ofMillis(500));
+        }
+    }
+
     @Nested
     final class Document {
         @Test
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ReaderFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ReaderFollowerTest.java
@@ -43,7 +43,12 @@
             new MemberTable(member("self"), new RumorQueue(), new EventStreams());
     private final BackEndRegistry mRegistry = TestFleet.registry(mTime);
     private final FleetState mState =
-            new FleetState(new ActiveRouting(new EventStreams()), mRegistry, () -> {}, mTime);
+            new FleetState(
+                    new ActiveRouting(new EventStreams()),
+                    mRegistry,
+                    () -> {},
+                    change -> {},
+                    mTime);
     private final ReaderRole mRole = new ReaderRole();
     private final ScriptedReaders mPeers = new ScriptedReaders();
     private final ReaderFollower mFollower = follower(true);
@@ -82,7 +87,8 @@
                 throw new RattanportException(ErrorCode.PEER_UNREACHABLE, "silent");
             }
             return new PeerMessage.FleetReply(
-                    new FleetUpdate(mHasStore, Optional.empty(), mUpdate));
+                    new FleetUpdate(
+                            mHasStore, new FleetUpdate.Ages(0, 0, 0), Optional.empty(), mUpdate));
         }
 
         @Override
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/FleetUpdate.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/FleetUpdate.java
@@ -7,13 +7,24 @@
  * What another instance has read from the store after the versions that this instance has.
  *
  * @param isStoreAvailable whether the store responds to the other instance
+ * @param ages how old the knowledge of the other instance is
  * @param documentSource bytes of a newer routing document
  * @param registry newer entries of the back-end registry
  */
 public record FleetUpdate(
         boolean isStoreAvailable,
+        Ages ages,
         Optional<byte[]> documentSource,
         Optional<RegistryUpdate> registry) {
+    /**
+     * Ages of what an instance knows.
+     *
+     * @param storeMillis time since the store last responded
+     * @param documentMillis time since the first instance read the document
+     * @param registryMillis time since the first instance read the latest change of the registry
+     */
+    public record Ages(long storeMillis, long documentMillis, long registryMillis) {}
+
     /**
      * Newer entries of the registry.
      *
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/RequestOutcome.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/RequestOutcome.java
@@ -20,6 +20,7 @@
  * @param sharedParts ids of the prompt's parts that other prompts may contain too
  * @param timing when the caller received the response
  * @param documentVersion version of the document that routed the request
+ * @param registryVersion version of the registry when the last attempt was written, or -1
  * @param reason reason for the failure of the last attempt, or an empty string
  */
 public record RequestOutcome(
@@ -37,6 +38,7 @@
         List<String> sharedParts,
         ResponseTiming timing,
         long documentVersion,
+        long registryVersion,
         String reason) {
     /** Outcome of a request whose response reached the caller in full. */
     public static final String ANSWERED = "answered";
