--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Dependency.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Dependency.java
@@ -11,6 +11,7 @@
 
     private final String mName;
     private boolean mIsLost;
+    private boolean mHasResponded;
 
     Dependency(String name) {
         mName = name;
@@ -23,7 +24,15 @@
         }
     }
 
+    /** Records a failure; returns whether it is the first one after a response. */
+    boolean recordFailure() {
+        boolean isFirst = mHasResponded;
+        mHasResponded = false;
+        return isFirst;
+    }
+
     void markAvailable() {
+        mHasResponded = true;
         if (mIsLost) {
             mIsLost = false;
             LOGGER.info(LogLine.of("dependency-regained").with("name", mName));
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/FleetFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/FleetFollower.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Random;
 import org.jboss.logging.Logger;
+import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.FleetSource;
@@ -17,13 +18,18 @@
 /**
  * Follows the store while this instance has the role of a reader, with one task for the routing
  * document and one for the back-end registry. Each task reads in full, then waits for changes, and
- * reads in full again when the history has a gap or the store was unavailable.
+ * reads in full again when the history has a gap or the store was unavailable. A read without a
+ * response is repeated at once, as only its connection may be broken.
  */
 public final class FleetFollower {
     private static final Logger LOGGER = Logger.getLogger(FleetFollower.class);
 
-    /** Maximum duration of one long poll for changes; bounds the silence of a dead connection. */
-    private static final Duration MAX_LONG_POLL = Duration.ofSeconds(5);
+    /**
+     * Maximum duration of one long poll for changes. A connection may fall silent while others
+     * work, so this and the client's margin stay within the time in which changes must become
+     * active.
+     */
+    private static final Duration MAX_LONG_POLL = Duration.ofSeconds(1);
 
     /** Timeout of a full read; a healthy store responds within a few milliseconds. */
     private static final Duration READ_TIMEOUT = Duration.ofMillis(900);
@@ -71,6 +77,14 @@
                 LOGGER.info(LogLine.of("store-history-lost").with("reason", e.getMessage()));
                 continue;
             } catch (RattanportException e) {
+                boolean isFirstFailure = dependency.recordFailure();
+                if (isFirstFailure && e.code() != ErrorCode.STORE_UNAVAILABLE) {
+                    LOGGER.info(
+                            LogLine.of("store-read-again")
+                                    .with("part", part.wireName())
+                                    .with("reason", e.getMessage()));
+                    continue;
+                }
                 dependency.markLost(String.valueOf(e.getMessage()));
                 mState.recordOutage();
             } catch (RuntimeException e) {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
@@ -92,6 +92,12 @@
         };
     }
 
+    private static <T> Supplier<T> noResponse() {
+        return () -> {
+            throw new RattanportException(ErrorCode.DEADLINE_EXCEEDED, "silent");
+        };
+    }
+
     private static <T> Supplier<T> historyLost() {
         return () -> {
             throw new FleetSource.HistoryLostException();
@@ -141,6 +147,37 @@
         }
     }
 
+    @Nested
+    final class SilentConnections {
+        /** A wait without a response was followed by a pause, and taken for an outage. */
+        @Test
+        void shouldBeReplacedAtOnce() {
+            mSource.mRegistryScript.addAll(
+                    List.of(
+                            change(5, List.of(mOne, mTwo)),
+                            noResponse(),
+                            change(9, List.of(mTwo))));
+            long startNanos = mTime.nanoTime();
+            mFollower.followRegistry();
+            assertThat(mSource.mCalls).containsExactly("read", "await 5", "read", "await 9");
+            assertThat(mRegistry.available(TestFleet.CALLS)).containsExactly(mTwo);
+            assertThat(Duration.ofNanos(mTime.nanoTime() - startNanos))
+                    .isLessThan(Duration.ofMillis(400));
+        }
+
+        @Test
+        void shouldCountAsAnOutageWhenANewOneIsSilentToo() {
+            mSource.mRegistryScript.addAll(
+                    List.of(
+                            change(5, List.of(mOne, mTwo)),
+                            noResponse(),
+                            noResponse(),
+                            change(9, List.of(mTwo))));
+            mFollower.followRegistry();
+            assertThat(mRegistry.available(TestFleet.CALLS)).containsExactly(mOne, mTwo);
+        }
+    }
+
     @Nested
     final class Registry {
         @Test
