Do not spend two seconds with readers of the store that are silent

What callers saw: requests of single instances were routed by an older document, or sent to a back end that leaves, although most of the fleet had the change.

Cause: an instance that follows readers asks one after the other, and came back to the first one of its data centre every second time, also when it had just been silent. Each silent reader costs 0.75 s of wait, 0.2 s of margin and 0.15 s of pause. Two of them: 2.2 s until the instance reads the store itself; two that respond but are behind: 2.25 s. The bound is 2 s, of which batching of registry changes takes 0.3 s.

Evidence: ReaderFollowerTest.ReadersInTrouble plays all pairs of readers, silent or behind, at each moment of the rounds; before this change the worst delays were 2.2 s and 2.25 s, now none is above 1.7 s.

Change: readers of the own data centre and of others take turns, a reader that was silent or had no store is not asked for 3 s while another may be, the next one is asked without a pause, and one wait takes 0.6 s.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ReaderFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ReaderFollower.java
@@ -1,14 +1,20 @@
 package org.rattanport.decisions.gateway;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.rattanport.decisions.gateway.ReaderRole.Role;
+import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.FleetSource;
 import org.rattanport.kernel.gateway.FleetUpdate;
 import org.rattanport.kernel.gateway.SourcedDocument;
 import org.rattanport.kernel.gateway.StoreChange.Origin;
+import org.rattanport.kernel.model.InstanceId;
 import org.rattanport.kernel.peer.Member;
 import org.rattanport.kernel.peer.PeerMessage;
 import org.rattanport.kernel.peer.PeerNetwork;
@@ -17,19 +23,23 @@
 
 /**
  * Follows the store through the instances that read it, and decides whether this instance must read
- * it too. Asks the reader of this data centre and one of another in turn, so that a reader which
- * has fallen silent or behind delays a change by one wait at most.
+ * it too. Asks the readers of this data centre and of the others in turn, and for a while not again
+ * those that were of no use, so that any two readers which have fallen silent or behind delay a
+ * change by two waits at most.
  */
 final class ReaderFollower {
     private static final Logger LOGGER = Logger.getLogger(ReaderFollower.class);
 
     /** Longest wait of one request for changes. */
-    private static final Duration MAX_WAIT = Duration.ofMillis(750);
+    private static final Duration MAX_WAIT = Duration.ofMillis(600);
 
     /** Time beyond the wait after which a reader is silent. */
     private static final Duration RESPONSE_MARGIN = Duration.ofMillis(200);
 
-    /** Delay after a request to a reader that is silent or has no store. */
+    /** Time for which a reader that was silent or had no store is not asked, if another may be. */
+    private static final Duration AVOIDANCE_TIME = Duration.ofSeconds(3);
+
+    /** Delay after a request while all readers are silent or have no store. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
     /** Time without a reader that has a store after which this instance reads the store. */
@@ -53,6 +63,7 @@
     private final PeerNetwork mPeers;
     private final boolean mIsFirstStart;
     private final TimeSource mTime;
+    private final Map<InstanceId, Long> mUselessNanos = new HashMap<>();
     private long mLastServedNanos;
     private boolean mHasFoundMembers;
     private boolean mWasServed;
@@ -121,28 +132,53 @@
             return;
         }
         Member reader = next(others);
-        PeerMessage reply =
-                mPeers.call(
-                        reader.peerAddress(),
-                        new PeerMessage.FleetRequest(
-                                mState.documentVersion(),
-                                mState.registryVersion(),
-                                maxWait().toMillis()),
-                        Deadline.after(mTime, maxWait().plus(RESPONSE_MARGIN)));
-        if (!(reply instanceof PeerMessage.FleetReply fleet)) {
-            mTime.sleep(RETRY_DELAY);
+        if (follow(reader)) {
+            mUselessNanos.remove(reader.id());
             return;
         }
-        apply(fleet.update(), reader);
-        if (fleet.update().isStoreAvailable()) {
-            mState.recordPeerResponse(Duration.ofMillis(fleet.update().ages().storeMillis()));
-            mLastServedNanos = mTime.nanoTime();
-            mWasServed = true;
-        } else {
+        mUselessNanos.put(reader.id(), mTime.nanoTime());
+        if (useful(others).isEmpty()) {
+            mTime.sleep(RETRY_DELAY);
+        }
+    }
+
+    /** Takes what the reader has; returns whether it responds and has the store. */
+    private boolean follow(Member reader) {
+        Optional<FleetUpdate> response = request(reader);
+        if (response.isEmpty()) {
+            return false;
+        }
+        FleetUpdate update = response.get();
+        apply(update, reader);
+        if (!update.isStoreAvailable()) {
             if (mWasServed) {
                 mState.recordOutage();
             }
-            mTime.sleep(RETRY_DELAY);
+            return false;
+        }
+        mState.recordPeerResponse(Duration.ofMillis(update.ages().storeMillis()));
+        mLastServedNanos = mTime.nanoTime();
+        mWasServed = true;
+        return true;
+    }
+
+    /** Requests what this instance lacks; empty if the reader is silent or does not know. */
+    private Optional<FleetUpdate> request(Member reader) {
+        PeerMessage.FleetRequest request =
+                new PeerMessage.FleetRequest(
+                        mState.documentVersion(), mState.registryVersion(), maxWait().toMillis());
+        Deadline deadline = Deadline.after(mTime, maxWait().plus(RESPONSE_MARGIN));
+        try {
+            return mPeers.call(reader.peerAddress(), request, deadline)
+                            instanceof PeerMessage.FleetReply reply
+                    ? Optional.of(reply.update())
+                    : Optional.empty();
+        } catch (RattanportException e) {
+            if (e.code() != ErrorCode.PEER_UNREACHABLE) {
+                throw e;
+            }
+            LOGGER.debugf("reader %s does not respond: %s", reader.id(), e.getMessage());
+            return Optional.empty();
         }
     }
 
@@ -151,13 +187,22 @@
         return mWasServed ? MAX_WAIT : Duration.ZERO;
     }
 
-    /** The first reader and the remaining ones in turn. */
+    /** Readers of this data centre and of the others in turn. */
     private Member next(List<Member> others) {
+        List<Member> useful = useful(others);
+        Map<Boolean, List<Member>> byPlace =
+                (useful.isEmpty() ? others : useful)
+                        .stream().collect(Collectors.groupingBy(mReaders::isLocal));
         int round = mRounds++;
-        if (others.size() == 1 || round % 2 == 0) {
-            return others.getFirst();
-        }
-        return others.get(1 + round / 2 % (others.size() - 1));
+        List<Member> turn = byPlace.get(round % 2 == 0);
+        List<Member> candidates = turn == null ? byPlace.get(round % 2 != 0) : turn;
+        return candidates.get(round / 2 % candidates.size());
+    }
+
+    private List<Member> useful(List<Member> others) {
+        long now = mTime.nanoTime();
+        mUselessNanos.values().removeIf(since -> now - since > AVOIDANCE_TIME.toNanos());
+        return others.stream().filter(each -> !mUselessNanos.containsKey(each.id())).toList();
     }
 
     private void apply(FleetUpdate update, Member reader) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/StoreReaders.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/StoreReaders.java
@@ -1,6 +1,7 @@
 package org.rattanport.decisions.gateway;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -43,12 +44,13 @@
         List<Member> ordered =
                 new ArrayList<>(
                         RendezvousHash.order(self.id().name(), others, each -> each.id().name()));
-        ordered.sort((one, other) -> Boolean.compare(isRemote(one, self), isRemote(other, self)));
+        ordered.sort(Comparator.comparing(each -> !isLocal(each)));
         return ordered;
     }
 
-    private static boolean isRemote(Member member, Member self) {
-        return !member.dataCentre().equals(self.dataCentre());
+    /** Whether the member is in the data centre of this instance. */
+    boolean isLocal(Member member) {
+        return member.dataCentre().equals(mMembers.self().dataCentre());
     }
 
     private List<Member> readers() {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ReaderFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ReaderFollowerTest.java
@@ -1,13 +1,17 @@
 package org.rattanport.decisions.gateway;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -49,7 +53,7 @@
                     () -> {},
                     change -> {},
                     mTime);
-    private final ReaderRole mRole = new ReaderRole();
+    private ReaderRole mRole = new ReaderRole();
     private final ScriptedReaders mPeers = new ScriptedReaders();
     private final ReaderFollower mFollower = follower(true);
 
@@ -213,6 +217,152 @@
         }
     }
 
+    /** A change of the store that all readers but two have at once. */
+    @Nested
+    final class ReadersInTrouble {
+        /** The bound of two seconds less the delay that batches changes of the registry. */
+        private static final Duration MAX_DELAY = Duration.ofMillis(1_700);
+
+        private static final Duration MAX_TIME = Duration.ofSeconds(10);
+
+        /** Numbers of requests after which the change comes; each is another moment of a round. */
+        private static final int PHASES = 12;
+
+        /** Readers of which some are in trouble from the moment of the change on. */
+        private final class ReadersWithTrouble implements PeerNetwork {
+            private final Set<String> mInTrouble;
+            private final boolean mAreSilent;
+            private int mCallsUntilChange;
+            private long mChangeNanos;
+
+            private ReadersWithTrouble(Set<String> inTrouble, boolean areSilent, int phase) {
+                mInTrouble = inTrouble;
+                mAreSilent = areSilent;
+                mCallsUntilChange = phase;
+            }
+
+            @Override
+            public PeerMessage call(String peerAddress, PeerMessage request, Deadline deadline) {
+                if (--mCallsUntilChange == 0) {
+                    mChangeNanos = mTime.nanoTime();
+                }
+                PeerMessage.FleetRequest fleet = (PeerMessage.FleetRequest) request;
+                boolean hasChanged = mCallsUntilChange <= 0;
+                boolean isStandIn = mRole.current() == ReaderRole.Role.STAND_IN;
+                if (hasChanged && (isStandIn || !mInTrouble.contains(peerAddress))) {
+                    mRole.close();
+                    return reply();
+                }
+                if (hasChanged && mAreSilent) {
+                    mTime.advance(deadline.remaining(mTime));
+                    throw new RattanportException(ErrorCode.PEER_UNREACHABLE, "silent");
+                }
+                mTime.advance(Duration.ofMillis(fleet.maxWaitMillis()));
+                if (hasChanged && delay().compareTo(MAX_TIME) > 0) {
+                    mRole.close();
+                }
+                return reply();
+            }
+
+            private PeerMessage reply() {
+                return new PeerMessage.FleetReply(
+                        new FleetUpdate(
+                                true,
+                                new FleetUpdate.Ages(0, 0, 0),
+                                Optional.empty(),
+                                Optional.empty()));
+            }
+
+            private Duration delay() {
+                return Duration.ofNanos(mTime.nanoTime() - mChangeNanos);
+            }
+
+            @Override
+            public void send(String peerAddress, PeerMessage message, Deadline deadline) {}
+
+            @Override
+            public <T extends PeerMessage> void registerHandler(
+                    Class<T> type, PeerHandler<T> handler) {}
+        }
+
+        private void addDataCentres() {
+            addReaders();
+            List.of("b", "c")
+                    .forEach(
+                            dataCentre ->
+                                    List.of("one", "two")
+                                            .forEach(name -> addReader(dataCentre, name)));
+        }
+
+        private void addReader(String dataCentre, String name) {
+            String address = dataCentre + "-" + name;
+            mMembers.merge(
+                    new Member(
+                            new InstanceId(address, 1),
+                            "c",
+                            address,
+                            dataCentre,
+                            MemberState.ALIVE,
+                            0));
+        }
+
+        private Stream<Set<String>> pairs() {
+            List<String> addresses =
+                    new StoreReaders(mMembers).others().stream().map(Member::peerAddress).toList();
+            return addresses.stream()
+                    .flatMap(
+                            one ->
+                                    addresses.stream()
+                                            .filter(other -> one.compareTo(other) < 0)
+                                            .map(other -> Set.of(one, other)));
+        }
+
+        private Duration delay(Set<String> inTrouble, boolean areSilent, int phase) {
+            ReaderRole role = new ReaderRole();
+            ReadersWithTrouble peers = new ReadersWithTrouble(inTrouble, areSilent, phase);
+            mRole = role;
+            new ReaderFollower(
+                            new StoreReaders(mMembers),
+                            role,
+                            mState,
+                            new NoSource(),
+                            peers,
+                            true,
+                            mTime)
+                    .followUntilClosed();
+            return peers.delay();
+        }
+
+        private void checkAllPairs(boolean areSilent) {
+            addDataCentres();
+            pairs().forEach(
+                            pair ->
+                                    IntStream.rangeClosed(2, PHASES)
+                                            .forEach(
+                                                    phase ->
+                                                            assertWithMessage(
+                                                                            pair + " after "
+                                                                                    + phase)
+                                                                    .that(
+                                                                            delay(
+                                                                                    pair, areSilent,
+                                                                                    phase))
+                                                                    .isAtMost(MAX_DELAY)));
+        }
+
+        /** Requests of an instance were routed by an old document while two readers were paused. */
+        @Test
+        void shouldNotDelayAChangeWhenAnyTwoAreSilent() {
+            checkAllPairs(true);
+        }
+
+        /** A reader that hears nothing from the store, and does not know it, still responds. */
+        @Test
+        void shouldNotDelayAChangeWhenAnyTwoAreBehind() {
+            checkAllPairs(false);
+        }
+    }
+
     @Nested
     final class WaitingForTheRole {
         @AfterEach
