Check the registry again before a request is written

What callers and operators saw: a request reached an engine that had said it was leaving, later than two seconds after that was acknowledged, from an instance that knew it.

Cause: the registry was asked when an engine was chosen. Memory leases and the connection come after that and take seconds at engines that accept connections and do not respond; before the bytes were written, only notices and rate limits were looked at, not the registry. The same held for engines that prefill a part of a prompt.

Evidence: ForwardingTest.LeavingBackEnds: entries that change to draining, or go, during the connect; without this change the request was written to the engine that had left (call-2 instead of call-3, and a prefill engine kept).

Change: the check at the moment of writing covers the entry of each engine of the placement; the request, which has not run, is placed again.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
@@ -208,6 +208,13 @@
         return Optional.ofNullable(mBackEnds.get(id));
     }
 
+    /** Whether this run of the back end is registered and not draining by its entry. */
+    public synchronized boolean isInUse(BackEnd backEnd) {
+        return find(backEnd.id())
+                .filter(each -> each.isSameRun(backEnd) && !each.isDraining())
+                .isPresent();
+    }
+
     /** Returns the back end if it accepts requests now. */
     public Optional<BackEnd> findAvailable(String id) {
         return find(id).filter(each -> !each.isDraining() && isAccepting(each));
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
@@ -83,11 +83,16 @@
     }
 
     /**
-     * Checks at the moment of writing that the request may be written: the back end may have asked
-     * for a pause, or begun to leave, since it was chosen, and each engine with a rate limit that
-     * processes a part of the request needs a token.
+     * Checks at the moment of writing that the request may be written: an engine that processes a
+     * part of it may have left, and the back end may have asked for a pause or begun to leave,
+     * since they were chosen, and each engine with a rate limit needs a token.
      */
     void requireAccepting(Placement placement) {
+        placement
+                .engines()
+                .filter(each -> !mComponents.registry().isInUse(each))
+                .findFirst()
+                .ifPresent(this::rejectLeft);
         if (!mComponents.notices().accepts(placement.backEnd())) {
             throw ForwardingErrors.wantsNoRequests();
         }
@@ -106,6 +111,11 @@
         }
     }
 
+    private void rejectLeft(BackEnd backEnd) {
+        exclude(backEnd);
+        throw ForwardingErrors.hasLeft(backEnd);
+    }
+
     /** Placements that do not count, as the request was held back for want of a token. */
     int heldBack() {
         return mHeldBack;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ForwardingErrors.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ForwardingErrors.java
@@ -60,6 +60,12 @@
                 ErrorCode.TARGET_REFUSED, "the back end wants no requests now");
     }
 
+    static RattanportException hasLeft(BackEnd backEnd) {
+        return new RattanportException(
+                ErrorCode.TARGET_REFUSED,
+                "back end " + backEnd.id() + " has left or begun to leave since it was chosen");
+    }
+
     static RattanportException heldBack(BackEnd backEnd) {
         return new RattanportException(
                 ErrorCode.TARGET_REFUSED,
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -6,15 +6,19 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.rattanport.decisions.gateway.ScriptedBackEnds.Reaction;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
 import org.rattanport.kernel.gateway.Attempt;
+import org.rattanport.kernel.gateway.BackEnd;
 
 /** Retries after each kind of failed attempt, and the result for the caller. */
 final class ForwardingTest extends ForwardingHarness {
@@ -306,6 +310,53 @@
         }
     }
 
+    /** Back ends whose entries change after they were chosen. */
+    @Nested
+    final class LeavingBackEnds {
+        private void drainAllButOne(String service, boolean isRemoved) {
+            if (mRegistry.available(service).size() == 1) {
+                return;
+            }
+            List<BackEnd> leaving =
+                    mRegistry.available(service).stream()
+                            .sorted(Comparator.comparing(BackEnd::id))
+                            .limit(3)
+                            .toList();
+            if (isRemoved) {
+                mRegistry.apply(List.of(), leaving.stream().map(BackEnd::id).toList());
+            } else {
+                mRegistry.apply(
+                        leaving.stream()
+                                .map(each -> TestFleet.backEnd(each.id(), service, true))
+                                .toList(),
+                        List.of());
+            }
+        }
+
+        /** A back end was reached long after the instance had learned that it leaves. */
+        @ParameterizedTest
+        @ValueSource(booleans = {false, true})
+        void shouldNotGetARequestWhoseConnectionTookLonger(boolean isRemoved) {
+            mBackEnds.mDuringConnect = () -> drainAllButOne(TestFleet.CALLS, isRemoved);
+            serve("/book/a", Reaction.RESPOND, Reaction.RESPOND);
+            assertThat(mAttempts.stream().map(each -> each.backEnd().id()))
+                    .containsExactly("call-3");
+        }
+
+        /** An engine that leaves was asked to prefill a part of a prompt. */
+        @Test
+        void shouldNotGetTheirPartOfAPrompt() {
+            mPrefillEngines = List.of(TestFleet.backEnd("engine-0", TestFleet.ENGINES, false));
+            mBackEnds.mDuringConnect =
+                    () -> {
+                        drainAllButOne(TestFleet.ENGINES, false);
+                        mPrefillEngines = List.of();
+                    };
+            serve("/stream/a", Reaction.STREAM);
+            assertThat(mAttempts.getFirst().prefillEngines()).isEmpty();
+        }
+    }
+
     /** Requests that were cut at a planned stop ended without a response. */
     @Nested
     final class CutRequests {
