Keep what back ends have said against old entries of a restored store

A store that is restored from a copy lists back ends as they were some seconds before: one that leaves is ready again, and one that is gone is there again. Taken as they stand, such entries send requests to back ends whose leaving was acknowledged.

BackEndRegistry.applyRestored: a run that has begun to leave stays so; a run that was removed within the last minute is used again only when it registers again, or when its entry has not lapsed 6 s later; back ends that the copy lacks have the time to register again that they have after an outage. Tests: BackEndRegistryTest.RestoredEntries.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
@@ -27,10 +27,26 @@
     /** Version before the first read. */
     static final long UNREAD = -1;
 
+    /** Age up to which a copy of the store may still have the entry of a back end that has left. */
+    private static final Duration DEPARTURE_MEMORY = Duration.ofMinutes(1);
+
+    /** Time after which the entry of a back end that is gone has lapsed in a restored store. */
+    private static final Duration RESTORED_ENTRY_LIFETIME = Duration.ofSeconds(6);
+
+    /** An entry of a back end, and a time at which something happens or has happened to it. */
+    private record Departure(BackEnd backEnd, long nanos) {}
+
     private final TimeSource mTime;
     private final List<RequestGate> mGates;
     private final Map<String, BackEnd> mBackEnds = new HashMap<>();
     private final Map<String, Long> mRemovalNanos = new HashMap<>();
+
+    /** Back ends that were removed lately, by id. */
+    private final Map<String, Departure> mDepartures = new HashMap<>();
+
+    /** When to believe entries of a restored store that name back ends which had left. */
+    private final Map<String, Departure> mDoubtful = new HashMap<>();
+
     private Optional<Long> mStoreRecoveredNanos = Optional.empty();
     private boolean mIsInitialized;
     private long mVersion = UNREAD;
@@ -83,7 +99,30 @@
         removed.forEach(this::remove);
     }
 
-    private void put(BackEnd backEnd) {
+    /**
+     * Applies a full read of a store that was restored from a copy. Missing back ends have time to
+     * register again. One that has left is believed to be back only when it registers again, or its
+     * entry does not lapse.
+     */
+    public synchronized void applyRestored(List<BackEnd> present, List<String> removed) {
+        recordStoreRecovery();
+        for (BackEnd each : present) {
+            Departure departure = mDepartures.get(each.id());
+            if (departure != null && departure.backEnd().isSameRun(each)) {
+                mDoubtful.put(
+                        each.id(),
+                        new Departure(each, mTime.nanoTime() + RESTORED_ENTRY_LIFETIME.toNanos()));
+            } else {
+                put(each);
+            }
+        }
+        removed.forEach(this::remove);
+    }
+
+    private void put(BackEnd entry) {
+        BackEnd backEnd = isKnownToLeave(entry) ? entry.draining() : entry;
+        mDepartures.remove(backEnd.id());
+        mDoubtful.remove(backEnd.id());
         recordRegistered(backEnd);
         mRemovalNanos.remove(backEnd.id());
         BackEnd previous = mBackEnds.put(backEnd.id(), backEnd);
@@ -97,11 +136,18 @@
         }
     }
 
+    /** A run that has begun to leave does not come back, whatever an old entry says. */
+    private boolean isKnownToLeave(BackEnd entry) {
+        BackEnd known = mBackEnds.get(entry.id());
+        return known != null && known.isDraining() && known.isSameRun(entry);
+    }
+
     private void recordRegistered(BackEnd backEnd) {
         mGates.forEach(gate -> gate.recordRegistered(backEnd));
     }
 
     private void remove(String id) {
+        mDoubtful.remove(id);
         BackEnd current = mBackEnds.get(id);
         if (current == null) {
             return;
@@ -117,10 +163,16 @@
                     id, mStoreRecoveredNanos.get() + REREGISTRATION_GRACE.toNanos());
             return;
         }
-        mBackEnds.remove(id);
+        forget(id);
         logRemoval(id, "its registry entry was removed");
     }
 
+    private void forget(String id) {
+        long now = mTime.nanoTime();
+        mDepartures.values().removeIf(each -> now - each.nanos() > DEPARTURE_MEMORY.toNanos());
+        mDepartures.put(id, new Departure(mBackEnds.remove(id), now));
+    }
+
     private static void logRemoval(String id, String reason) {
         LOGGER.info(LogLine.of("back-end-gone").with("back_end", id).with("reason", reason));
     }
@@ -134,11 +186,18 @@
                         .toList();
         for (String id : lapsed) {
             mRemovalNanos.remove(id);
-            mBackEnds.remove(id);
+            forget(id);
             logRemoval(id, "it did not register again after a store outage");
         }
     }
 
+    private void putDoubtful() {
+        long now = mTime.nanoTime();
+        List<Departure> believed =
+                mDoubtful.values().stream().filter(each -> now - each.nanos() >= 0).toList();
+        believed.forEach(each -> put(each.backEnd()));
+    }
+
     /**
      * Removes a back end when another one responds at its address, before its entry in the store
      * changes. An entry of a later start under the same id stays.
@@ -146,7 +205,7 @@
     public synchronized void removeReplaced(BackEnd backEnd) {
         BackEnd current = mBackEnds.get(backEnd.id());
         if (current != null && current.isSameRun(backEnd)) {
-            mBackEnds.remove(backEnd.id());
+            forget(backEnd.id());
             logRemoval(backEnd.id(), "another back end responds at its address");
         }
     }
@@ -195,6 +254,7 @@
     /** Returns the back ends of the service that are not draining by their entries. */
     private synchronized List<BackEnd> registered(String service) {
         removeLapsed();
+        putDoubtful();
         List<BackEnd> found = new ArrayList<>();
         for (BackEnd each : mBackEnds.values()) {
             if (each.service().equals(service) && !each.isDraining()) {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndRegistryTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndRegistryTest.java
@@ -53,6 +53,63 @@
         }
     }
 
+    /** Entries of a copy that is some seconds old. */
+    @Nested
+    final class RestoredEntries {
+        private final BackEnd mOneDraining = TestFleet.backEnd("one", TestFleet.CALLS, true);
+
+        @Test
+        void shouldNotBringBackABackEndThatLeaves() {
+            mRegistry.apply(List.of(mOneDraining), List.of());
+            mRegistry.applyRestored(List.of(mOne), List.of());
+            mTime.advance(Duration.ofSeconds(20));
+            assertThat(mRegistry.available(TestFleet.CALLS)).containsExactly(mTwo);
+        }
+
+        @Test
+        void shouldNotBringBackABackEndThatIsGone() {
+            mRegistry.apply(List.of(), List.of("one"));
+            mRegistry.applyRestored(List.of(mOne), List.of());
+            assertThat(mRegistry.available(TestFleet.CALLS)).containsExactly(mTwo);
+            mRegistry.apply(List.of(), List.of("one"));
+            mTime.advance(Duration.ofSeconds(20));
+            assertThat(mRegistry.available(TestFleet.CALLS)).containsExactly(mTwo);
+        }
+
+        @Test
+        void shouldBringBackABackEndWhoseEntryDoesNotLapse() {
+            mRegistry.apply(List.of(), List.of("one"));
+            mRegistry.applyRestored(List.of(mOne), List.of());
+            mTime.advance(Duration.ofSeconds(7));
+            assertThat(mRegistry.available(TestFleet.CALLS)).containsExactly(mOne, mTwo);
+        }
+
+        @Test
+        void shouldBringBackABackEndThatRegistersAgain() {
+            mRegistry.apply(List.of(), List.of("one"));
+            mRegistry.applyRestored(List.of(mOne), List.of());
+            mRegistry.apply(List.of(mOne), List.of());
+            assertThat(mRegistry.available(TestFleet.CALLS)).containsExactly(mOne, mTwo);
+        }
+
+        @Test
+        void shouldLeaveOutBackEndsThatTheCopyDoesNotHaveAfterAWhile() {
+            mRegistry.applyRestored(List.of(), List.of("one"));
+            assertThat(mRegistry.available(TestFleet.CALLS)).containsExactly(mOne, mTwo);
+            mTime.advance(Duration.ofSeconds(3));
+            assertThat(mRegistry.available(TestFleet.CALLS)).containsExactly(mTwo);
+        }
+
+        @Test
+        void shouldBringBackALaterRunAtOnce() {
+            mRegistry.apply(List.of(mOneDraining), List.of());
+            BackEnd restarted =
+                    new BackEnd("one", 2, TestFleet.CALLS, mOne.address(), "zone", 8, false);
+            mRegistry.applyRestored(List.of(restarted), List.of());
+            assertThat(mRegistry.available(TestFleet.CALLS)).containsExactly(restarted, mTwo);
+        }
+    }
+
     @Nested
     final class AfterStoreOutage {
         @Test
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/BackEnd.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/BackEnd.java
@@ -19,6 +19,11 @@
         String dataCentre,
         int slots,
         boolean isDraining) {
+    /** Returns the entry of this run while it drains. */
+    public BackEnd draining() {
+        return new BackEnd(id, startWallMillis, service, address, dataCentre, slots, true);
+    }
+
     /** Whether both entries describe the same run of a back end, with no restart in between. */
     public boolean isSameRun(BackEnd other) {
         return id.equals(other.id) && startWallMillis == other.startWallMillis;
