Follow a store that was restored from a copy into its new era

What callers saw or would have seen: after the store came back from a copy, a document that the operator had written and the store had confirmed was never in force, and back ends that left after that still got requests, until the versions of the store had caught up.

Cause: a version was taken to name one history. A restored store gives versions out again: a wait after a version of the old history misses what was written under versions up to it, a full read with a lower version was dropped, and so was every change until the versions had passed those of before. With 16 heartbeats a second and a copy of 9 s, some ten seconds.

FleetStateTest.RestoredStore: late answers of an old era, readers in different eras, two restores.

Change: a position is an era (header Store-Era) and a version, compared in that order, in messages between instances too. A wait whose answer is of another era is followed by a full read, as after lost history; two losses within 0.1 s are followed by a pause. Documents are ordered by the operator's own version, so the one in force stays. New event store-restored, new metric store_era. All instances of a deployment must be updated together, as one without eras takes a restored registry for an old one.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpClientResponse.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpClientResponse.java
@@ -2,11 +2,25 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import org.rattanport.connectors.json.Json;
 
-/** A complete HTTP response. */
-public record HttpClientResponse(int status, byte[] body, Optional<String> entityTag) {
+/**
+ * A complete HTTP response.
+ *
+ * @param headers first value of each header, by its name in lower case
+ */
+public record HttpClientResponse(int status, byte[] body, Map<String, String> headers) {
+    public Optional<String> header(String name) {
+        return Optional.ofNullable(headers.get(name.toLowerCase(Locale.ROOT)));
+    }
+
+    public Optional<String> entityTag() {
+        return header("ETag");
+    }
+
     public boolean isSuccess() {
         return status >= 200 && status < 300;
     }
--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
@@ -87,7 +87,8 @@
         metrics.setState("alive_members", context.require(Membership.class).aliveMembers().size());
         FleetState state = context.require(FleetState.class);
         metrics.setState("document_version", state.documentVersion());
-        metrics.setState("registry_version", state.registryVersion());
+        metrics.setState("registry_version", state.registryPosition().version());
+        metrics.setState("store_era", state.registryPosition().era());
         for (StorePart part : StorePart.values()) {
             state.storeAge(part)
                     .ifPresent(
--- a/connectors/src/main/java/org/rattanport/connectors/peer/FleetCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/FleetCodec.java
@@ -9,6 +9,7 @@
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
 import org.rattanport.kernel.gateway.FleetUpdate;
+import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.peer.PeerMessage;
 
 /** Translates requests for the state of the store and their responses. */
@@ -18,7 +19,8 @@
     static FleetRequest encode(PeerMessage.FleetRequest request) {
         return FleetRequest.newBuilder()
                 .setDocumentVersion(request.documentVersion())
-                .setRegistryVersion(request.registryVersion())
+                .setRegistryVersion(request.registryPosition().version())
+                .setRegistryEra(request.registryPosition().era())
                 .setMaxWaitMillis((int) request.maxWaitMillis())
                 .build();
     }
@@ -26,7 +28,7 @@
     static PeerMessage.FleetRequest decode(FleetRequest request) {
         return new PeerMessage.FleetRequest(
                 request.getDocumentVersion(),
-                request.getRegistryVersion(),
+                new StorePosition(request.getRegistryEra(), request.getRegistryVersion()),
                 Integer.toUnsignedLong(request.getMaxWaitMillis()));
     }
 
@@ -61,7 +63,8 @@
 
     private static RegistryUpdate encode(FleetUpdate.RegistryUpdate update) {
         return RegistryUpdate.newBuilder()
-                .setVersion(update.change().version())
+                .setVersion(update.change().position().version())
+                .setEra(update.change().position().era())
                 .setIsFull(update.isFull())
                 .setFollowsOutage(update.followsOutage())
                 .addAllPresent(update.change().present().stream().map(FleetCodec::entry).toList())
@@ -72,7 +75,7 @@
     private static FleetUpdate.RegistryUpdate decode(RegistryUpdate update) {
         return new FleetUpdate.RegistryUpdate(
                 new RegistryChange(
-                        update.getVersion(),
+                        new StorePosition(update.getEra(), update.getVersion()),
                         update.getPresentList().stream().map(FleetCodec::backEnd).toList(),
                         List.copyOf(update.getRemovedList())),
                 update.getIsFull(),
--- a/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
@@ -34,6 +34,7 @@
 import org.rattanport.kernel.gateway.PromptSize;
 import org.rattanport.kernel.gateway.RateLimit;
 import org.rattanport.kernel.gateway.RateLimitUpdate;
+import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.gateway.WorkUpdate;
 import org.rattanport.kernel.model.Fingerprint;
 import org.rattanport.kernel.model.InstanceId;
@@ -176,7 +177,8 @@
                             new PeerMessage.PlacementReply(Optional.empty(), 0),
                             new PeerMessage.PendingPrefillRequest("engine"),
                             new PeerMessage.PendingPrefillReply(120),
-                            new PeerMessage.FleetRequest(7, -1, 500),
+                            new PeerMessage.FleetRequest(7, StorePosition.UNREAD, 500),
+                            new PeerMessage.FleetRequest(7, new StorePosition(3, 12), 500),
                             new PeerMessage.FleetReply(
                                     new FleetUpdate(
                                             false, AGES, Optional.empty(), Optional.empty())),
@@ -227,7 +229,9 @@
     private static FleetUpdate.RegistryUpdate registry() {
         BackEnd backEnd = new BackEnd("e", 9, "service", "10.0.0.1:80", "dc", 8, true);
         return new FleetUpdate.RegistryUpdate(
-                new RegistryChange(12, List.of(backEnd), List.of("gone")), true, true);
+                new RegistryChange(new StorePosition(3, 12), List.of(backEnd), List.of("gone")),
+                true,
+                true);
     }
 
     private static EngineWork work() {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/FleetFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/FleetFollower.java
@@ -12,6 +12,7 @@
 import org.rattanport.kernel.gateway.FleetSource.Versioned;
 import org.rattanport.kernel.gateway.SourcedDocument;
 import org.rattanport.kernel.gateway.StorePart;
+import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.TimeSource;
 
@@ -34,6 +35,9 @@
     /** Timeout of a full read; a healthy store responds within a few milliseconds. */
     private static final Duration READ_TIMEOUT = Duration.ofMillis(900);
 
+    /** Delay of a full read that follows another one, whose history was lost at once. */
+    private static final Duration HISTORY_RETRY_DELAY = Duration.ofMillis(100);
+
     /** Delay that batches the next changes of the registry into one read, to save calls. */
     private static final Duration BATCH_DELAY = Duration.ofMillis(300);
 
@@ -69,12 +73,18 @@
     }
 
     private void followWithRetries(StorePart part, Dependency dependency, Runnable followUntilGap) {
+        long historyLostNanos = mTime.nanoTime() - HISTORY_RETRY_DELAY.toNanos();
         while (!mRole.isClosed()) {
             try {
                 mRole.awaitReading();
                 followUntilGap.run();
             } catch (HistoryLostException e) {
                 LOGGER.info(LogLine.of("store-history-lost").with("reason", e.getMessage()));
+                long sinceLastNanos = mTime.nanoTime() - historyLostNanos;
+                if (sinceLastNanos < HISTORY_RETRY_DELAY.toNanos()) {
+                    mTime.sleep(withJitter(HISTORY_RETRY_DELAY));
+                }
+                historyLostNanos = mTime.nanoTime();
                 continue;
             } catch (RattanportException e) {
                 boolean isFirstFailure = dependency.recordFailure();
@@ -118,7 +128,7 @@
         while (isActive()) {
             markAvailable(StorePart.DOCUMENT, mDocumentStore);
             reading.value().ifPresent(mState::recordDocument);
-            reading = mSource.awaitDocument(reading.version(), MAX_LONG_POLL);
+            reading = mSource.awaitDocument(reading.position(), MAX_LONG_POLL);
         }
     }
 
@@ -126,12 +136,12 @@
         RegistryChange snapshot = mSource.readRegistry(Deadline.after(mTime, READ_TIMEOUT));
         markAvailable(StorePart.REGISTRY, mRegistryStore);
         mState.recordFullRead(snapshot, mState.hadOutage());
-        long version = snapshot.version();
+        StorePosition position = snapshot.position();
         while (isActive()) {
-            RegistryChange change = mSource.awaitRegistryChange(version, MAX_LONG_POLL);
+            RegistryChange change = mSource.awaitRegistryChange(position, MAX_LONG_POLL);
             mState.recordResponse(StorePart.REGISTRY);
             mState.recordChange(change, false);
-            version = change.version();
+            position = change.position();
             mTime.sleep(BATCH_DELAY);
         }
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/FleetState.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/FleetState.java
@@ -25,12 +25,14 @@
 import org.rattanport.kernel.gateway.StoreChange;
 import org.rattanport.kernel.gateway.StoreChange.Origin;
 import org.rattanport.kernel.gateway.StorePart;
+import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
  * The routing document and the registry as of known versions of the store, whether this instance
  * read them itself or got them from another one. Keeps recent changes, so that other instances get
- * only what they lack. A version is never replaced by an earlier one.
+ * only what they lack. A position is never replaced by an earlier one, nor a document by an older
+ * one, also when the store is restored from a copy that has only the older one.
  */
 public final class FleetState {
     private static final Logger LOGGER = Logger.getLogger(FleetState.class);
@@ -59,11 +61,11 @@
     private final Map<StorePart, Long> mChangedNanos = new EnumMap<>(StorePart.class);
 
     private Optional<byte[]> mDocumentSource = Optional.empty();
-    private long mRegistryVersion = BackEndRegistry.UNREAD;
+    private StorePosition mPosition = StorePosition.UNREAD;
     private Optional<Long> mOutageNanos = Optional.empty();
 
-    /** Version after which all changes are kept. */
-    private long mFirstKeptVersion = BackEndRegistry.UNREAD;
+    /** Position after which all changes are kept. */
+    private StorePosition mFirstKept = StorePosition.UNREAD;
 
     public FleetState(
             ActiveRouting routing,
@@ -104,11 +106,13 @@
 
     private synchronized void recordFullRead(
             RegistryChange read, boolean followsOutage, Origin origin) {
-        if (read.version() < mRegistryVersion) {
+        if (mPosition.isAfter(read.position())) {
             return;
         }
-        if (mRegistryVersion == BackEndRegistry.UNREAD) {
+        if (mPosition.equals(StorePosition.UNREAD)) {
             recordFirstRead(read, origin);
+        } else if (read.position().era() > mPosition.era()) {
+            recordRestoredRead(read, origin);
         } else {
             apply(difference(read), followsOutage, origin);
         }
@@ -119,24 +123,46 @@
     private RegistryChange difference(RegistryChange read) {
         Set<String> ids = read.present().stream().map(BackEnd::id).collect(Collectors.toSet());
         return new RegistryChange(
-                read.version(),
+                read.position(),
                 read.present().stream()
                         .filter(each -> !each.equals(mEntries.get(each.id())))
                         .toList(),
                 mEntries.keySet().stream().filter(id -> !ids.contains(id)).toList());
     }
 
-    private void setRegistryVersion(long version) {
-        mRegistryVersion = version;
-        mRegistry.setVersion(version);
+    private void setPosition(StorePosition position) {
+        mPosition = position;
+        mRegistry.setVersion(position.version());
+    }
+
+    /** Entries of the copy may be missing or old until the back ends write them again. */
+    private void recordRestoredRead(RegistryChange read, Origin origin) {
+        LOGGER.warn(
+                LogLine.of("store-restored")
+                        .with("era", read.position().era())
+                        .with("version", read.position().version())
+                        .with("previous_era", mPosition.era())
+                        .with("previous_version", mPosition.version())
+                        .with("source", origin.source()));
+        RegistryChange difference = difference(read);
+        setPosition(read.position());
+        mRegistry.applyRestored(difference.present(), difference.removed());
+        difference
+                .present()
+                .forEach(each -> mEntries.put(each.id(), mRegistry.find(each.id()).orElse(each)));
+        difference.removed().forEach(mEntries::remove);
+        mChanges.clear();
+        mFirstKept = read.position();
+        recordOrigin(StorePart.REGISTRY, read.position().version(), origin);
+        notifyAll();
     }
 
     private void recordFirstRead(RegistryChange read, Origin origin) {
-        setRegistryVersion(read.version());
-        mFirstKeptVersion = read.version();
+        setPosition(read.position());
+        mFirstKept = read.position();
         read.present().forEach(each -> mEntries.put(each.id(), each));
         mRegistry.replace(read.present());
-        recordOrigin(StorePart.REGISTRY, read.version(), origin);
+        recordOrigin(StorePart.REGISTRY, read.position().version(), origin);
         notifyAll();
     }
 
@@ -147,13 +173,14 @@
 
     private synchronized void recordChange(
             RegistryChange change, boolean followsOutage, Origin origin) {
-        if (change.version() > mRegistryVersion) {
+        boolean isSameEra = change.position().era() == mPosition.era();
+        if (isSameEra && change.position().isAfter(mPosition)) {
             apply(change, followsOutage, origin);
         }
     }
 
     private void apply(RegistryChange change, boolean followsOutage, Origin origin) {
-        setRegistryVersion(change.version());
+        setPosition(change.position());
         if (followsOutage) {
             mRegistry.recordStoreRecovery();
         }
@@ -163,10 +190,10 @@
         change.present().forEach(each -> mEntries.put(each.id(), each));
         change.removed().forEach(mEntries::remove);
         mRegistry.apply(change.present(), change.removed());
-        recordOrigin(StorePart.REGISTRY, change.version(), origin);
+        recordOrigin(StorePart.REGISTRY, change.position().version(), origin);
         mChanges.addLast(new Change(change, followsOutage));
         if (mChanges.size() > MAX_CHANGES) {
-            mFirstKeptVersion = mChanges.removeFirst().change().version();
+            mFirstKept = mChanges.removeFirst().change().position();
         }
         notifyAll();
     }
@@ -252,9 +279,9 @@
                 && Boolean.TRUE.equals(mIsAvailable.get(StorePart.REGISTRY));
     }
 
-    /** Version of the store that the registry is as of; negative before the first read. */
-    public synchronized long registryVersion() {
-        return mRegistryVersion;
+    /** Position of the store that the registry is as of. */
+    public synchronized StorePosition registryPosition() {
+        return mPosition;
     }
 
     public long documentVersion() {
@@ -262,20 +289,20 @@
     }
 
     /**
-     * Waits until this state is newer than the versions; returns early while the store does not
-     * respond to this instance.
+     * Waits until this state is newer than the version and the position; returns early while the
+     * store does not respond to this instance.
      */
     public synchronized FleetUpdate await(
-            long documentVersion, long registryVersion, Duration maxWait) {
+            long documentVersion, StorePosition registryPosition, Duration maxWait) {
         long endNanos = mTime.nanoTime() + maxWait.toNanos();
-        FleetUpdate update = since(documentVersion, registryVersion);
+        FleetUpdate update = since(documentVersion, registryPosition);
         while (update.isEmpty() && update.isStoreAvailable()) {
             long remainingNanos = endNanos - mTime.nanoTime();
             if (remainingNanos <= 0) {
                 break;
             }
             awaitNotification(remainingNanos);
-            update = since(documentVersion, registryVersion);
+            update = since(documentVersion, registryPosition);
         }
         return update;
     }
@@ -288,28 +315,30 @@
         }
     }
 
-    private FleetUpdate since(long documentVersion, long registryVersion) {
+    private FleetUpdate since(long documentVersion, StorePosition registryPosition) {
         return new FleetUpdate(
                 isAvailable(),
                 ages(),
                 mDocumentSource.filter(source -> mRouting.version() > documentVersion),
-                registrySince(registryVersion));
+                registrySince(registryPosition));
     }
 
-    private Optional<RegistryUpdate> registrySince(long version) {
-        if (mRegistryVersion <= version) {
+    private Optional<RegistryUpdate> registrySince(StorePosition position) {
+        if (!mPosition.isAfter(position)) {
             return Optional.empty();
         }
-        if (version < mFirstKeptVersion) {
+        if (mFirstKept.isAfter(position)) {
             return Optional.of(
                     new RegistryUpdate(
                             new RegistryChange(
-                                    mRegistryVersion, List.copyOf(mEntries.values()), List.of()),
+                                    mPosition, List.copyOf(mEntries.values()), List.of()),
                             true,
                             mChanges.stream().anyMatch(Change::followsOutage)));
         }
         List<Change> missing =
-                mChanges.stream().filter(each -> each.change().version() > version).toList();
+                mChanges.stream()
+                        .filter(each -> each.change().position().isAfter(position))
+                        .toList();
         if (missing.isEmpty()) {
             return Optional.empty();
         }
@@ -325,6 +354,6 @@
             each.change().present().forEach(entry -> last.put(entry.id(), Optional.of(entry)));
             each.change().removed().forEach(id -> last.put(id, Optional.empty()));
         }
-        return RegistryChange.of(mRegistryVersion, last);
+        return RegistryChange.of(mPosition, last);
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ReaderFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ReaderFollower.java
@@ -95,7 +95,7 @@
                         new PeerMessage.FleetReply(
                                 mState.await(
                                         request.documentVersion(),
-                                        request.registryVersion(),
+                                        request.registryPosition(),
                                         waitLimit(request))));
     }
 
@@ -166,7 +166,7 @@
     private Optional<FleetUpdate> request(Member reader) {
         PeerMessage.FleetRequest request =
                 new PeerMessage.FleetRequest(
-                        mState.documentVersion(), mState.registryVersion(), maxWait().toMillis());
+                        mState.documentVersion(), mState.registryPosition(), maxWait().toMillis());
         Deadline deadline = Deadline.after(mTime, maxWait().plus(RESPONSE_MARGIN));
         try {
             return mPeers.call(reader.peerAddress(), request, deadline)
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
@@ -19,6 +19,7 @@
 import org.rattanport.kernel.gateway.FleetSource;
 import org.rattanport.kernel.gateway.RoutingDocument;
 import org.rattanport.kernel.gateway.SourcedDocument;
+import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.ManualTimeSource;
 
@@ -59,12 +60,12 @@
         @Override
         public Versioned<SourcedDocument> readDocument(Deadline deadline) {
             mCalls.add("read");
-            return next(mDocumentScript, new Versioned<>(0, Optional.empty()));
+            return next(mDocumentScript, new Versioned<>(at(0), Optional.empty()));
         }
 
         @Override
-        public Versioned<SourcedDocument> awaitDocument(long after, Duration maxWait) {
-            mCalls.add("await " + after);
+        public Versioned<SourcedDocument> awaitDocument(StorePosition after, Duration maxWait) {
+            mCalls.add("await " + after.version());
             return next(mDocumentScript, new Versioned<>(after, Optional.empty()));
         }
 
@@ -76,12 +77,12 @@
         @Override
         public RegistryChange readRegistry(Deadline deadline) {
             mCalls.add("read");
-            return next(mRegistryScript, new RegistryChange(0, List.of(), List.of()));
+            return next(mRegistryScript, new RegistryChange(at(0), List.of(), List.of()));
         }
 
         @Override
-        public RegistryChange awaitRegistryChange(long after, Duration maxWait) {
-            mCalls.add("await " + after);
+        public RegistryChange awaitRegistryChange(StorePosition after, Duration maxWait) {
+            mCalls.add("await " + after.version());
             return next(mRegistryScript, new RegistryChange(after, List.of(), List.of()));
         }
     }
@@ -104,16 +105,20 @@
         };
     }
 
+    private static StorePosition at(long version) {
+        return new StorePosition(1, version);
+    }
+
     private static Supplier<FleetSource.RegistryChange> change(
             long version, List<BackEnd> present, String... removed) {
-        return () -> new FleetSource.RegistryChange(version, present, List.of(removed));
+        return () -> new FleetSource.RegistryChange(at(version), present, List.of(removed));
     }
 
     private static Supplier<FleetSource.Versioned<SourcedDocument>> document(
             long position, long version) {
         return () ->
                 new FleetSource.Versioned<>(
-                        position,
+                        at(position),
                         Optional.of(new SourcedDocument(TestFleet.document(version), new byte[0])));
     }
 
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/FleetStateTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FleetStateTest.java
@@ -19,6 +19,7 @@
 import org.rattanport.kernel.gateway.StoreChange;
 import org.rattanport.kernel.gateway.StoreChange.Origin;
 import org.rattanport.kernel.gateway.StorePart;
+import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.time.ManualTimeSource;
 
 /** What an instance passes on to others, and what it accepts from them. */
@@ -42,7 +43,7 @@
 
         private FleetUpdate updateFor(Node other) {
             return mState.await(
-                    other.mState.documentVersion(), other.mState.registryVersion(), Duration.ZERO);
+                    other.mState.documentVersion(), other.mState.registryPosition(), Duration.ZERO);
         }
 
         private void take(FleetUpdate update) {
@@ -57,7 +58,7 @@
     }
 
     private static RegistryChange change(long version, List<BackEnd> present, String... removed) {
-        return new RegistryChange(version, present, List.of(removed));
+        return new RegistryChange(new StorePosition(1, version), present, List.of(removed));
     }
 
     @Nested
@@ -121,6 +122,64 @@
         }
     }
 
+    /** The store comes back from a copy, in a new era. */
+    @Nested
+    final class RestoredStore {
+        private static RegistryChange restored(long version, List<BackEnd> present) {
+            return new RegistryChange(new StorePosition(2, version), present, List.of());
+        }
+
+        @Test
+        void shouldReplaceLaterVersionsOfTheOldEra() {
+            mReader.mState.recordFullRead(restored(3, List.of(mOne, mTwo)), false);
+            mReader.mState.recordChange(
+                    new RegistryChange(new StorePosition(2, 4), List.of(mTwoDraining), List.of()),
+                    false);
+            assertThat(mReader.mRegistry.available(TestFleet.CALLS)).containsExactly(mOne);
+            RegistryUpdate update = mReader.updateFor(mFollower).registry().orElseThrow();
+            assertThat(update.isFull()).isTrue();
+            mFollower.take(mReader.updateFor(mFollower));
+            assertThat(mFollower.mRegistry.available(TestFleet.CALLS)).containsExactly(mOne);
+            assertThat(mReader.updateFor(mFollower).isEmpty()).isTrue();
+        }
+
+        @Test
+        void shouldNotBeReplacedByALateAnswerOfTheOldEra() {
+            mReader.mState.recordFullRead(restored(3, List.of(mOne)), false);
+            mReader.mState.recordChange(change(500, List.of(), "one"), false);
+            mReader.mState.recordFullRead(change(500, List.of(mTwo)), false);
+            assertThat(mReader.mState.registryPosition()).isEqualTo(new StorePosition(2, 3));
+            assertThat(mReader.mRegistry.find("one")).isPresent();
+        }
+
+        @Test
+        void shouldNotGoBackThroughAReaderOfTheOldEra() {
+            mFollower.mState.recordFullRead(restored(3, List.of(mOne, mTwo)), false);
+            mReader.mState.recordChange(change(900, List.of(), "one"), false);
+            assertThat(mReader.updateFor(mFollower).registry()).isEqualTo(Optional.empty());
+        }
+
+        @Test
+        void shouldNotPassOnOldEntriesOfBackEndsThatLeave() {
+            mReader.mState.recordChange(change(12, List.of(mTwoDraining)), false);
+            mReader.mState.recordFullRead(restored(3, List.of(mOne, mTwo)), false);
+            Node started = new Node();
+            started.take(mReader.updateFor(started));
+            assertThat(started.mRegistry.available(TestFleet.CALLS)).containsExactly(mOne);
+        }
+
+        @Test
+        void shouldBeRestoredTwice() {
+            mReader.mState.recordFullRead(restored(3, List.of(mOne, mTwo)), false);
+            mReader.mState.recordFullRead(
+                    new RegistryChange(new StorePosition(3, 1), List.of(mTwo), List.of()), false);
+            mFollower.take(mReader.updateFor(mFollower));
+            mTime.advance(Duration.ofSeconds(3));
+            assertThat(mFollower.mState.registryPosition()).isEqualTo(new StorePosition(3, 1));
+            assertThat(mFollower.mRegistry.available(TestFleet.CALLS)).containsExactly(mTwo);
+        }
+    }
+
     @Nested
     final class Ages {
         @Test
@@ -130,7 +189,12 @@
                     new RegistryUpdate(change(12, List.of(), "one"), false, false),
                     new Origin("reader", Duration.ofMillis(70)));
             mTime.advance(Duration.ofMillis(30));
-            assertThat(mFollower.mState.await(0, 12, Duration.ZERO).ages().registryMillis())
+            assertThat(
+                            mFollower
+                                    .mState
+                                    .await(0, new StorePosition(1, 12), Duration.ZERO)
+                                    .ages()
+                                    .registryMillis())
                     .isEqualTo(100);
             assertThat(mFollower.mChanges.getLast().origin().source()).isEqualTo("reader");
         }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ReaderFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ReaderFollowerTest.java
@@ -26,6 +26,7 @@
 import org.rattanport.kernel.gateway.FleetUpdate.RegistryUpdate;
 import org.rattanport.kernel.gateway.RoutingDocument;
 import org.rattanport.kernel.gateway.SourcedDocument;
+import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.model.InstanceId;
 import org.rattanport.kernel.peer.Member;
 import org.rattanport.kernel.peer.MemberState;
@@ -40,7 +41,9 @@
 final class ReaderFollowerTest {
     private static final RegistryChange CHANGE =
             new RegistryChange(
-                    10, List.of(TestFleet.backEnd("one", TestFleet.CALLS, false)), List.of());
+                    new StorePosition(1, 10),
+                    List.of(TestFleet.backEnd("one", TestFleet.CALLS, false)),
+                    List.of());
 
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final MemberTable mMembers =
@@ -110,7 +113,7 @@
         }
 
         @Override
-        public Versioned<SourcedDocument> awaitDocument(long after, Duration maxWait) {
+        public Versioned<SourcedDocument> awaitDocument(StorePosition after, Duration maxWait) {
             throw new UnsupportedOperationException();
         }
 
@@ -125,7 +128,7 @@
         }
 
         @Override
-        public RegistryChange awaitRegistryChange(long after, Duration maxWait) {
+        public RegistryChange awaitRegistryChange(StorePosition after, Duration maxWait) {
             throw new UnsupportedOperationException();
         }
     }
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/FleetSource.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/FleetSource.java
@@ -12,47 +12,48 @@
     /**
      * A value as of a version of the store.
      *
-     * @param version version from which to wait for later changes
+     * @param position position from which to wait for later changes
      * @param value the value, or empty if the store has none
      */
-    record Versioned<T>(long version, Optional<T> value) {}
+    record Versioned<T>(StorePosition position, Optional<T> value) {}
 
     /**
      * Changes of the registry.
      *
-     * @param version version from which to wait for later changes
+     * @param position position from which to wait for later changes
      * @param present back ends that were added or changed
      * @param removed ids of back ends that were removed
      */
-    record RegistryChange(long version, List<BackEnd> present, List<String> removed) {
+    record RegistryChange(StorePosition position, List<BackEnd> present, List<String> removed) {
         /**
          * Returns the change that leads to the last states.
          *
          * @param lastStates the entry of each changed back end; empty if it was removed
          */
-        public static RegistryChange of(long version, Map<String, Optional<BackEnd>> lastStates) {
+        public static RegistryChange of(
+                StorePosition position, Map<String, Optional<BackEnd>> lastStates) {
             List<BackEnd> present = new ArrayList<>();
             List<String> removed = new ArrayList<>();
             lastStates.forEach(
                     (id, entry) -> entry.ifPresentOrElse(present::add, () -> removed.add(id)));
-            return new RegistryChange(version, present, removed);
+            return new RegistryChange(position, present, removed);
         }
     }
 
-    /** Thrown when the store no longer has the change history after the requested version. */
+    /** Thrown when the store no longer has the change history after the requested position. */
     final class HistoryLostException extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
         public HistoryLostException() {
-            super("the store no longer has the change history after the requested version");
+            super("the store no longer has the change history after the requested position");
         }
     }
 
     /** Reads the latest document. */
     Versioned<SourcedDocument> readDocument(Deadline deadline);
 
-    /** Waits for a document that is newer than the version; the value is empty on timeout. */
-    Versioned<SourcedDocument> awaitDocument(long after, Duration maxWait);
+    /** Waits for a document that was written after the position; empty on timeout. */
+    Versioned<SourcedDocument> awaitDocument(StorePosition after, Duration maxWait);
 
     /** Parses the bytes of a document that another instance passed on. */
     RoutingDocument parseDocument(byte[] source);
@@ -60,6 +61,6 @@
     /** Reads the entries of all back ends. */
     RegistryChange readRegistry(Deadline deadline);
 
-    /** Waits for changes of the registry after the version. */
-    RegistryChange awaitRegistryChange(long after, Duration maxWait);
+    /** Waits for changes of the registry after the position. */
+    RegistryChange awaitRegistryChange(StorePosition after, Duration maxWait);
 }
--- a/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
+++ b/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
@@ -8,6 +8,7 @@
 import org.rattanport.kernel.gateway.FleetUpdate;
 import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.RateLimitUpdate;
+import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.gateway.WorkUpdate;
 import org.rattanport.kernel.model.InstanceId;
 import org.rattanport.kernel.request.Explanation;
@@ -91,7 +92,7 @@
      * @param registryVersion version of the store that the sender's registry is as of
      * @param maxWaitMillis longest time to wait for a change
      */
-    record FleetRequest(long documentVersion, long registryVersion, long maxWaitMillis)
+    record FleetRequest(long documentVersion, StorePosition registryPosition, long maxWaitMillis)
             implements GatewayMessage {}
 
     /** What the store has changed, as far as the responding instance has read it. */
