Register instances again in a store that was restored from a copy

An instance registers once in the directory through which instances find each other. A restored store has lost the registrations that were written since its copy, and no instance wrote them again, so an instance that finds no seed would have found nobody.

An instance that reads the store registers again when the era has risen.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/MemberSearch.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/MemberSearch.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import org.jboss.logging.Logger;
 import org.rattanport.decisions.membership.Gossip;
@@ -35,7 +36,7 @@
     private final Gossip mGossip;
     private final TimeSource mTime;
     private final BooleanSupplier mIsReader;
-    private boolean mIsRegistered;
+    private OptionalLong mRegisteredEra = OptionalLong.empty();
     private int mIsolatedRounds;
 
     MemberSearch(
@@ -86,11 +87,12 @@
     }
 
     private void register() {
-        if (!mIsRegistered) {
+        OptionalLong era = OptionalLong.of(mDirectory.era());
+        if (!mRegisteredEra.equals(era)) {
             Member self = mTable.self();
             Deadline deadline = Deadline.after(mTime, JOIN_TIMEOUT);
             mDirectory.register(self.id().name(), self.peerAddress(), deadline);
-            mIsRegistered = true;
+            mRegisteredEra = era;
         }
     }
 
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/MemberDirectory.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/MemberDirectory.java
@@ -11,6 +11,9 @@
     /** Stores the peer address of an instance and replaces an earlier address of that name. */
     void register(String name, String peerAddress, Deadline deadline);
 
+    /** Number that rises when registrations may have been lost. */
+    long era();
+
     /** Returns the stored addresses; some of the instances may have stopped. */
     List<String> peerAddresses(Deadline deadline);
 }
