Replace a connection between instances that has fallen silent

What callers saw: nothing alone, but an instance whose connections to other instances had fallen silent, while new ones would work, asked readers of the store and coordinators over them again and again, for good: its knowledge and its placements were then its own, and it read the store itself.

A request between instances that got no answer in time left its connection open, and a connection ends by itself only after 60 s without open requests, which followers always have. These connections have no keep-alive probes either.

Change: a connection on which no frame has arrived for 0.7 s since an unanswered request is closed when a request on it times out, and the next request opens a new one. The member is not probed or suspected for it.

--- a/connectors/src/main/java/org/rattanport/connectors/peer/PeerLink.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PeerLink.java
@@ -29,6 +29,15 @@
 
     private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(60);
 
+    /**
+     * Time without a frame, from an unanswered request on, after which the connection is closed. It
+     * may be broken without an end, and the next request opens a new one.
+     */
+    private static final Duration MAX_SILENCE = Duration.ofMillis(700);
+
+    /** Instead of a time: no request was written since the last frame arrived. */
+    private static final long ANSWERED = Long.MIN_VALUE;
+
     private final PeerChannel mChannel;
     private final PeerCodec mCodec;
     private final TimeSource mTime;
@@ -36,6 +45,9 @@
     private final Map<Long, CompletableFuture<PeerMessage>> mPendingRequests =
             new ConcurrentHashMap<>();
 
+    /** When the first request was written since the last frame arrived, or {@link #ANSWERED}. */
+    private final AtomicLong mUnansweredNanos = new AtomicLong(ANSWERED);
+
     private volatile boolean mIsClosed;
 
     private PeerLink(PeerChannel channel, PeerCodec codec, TimeSource time) {
@@ -113,6 +125,7 @@
     }
 
     private void completeRequest(Frame frame) {
+        mUnansweredNanos.set(ANSWERED);
         CompletableFuture<PeerMessage> pending = mPendingRequests.remove(frame.getCorrelation());
         if (pending != null) {
             pending.complete(mCodec.decode(frame).orElse(new PeerMessage.Unhandled()));
@@ -120,7 +133,7 @@
     }
 
     boolean isOpen() {
-        return mChannel.isOpen();
+        return !mIsClosed && mChannel.isOpen();
     }
 
     /** Sends a message that has no response. */
@@ -134,9 +147,11 @@
         CompletableFuture<PeerMessage> response = new CompletableFuture<>();
         mPendingRequests.put(correlationId, response);
         try {
+            mUnansweredNanos.compareAndSet(ANSWERED, mTime.nanoTime());
             mChannel.write(mCodec.encode(request).setCorrelation(correlationId).build());
             return response.get(deadline.remaining(mTime).toNanos(), TimeUnit.NANOSECONDS);
         } catch (TimeoutException e) {
+            closeIfSilent();
             throw new RattanportException(
                     ErrorCode.PEER_UNREACHABLE, "the peer did not respond before the deadline");
         } catch (ExecutionException e) {
@@ -150,6 +165,13 @@
         }
     }
 
+    private void closeIfSilent() {
+        long since = mUnansweredNanos.get();
+        if (since != ANSWERED && mTime.nanoTime() - since >= MAX_SILENCE.toNanos()) {
+            close();
+        }
+    }
+
     @Override
     public void close() {
         mIsClosed = true;
--- a/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
@@ -283,6 +283,71 @@
         }
     }
 
+    @Nested
+    final class SilentConnections {
+        /** An instance asked a reader over a silent connection again and again. */
+        @Test
+        void shouldBeReplaced() {
+            try (SilencingProxy proxy = new SilencingProxy(mServer.boundAddress());
+                    NettyPeerNetwork client = new NettyPeerNetwork(ANY_PORT, SECRET, mTime)) {
+                PeerMessage request = new PeerMessage.IndirectPing("x");
+                client.call(proxy.address(), request, deadline());
+                proxy.silenceOpenConnections();
+                assertThrows(
+                        RattanportException.class,
+                        () ->
+                                client.call(
+                                        proxy.address(),
+                                        request,
+                                        Deadline.after(mTime, Duration.ofMillis(800))));
+                assertThat(client.call(proxy.address(), request, deadline()))
+                        .isEqualTo(new PeerMessage.IndirectAck(true));
+            }
+        }
+
+        /** Short waits end before the connection counts as silent, and no single one shows it. */
+        @Test
+        void shouldBeReplacedAfterSeveralShortWaits() {
+            try (SilencingProxy proxy = new SilencingProxy(mServer.boundAddress());
+                    NettyPeerNetwork client = new NettyPeerNetwork(ANY_PORT, SECRET, mTime)) {
+                PeerMessage request = new PeerMessage.IndirectPing("x");
+                client.call(proxy.address(), request, deadline());
+                proxy.silenceOpenConnections();
+                Deadline end = deadline();
+                while (!isAnswered(client, proxy.address(), request)) {
+                    assertThat(end.remaining(mTime)).isGreaterThan(Duration.ZERO);
+                }
+            }
+        }
+
+        private boolean isAnswered(NettyPeerNetwork client, String address, PeerMessage request) {
+            try {
+                client.call(address, request, Deadline.after(mTime, Duration.ofMillis(100)));
+                return true;
+            } catch (RattanportException e) {
+                return false;
+            }
+        }
+
+        @Test
+        void shouldNotBeTakenForSlowAnswers() {
+            mServer.registerHandler(
+                    PeerMessage.PendingPrefillRequest.class,
+                    request -> {
+                        mTime.sleep(Duration.ofMillis(1_500));
+                        return new PeerMessage.PendingPrefillReply(1);
+                    });
+            try (NettyPeerNetwork client = new NettyPeerNetwork(ANY_PORT, SECRET, mTime)) {
+                assertThat(
+                                client.call(
+                                        mServer.boundAddress(),
+                                        new PeerMessage.PendingPrefillRequest("x"),
+                                        deadline()))
+                        .isEqualTo(new PeerMessage.PendingPrefillReply(1));
+            }
+        }
+    }
+
     @Nested
     final class OneWayMessages {
         @Test
