Reserve the retry when a silent stream is given up

What callers saw: streams whose engines fell silent together were cut although their engines went on.

Cause: a silent stream is given up only while another engine may take it over, but the retry for that was looked at then and taken later, so that several streams were given up for the same last retry, and those without it ended.

Evidence: ForwardingTest.SilentEngines.shouldNotBeGivenUpForARetryThatAnotherStreamTakes failed before (the stream was aborted).

Change: giving up a stream reserves the retry for it (TakeOver); without one it waits on.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.rattanport.decisions.gateway.EventStreamParser.Event;
 import org.rattanport.kernel.error.ErrorCode;
@@ -30,7 +29,7 @@
     private final TimeSource mTime;
     private final Runnable mOnEvent;
     private final Supplier<SilenceTimeout> mTimeout;
-    private final BooleanSupplier mMayTakeOver;
+    private final TakeOver mTakeOver;
     private final Supplier<Duration> mRemainingPrefill;
     private Optional<Event> mLastEvent = Optional.empty();
     private final Optional<String> mResumeAfterId;
@@ -41,14 +40,14 @@
             TimeSource time,
             Optional<String> resumeAfterId,
             Supplier<SilenceTimeout> timeout,
-            BooleanSupplier mayTakeOver,
+            TakeOver takeOver,
             Supplier<Duration> remainingPrefill,
             Runnable onEvent) {
         mCaller = caller;
         mTime = time;
         mResumeAfterId = resumeAfterId;
         mTimeout = timeout;
-        mMayTakeOver = mayTakeOver;
+        mTakeOver = takeOver;
         mRemainingPrefill = remainingPrefill;
         mOnEvent = onEvent;
     }
@@ -76,7 +75,7 @@
                 .await(
                         mTime,
                         deadline,
-                        mMayTakeOver,
+                        mTakeOver,
                         mRemainingPrefill,
                         limit -> readEvents(parser, exchange, limit));
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -104,7 +104,7 @@
                 mComponents.time(),
                 mRequest.lastEventId(),
                 () -> mSilence.beforeNextEvent(mRuns, mRelay.hasStarted()),
-                mSilence::mayTakeOver,
+                mSilence,
                 () -> mSilence.remainingPrefill(mLastBackEndId),
                 this::onForwarded);
     }
@@ -150,7 +150,7 @@
                 mLastError = ForwardingErrors.poisonRequest(mRequest, mContent, blocked.get());
                 break;
             }
-            if (mHasReachedBackEnd && !mComponents.retryBudget().tryAcquire(mService.name())) {
+            if (mHasReachedBackEnd && !mSilence.takeRetry()) {
                 break;
             }
             Optional<Placement> placement = mSelection.place();
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/SilencePolicy.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/SilencePolicy.java
@@ -14,13 +14,15 @@
  * How long the silence of a back end is waited out: to the limit of the route, or until another one
  * may take the request over.
  */
-final class SilencePolicy {
+final class SilencePolicy implements TakeOver {
     private final GatewayComponents mComponents;
     private final CallerRequest mRequest;
     private final Route mRoute;
     private final BackEndService mService;
     private final BackEndSelection mSelection;
 
+    private boolean mHasReservedRetry;
+
     /** How long the back end of the current attempt may be silent after its head. */
     private SilenceTimeout mAfterHead;
 
@@ -56,9 +58,7 @@
         SilenceTimeout timeout = beforeFirstEvent(placement, runs, hasStarted);
         Optional<String> backEndId = Optional.of(placement.backEnd().id());
         long startNanos = time.nanoTime();
-        T head =
-                timeout.await(
-                        time, deadline, this::mayTakeOver, () -> remainingPrefill(backEndId), read);
+        T head = timeout.await(time, deadline, this, () -> remainingPrefill(backEndId), read);
         mAfterHead = timeout.afterHead(Duration.ofNanos(time.nanoTime() - startNanos));
         return head;
     }
@@ -84,9 +84,24 @@
                 : SilenceTimeout.routeTimeout(mRoute);
     }
 
-    /** Whether a retry may be sent, and to a back end that has not been tried. */
-    boolean mayTakeOver() {
-        return mComponents.retryBudget().isAvailable(mService.name()) && mSelection.hasUntried();
+    @Override
+    public boolean isPossible() {
+        return mSelection.hasUntried()
+                && (mHasReservedRetry || mComponents.retryBudget().isAvailable(mService.name()));
+    }
+
+    @Override
+    public boolean tryReserve() {
+        mHasReservedRetry =
+                mHasReservedRetry || mComponents.retryBudget().tryAcquire(mService.name());
+        return mHasReservedRetry;
+    }
+
+    /** Takes the retry that was reserved, or another one; returns whether there is one. */
+    boolean takeRetry() {
+        boolean hadReserved = mHasReservedRetry;
+        mHasReservedRetry = false;
+        return hadReserved || mComponents.retryBudget().tryAcquire(mService.name());
     }
 
     /** Predicted time until the last chosen back end finishes its prefill work. */
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/SilenceTimeout.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/SilenceTimeout.java
@@ -1,7 +1,6 @@
 package org.rattanport.decisions.gateway;
 
 import java.time.Duration;
-import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.rattanport.kernel.error.ErrorCode;
@@ -103,7 +102,7 @@
      * Waits with this timeout.
      *
      * @param read waits until the deadline it receives
-     * @param mayTakeOver whether another back end may take the request over; until then this one is
+     * @param takeOver whether another back end may take the request over; until then this one is
      *     not given up
      * @param remainingPrefill predicted time of the back end's pending prefill work
      * @throws RattanportException {@code DEADLINE_EXCEEDED} when the back end was silent for too
@@ -112,7 +111,7 @@
     <T> T await(
             TimeSource time,
             Deadline deadline,
-            BooleanSupplier mayTakeOver,
+            TakeOver takeOver,
             Supplier<Duration> remainingPrefill,
             Function<Deadline, T> read) {
         long startNanos = time.nanoTime();
@@ -126,11 +125,14 @@
                 }
                 Duration elapsed = Duration.ofNanos(time.nanoTime() - startNanos);
                 timeout =
-                        mayTakeOver.getAsBoolean()
+                        takeOver.isPossible()
                                 ? extension(remainingPrefill.get(), max.minus(elapsed))
                                 : base;
                 if (!timeout.isPositive()) {
-                    throw e;
+                    if (takeOver.tryReserve()) {
+                        throw e;
+                    }
+                    timeout = base;
                 }
             }
         }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -9,6 +9,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -18,6 +19,7 @@
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
 import org.rattanport.kernel.gateway.Attempt;
+import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.BackEnd;
 
 /** Retries after each kind of failed attempt, and the result for the caller. */
@@ -187,6 +189,35 @@
             serveStallingStream();
         }
 
+        /** Streams that fell silent together were all given up with one retry left. */
+        @Test
+        void shouldNotBeGivenUpForARetryThatAnotherStreamTakes() {
+            mSlack = 2;
+            GatewayService service = service();
+            mBackEnds
+                    .reactions()
+                    .addAll(
+                            List.of(
+                                    Reaction.STALL,
+                                    Reaction.LOSE_RESPONSE,
+                                    Reaction.STREAM,
+                                    Reaction.STREAM));
+            AtomicBoolean isFirst = new AtomicBoolean(true);
+            mEvents.stream(AttemptFailure.class)
+                    .filter(failure -> isFirst.getAndSet(false))
+                    .subscribe(
+                            failure ->
+                                    assertThrows(
+                                            RattanportException.class,
+                                            () ->
+                                                    service.serve(
+                                                            TestFleet.request("/stream/b", 0),
+                                                            new FakeCaller())));
+            service.serve(TestFleet.request("/stream/a", 0), mCaller);
+            assertThat(mCaller.mIsAborted).isFalse();
+            assertThat(mCaller.mIsFinished).isTrue();
+        }
+
         /** The wait for the first event after a head did not ask whether another may take over. */
         @Test
         void shouldNotBeGivenUpAfterTheHeadWithoutARetry() {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/SilenceTimeoutTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/SilenceTimeoutTest.java
@@ -43,9 +43,21 @@
         return Duration.ofMillis(Math.max(0, mPrefillEndMillis - elapsedMillis()));
     }
 
+    private final class ScriptedTakeOver implements TakeOver {
+        @Override
+        public boolean isPossible() {
+            return mMayTakeOver;
+        }
+
+        @Override
+        public boolean tryReserve() {
+            return mMayTakeOver;
+        }
+    }
+
     private String await(SilenceTimeout timeout) {
         return timeout.await(
-                mTime, mDeadline, () -> mMayTakeOver, this::remainingPrefill, this::awaitEvent);
+                mTime, mDeadline, new ScriptedTakeOver(), this::remainingPrefill, this::awaitEvent);
     }
 
     private long millisUntilTimeout(SilenceTimeout timeout) {
