Tell other instances that a back end leaves

Change: a notice of leaving in a signed response is spread as the rumor TargetDraining, promptly, as record 0019 recommends; a receiver keeps it for that run only, also if its registry does not list the run yet, and passes it on once. Pauses are not told: the back end asked the instance that it refused.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndNotices.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndNotices.java
@@ -6,17 +6,21 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
+import org.rattanport.decisions.membership.RumorHub;
 import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.BackEndNotice;
 import org.rattanport.kernel.gateway.BackEndNotice.Kind;
 import org.rattanport.kernel.gateway.ResponseHead;
+import org.rattanport.kernel.model.TargetId;
+import org.rattanport.kernel.peer.Rumor;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
  * What back ends have said about themselves in their responses to this instance: that they leave,
  * or that they want no requests for a time. A notice holds for one run of a back end, whatever the
- * registry says of that run; only a later run under the same id ends it early.
+ * registry says of that run; only a later run under the same id ends it early. That a back end
+ * leaves is told to the other instances.
  */
 public final class BackEndNotices implements RequestGate {
     private static final Logger LOGGER = Logger.getLogger(BackEndNotices.class);
@@ -46,11 +50,22 @@
 
     private final TimeSource mTime;
     private final Consumer<BackEndNotice> mOnNotice;
+    private final Consumer<Rumor> mRumors;
     private final Map<String, Notice> mNotices = new HashMap<>();
 
-    public BackEndNotices(TimeSource time, Consumer<BackEndNotice> onNotice) {
+    public BackEndNotices(
+            TimeSource time, Consumer<BackEndNotice> onNotice, Consumer<Rumor> rumors) {
         mTime = time;
         mOnNotice = onNotice;
+        mRumors = rumors;
+    }
+
+    /** Creates notices that are shared with other instances through rumors. */
+    public static BackEndNotices withRumors(
+            TimeSource time, Consumer<BackEndNotice> onNotice, RumorHub hub) {
+        BackEndNotices notices = new BackEndNotices(time, onNotice, hub::spreadPromptly);
+        hub.addListener(notices::receive);
+        return notices;
     }
 
     /** Records what a response of the back end says about it; no notice ends an earlier pause. */
@@ -59,18 +74,44 @@
             return;
         }
         if (head.isLeaving()) {
-            learn(backEnd, Kind.LEAVING, LEAVING_LIFETIME);
+            boolean isNews = learn(backEnd, Kind.LEAVING, LEAVING_LIFETIME, "response");
+            // A false rumor would take the back end from all instances.
+            if (isNews && head.isSigned()) {
+                tell(backEnd);
+            }
         } else if (head.pause().isPresent()) {
-            learn(backEnd, Kind.PAUSE, head.pause().get());
+            learn(backEnd, Kind.PAUSE, head.pause().get(), "response");
         } else {
             endPause(backEnd.id());
         }
     }
 
-    private void learn(BackEnd backEnd, Kind kind, Duration duration) {
+    /**
+     * Learns from another instance that a back end leaves, whether it is registered here or not.
+     */
+    void receive(Rumor rumor) {
+        if (rumor instanceof Rumor.TargetDraining draining) {
+            receiveLeaving(draining.target());
+        }
+    }
+
+    private synchronized void receiveLeaving(TargetId run) {
+        BackEnd backEnd = new BackEnd(run.name(), run.incarnation(), "-", "-", "-", 0, true);
+        if (learn(backEnd, Kind.LEAVING, LEAVING_LIFETIME, "peer")) {
+            tell(backEnd);
+        }
+    }
+
+    private void tell(BackEnd backEnd) {
+        mRumors.accept(
+                new Rumor.TargetDraining(new TargetId(backEnd.id(), backEnd.startWallMillis())));
+    }
+
+    /** Records the notice; returns whether it says something new. */
+    private boolean learn(BackEnd backEnd, Kind kind, Duration duration, String source) {
         Notice known = mNotices.get(backEnd.id());
         if (known != null && isSuperseded(backEnd, known)) {
-            return;
+            return false;
         }
         long now = mTime.nanoTime();
         long until = now + duration.toNanos();
@@ -80,7 +121,7 @@
                         && known.kind() == kind
                         && known.untilNanos() - until > 0;
         if (isShorterPause) {
-            return;
+            return false;
         }
         mNotices.put(backEnd.id(), new Notice(backEnd, kind, now, until, Optional.empty()));
         LOGGER.info(
@@ -88,9 +129,10 @@
                         .with("back_end", backEnd.id())
                         .with("service", backEnd.service())
                         .with("kind", kind.wireName())
-                        .with("source", "response")
+                        .with("source", source)
                         .with("for_millis", duration.toMillis()));
         mOnNotice.accept(new BackEndNotice(backEnd.id(), kind));
+        return true;
     }
 
     /** Whether the known notice is about a later run, or says that this run leaves. */
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -69,7 +69,9 @@
         TimeSource time = context.time();
         GatewaySettings settings = context.require(GatewaySettings.class);
         ActiveRouting routing = context.require(ActiveRouting.class);
-        BackEndNotices notices = new BackEndNotices(time, context.events()::publish);
+        BackEndNotices notices =
+                BackEndNotices.withRumors(
+                        time, context.events()::publish, context.require(RumorHub.class));
         BackEndRateLimits rateLimits = rateLimits(context);
         BackEndRegistry registry = new BackEndRegistry(time, notices, rateLimits);
         WorkTracker tracker = new WorkTracker(time);
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndNoticesTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndNoticesTest.java
@@ -11,6 +11,8 @@
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.BackEndNotice;
 import org.rattanport.kernel.gateway.ResponseHead;
+import org.rattanport.kernel.model.TargetId;
+import org.rattanport.kernel.peer.Rumor;
 import org.rattanport.kernel.time.ManualTimeSource;
 
 /** Orders of events in which a back end says that it leaves, or asks for a pause. */
@@ -19,7 +21,8 @@
 
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final List<BackEndNotice> mEvents = new ArrayList<>();
-    private final BackEndNotices mNotices = new BackEndNotices(mTime, mEvents::add);
+    private final List<Rumor> mRumors = new ArrayList<>();
+    private final BackEndNotices mNotices = new BackEndNotices(mTime, mEvents::add, mRumors::add);
     private final BackEndRegistry mRegistry = new BackEndRegistry(mTime, mNotices);
     private final BackEnd mFirstRun = backEnd("a", 100);
 
@@ -121,6 +124,56 @@
         }
     }
 
+    /** Each instance had to be told by the back end itself. */
+    @Nested
+    final class News {
+        private final Rumor mNews = new Rumor.TargetDraining(new TargetId("a", 100));
+
+        @Test
+        void shouldBeToldOnceAboutABackEndThatLeaves() {
+            leave(mFirstRun);
+            leave(mFirstRun);
+            assertThat(mRumors).containsExactly(mNews);
+        }
+
+        @Test
+        void shouldKeepRequestsAwayAndBeToldOn() {
+            mNotices.receive(mNews);
+            mNotices.receive(mNews);
+            assertThat(available()).isEmpty();
+            assertThat(mRumors).containsExactly(mNews);
+        }
+
+        @Test
+        void shouldHoldWhenTheRunIsRegisteredLater() {
+            BackEndNotices notices = new BackEndNotices(mTime, mEvents::add, mRumors::add);
+            BackEndRegistry registry = new BackEndRegistry(mTime, notices);
+            notices.receive(mNews);
+            registry.replace(List.of(mFirstRun));
+            assertThat(registry.available(TestFleet.CALLS)).isEmpty();
+        }
+
+        @Test
+        void shouldNotConcernALaterRun() {
+            mRegistry.apply(List.of(backEnd("a", 101)), List.of());
+            mNotices.receive(mNews);
+            assertThat(available()).containsExactly("a");
+        }
+
+        @Test
+        void shouldNotFollowFromAResponseWithoutSignature() {
+            mNotices.recordResponse(mFirstRun, ResponseHead.builder(200).leaving(true).build());
+            assertThat(available()).isEmpty();
+            assertThat(mRumors).isEmpty();
+        }
+
+        @Test
+        void shouldNotBeToldAboutAPause() {
+            pause(Duration.ofSeconds(5));
+            assertThat(mRumors).isEmpty();
+        }
+    }
+
     @Nested
     final class Pause {
         @Test
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
@@ -23,7 +23,7 @@
 abstract class ForwardingHarness {
     final ManualTimeSource mTime = new ManualTimeSource();
     final EventStreams mEvents = new EventStreams();
-    final BackEndNotices mNotices = new BackEndNotices(mTime, notice -> {});
+    final BackEndNotices mNotices = new BackEndNotices(mTime, notice -> {}, rumor -> {});
     final RateLimitInstance mRateLimitInstance = TestFleet.rateLimits(mTime);
     final BackEndRateLimits mRateLimits = mRateLimitInstance.limits();
     final BackEndRegistry mRegistry = new BackEndRegistry(mTime, mNotices, mRateLimits);
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
@@ -36,7 +36,7 @@
 
     /** A registry of back ends that say nothing about themselves. */
     static BackEndRegistry registry(TimeSource time) {
-        return new BackEndRegistry(time, new BackEndNotices(time, notice -> {}));
+        return new BackEndRegistry(time, new BackEndNotices(time, notice -> {}, rumor -> {}));
     }
 
     /** The rate limits that a fleet of one instance keeps. */
