--- a/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
@@ -143,6 +143,17 @@
                     .inOrder();
         }
 
+        /** Two answers of different eras would have been asked for in turn, without a pause. */
+        @Test
+        void shouldPauseWhenTheHistoryIsLostAgainAtOnce() {
+            mSource.mDocumentScript.addAll(
+                    List.of(document(10, 5), historyLost(), document(11, 5), historyLost()));
+            long startNanos = mTime.nanoTime();
+            mFollower.followDocument();
+            assertThat(Duration.ofNanos(mTime.nanoTime() - startNanos))
+                    .isAtLeast(Duration.ofMillis(100));
+        }
+
         @Test
         void shouldRetainDocumentWhileStoreIsUnavailable() {
             mSource.mDocumentScript.addAll(
