Let a back end whose entries name no start return from draining

Entries without the time of their start look like one run. Since a run that leaves stays so, such a back end that was listed as ready again without having been removed would have been left out for good. Found on reading the change again; BackEndRegistryTest.RestoredEntries.shouldBringBackABackEndWhoseRunsLookAlike fails without this.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
@@ -139,7 +139,10 @@
     /** A run that has begun to leave does not come back, whatever an old entry says. */
     private boolean isKnownToLeave(BackEnd entry) {
         BackEnd known = mBackEnds.get(entry.id());
-        return known != null && known.isDraining() && known.isSameRun(entry);
+        return known != null
+                && known.isDraining()
+                && known.isSameRun(entry)
+                && known.hasKnownStart();
     }
 
     private void recordRegistered(BackEnd backEnd) {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndRegistryTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndRegistryTest.java
@@ -66,6 +66,17 @@
             assertThat(mRegistry.available(TestFleet.CALLS)).containsExactly(mTwo);
         }
 
+        @Test
+        void shouldBringBackABackEndWhoseRunsLookAlike() {
+            BackEnd draining =
+                    new BackEnd("three", 0, TestFleet.CALLS, "10.0.0.3:80", "zone", 8, true);
+            BackEnd ready =
+                    new BackEnd("three", 0, TestFleet.CALLS, "10.0.0.3:80", "zone", 8, false);
+            mRegistry.apply(List.of(draining), List.of());
+            mRegistry.apply(List.of(ready), List.of());
+            assertThat(mRegistry.available(TestFleet.CALLS)).containsExactly(mOne, mTwo, ready);
+        }
+
         @Test
         void shouldNotBringBackABackEndThatIsGone() {
             mRegistry.apply(List.of(), List.of("one"));
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/BackEnd.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/BackEnd.java
@@ -24,6 +24,11 @@
         return new BackEnd(id, startWallMillis, service, address, dataCentre, slots, true);
     }
 
+    /** Whether the entry says when the run started; without that, runs look alike. */
+    public boolean hasKnownStart() {
+        return startWallMillis > 0;
+    }
+
     /** Whether both entries describe the same run of a back end, with no restart in between. */
     public boolean isSameRun(BackEnd other) {
         return id.equals(other.id) && startWallMillis == other.startWallMillis;
