--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpClientResponse.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpClientResponse.java
@@ -1,20 +1,15 @@
 package org.rattanport.connectors.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import io.netty.handler.codec.http.HttpHeaders;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import org.rattanport.connectors.json.Json;
 
-/**
- * A complete HTTP response.
- *
- * @param headers first value of each header, by its name in lower case
- */
-public record HttpClientResponse(int status, byte[] body, Map<String, String> headers) {
+/** A complete HTTP response. */
+public record HttpClientResponse(int status, byte[] body, HttpHeaders headers) {
     public Optional<String> header(String name) {
-        return Optional.ofNullable(headers.get(name.toLowerCase(Locale.ROOT)));
+        return Optional.ofNullable(headers.get(name));
     }
 
     public Optional<String> entityTag() {
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpResponseStream.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpResponseStream.java
@@ -7,9 +7,6 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
-import java.util.Locale;
-import java.util.Map;
 import java.util.Optional;
 import org.rattanport.connectors.http.HttpMessagePart.BodyChunk;
 import org.rattanport.connectors.http.HttpMessagePart.Closed;
@@ -87,19 +84,6 @@
         return mHead.orElseThrow().status().code();
     }
 
-    private Map<String, String> headers() {
-        Map<String, String> headers = new HashMap<>();
-        mHead.ifPresent(
-                head ->
-                        head.headers()
-                                .forEach(
-                                        each ->
-                                                headers.putIfAbsent(
-                                                        each.getKey().toLowerCase(Locale.ROOT),
-                                                        each.getValue())));
-        return headers;
-    }
-
     public Optional<String> header(String name) {
         return mHead.map(head -> head.headers().get(name));
     }
@@ -159,7 +143,7 @@
             }
             body.writeBytes(chunk.get());
         }
-        return new HttpClientResponse(status(), body.toByteArray(), headers());
+        return new HttpClientResponse(status(), body.toByteArray(), mHead.orElseThrow().headers());
     }
 
     private HttpMessagePart nextPart() {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRegistry.java
@@ -11,6 +11,7 @@
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
@@ -24,9 +25,6 @@
     /** Time that running back ends need to register again after a store outage. */
     private static final Duration REREGISTRATION_GRACE = Duration.ofSeconds(2);
 
-    /** Version before the first read. */
-    static final long UNREAD = -1;
-
     /** Age up to which a copy of the store may still have the entry of a back end that has left. */
     private static final Duration DEPARTURE_MEMORY = Duration.ofMinutes(1);
 
@@ -49,7 +47,7 @@
 
     private Optional<Long> mStoreRecoveredNanos = Optional.empty();
     private boolean mIsInitialized;
-    private long mVersion = UNREAD;
+    private long mVersion = StorePosition.UNREAD.version();
 
     /**
      * Creates an empty registry.
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RequestTrace.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RequestTrace.java
@@ -13,6 +13,7 @@
 import org.rattanport.kernel.gateway.ResponseTiming;
 import org.rattanport.kernel.gateway.Route;
 import org.rattanport.kernel.gateway.RouteKind;
+import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.time.TimeSource;
 
 /** Collects the events of one request and publishes its outcome for logs and metrics. */
@@ -31,7 +32,7 @@
     private final TimeSource mTime;
     private final long mStartNanos;
     private final List<String> mBackEndIds = new ArrayList<>();
-    private long mRegistryVersion = BackEndRegistry.UNREAD;
+    private long mRegistryVersion = StorePosition.UNREAD.version();
     private int mStatus;
     private int mPrefillEngineCount;
     private double mPredictedFirstEventMillis;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/SilencePolicy.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/SilencePolicy.java
@@ -99,9 +99,9 @@
 
     /** Takes the retry that was reserved, or another one; returns whether there is one. */
     boolean takeRetry() {
-        boolean hadReserved = mHasReservedRetry;
+        boolean isTaken = tryReserve();
         mHasReservedRetry = false;
-        return hadReserved || mComponents.retryBudget().tryAcquire(mService.name());
+        return isTaken;
     }
 
     /** Predicted time until the last chosen back end finishes its prefill work. */
--- a/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
+++ b/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
@@ -89,7 +89,7 @@
      * Requests what the store has changed since these versions. The response waits for a change.
      *
      * @param documentVersion version of the sender's routing document
-     * @param registryVersion version of the store that the sender's registry is as of
+     * @param registryPosition position of the store that the sender's registry is as of
      * @param maxWaitMillis longest time to wait for a change
      */
     record FleetRequest(long documentVersion, StorePosition registryPosition, long maxWaitMillis)
