--- a/connectors/src/main/java/org/rattanport/connectors/peer/WorkUpdateCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/WorkUpdateCodec.java
@@ -95,7 +95,7 @@
                                                     notice.getId(),
                                                     share.getEngine(),
                                                     notice.getWeight()));
-            case UNRECOGNIZED -> Optional.empty();
+            case SLOWDOWN, UNRECOGNIZED -> Optional.empty();
         };
     }
 
