Divide the gateway's decisions into packages

decisions.gateway held 61 classes in one folder, so that placement, rate limits and the knowledge of the store could use each other's internals. They have packages of their own now: discovery, limits, placement and relay; 16 classes about the life of one request and its plug-ins stay. Tests moved with what they test.

--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
@@ -7,7 +7,7 @@
 import org.rattanport.connectors.http.HttpExchange;
 import org.rattanport.connectors.http.HttpServer;
 import org.rattanport.connectors.http.HttpTransport;
-import org.rattanport.decisions.gateway.FleetState;
+import org.rattanport.decisions.gateway.discovery.FleetState;
 import org.rattanport.decisions.lifecycle.InFlightRequests;
 import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.BackEndNotice;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayComponents.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayComponents.java
@@ -1,5 +1,13 @@
 package org.rattanport.decisions.gateway;
 
+import org.rattanport.decisions.gateway.discovery.ActiveRouting;
+import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
+import org.rattanport.decisions.gateway.limits.BackEndNotices;
+import org.rattanport.decisions.gateway.limits.BackEndRateLimits;
+import org.rattanport.decisions.gateway.placement.BackEndPlacement;
+import org.rattanport.decisions.gateway.placement.LoadTable;
+import org.rattanport.decisions.gateway.placement.MemoryLeases;
+import org.rattanport.decisions.gateway.placement.WorkNotifier;
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.gateway.BackEndClient;
 import org.rattanport.kernel.time.TimeSource;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayService.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayService.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import org.rattanport.decisions.gateway.discovery.RouteTable;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.BackEndService;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/OutcomeRecorder.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/OutcomeRecorder.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.rattanport.decisions.gateway.placement.BackEndHealth;
 import org.rattanport.decisions.poison.CrashAttribution;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Readiness.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Readiness.java
@@ -2,6 +2,8 @@
 
 import java.util.function.BooleanSupplier;
 import org.jboss.logging.Logger;
+import org.rattanport.decisions.gateway.discovery.ActiveRouting;
+import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.decisions.membership.MemberTable;
 import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.peer.MemberState;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RequestTrace.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RequestTrace.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.rattanport.decisions.gateway.placement.Placement;
 import org.rattanport.kernel.error.Verdict;
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.gateway.AttemptFailure;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ActiveRouting.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/ActiveRouting.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.discovery;
 
 import java.util.Optional;
 import org.jboss.logging.Logger;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Dependency.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/Dependency.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.discovery;
 
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.event.LogLine;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/FleetFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/FleetFollower.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.discovery;
 
 import java.time.Duration;
 import java.util.Random;
@@ -49,7 +49,7 @@
     private final Dependency mDocumentStore = new Dependency("store of the document");
     private final Dependency mRegistryStore = new Dependency("store of the register");
 
-    FleetFollower(
+    public FleetFollower(
             FleetSource source, FleetState state, ReaderRole role, TimeSource time, Random random) {
         mSource = source;
         mState = state;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ReaderFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/ReaderFollower.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.discovery;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
-import org.rattanport.decisions.gateway.ReaderRole.Role;
+import org.rattanport.decisions.gateway.discovery.ReaderRole.Role;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.FleetSource;
@@ -27,7 +27,7 @@
  * those that were of no use, so that any two readers which have fallen silent or behind delay a
  * change by two waits at most.
  */
-final class ReaderFollower {
+public final class ReaderFollower {
     private static final Logger LOGGER = Logger.getLogger(ReaderFollower.class);
 
     /** Longest wait of one request for changes. */
@@ -69,7 +69,7 @@
     private boolean mWasServed;
     private int mRounds;
 
-    ReaderFollower(
+    public ReaderFollower(
             StoreReaders readers,
             ReaderRole role,
             FleetState state,
@@ -88,7 +88,7 @@
     }
 
     /** Registers the handler of requests from other instances. */
-    void registerHandler() {
+    public void registerHandler() {
         mPeers.registerHandler(
                 PeerMessage.FleetRequest.class,
                 request ->
@@ -105,7 +105,7 @@
     }
 
     /** Body of the task that follows the readers. */
-    void followUntilClosed() {
+    public void followUntilClosed() {
         while (!mRole.isClosed()) {
             try {
                 followOnce();
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ReaderRole.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/ReaderRole.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.discovery;
 
 import java.time.Duration;
 import org.jboss.logging.Logger;
@@ -6,7 +6,7 @@
 import org.rattanport.kernel.event.LogLine;
 
 /** Whether this instance reads the store now, and at which rate it may try again. */
-final class ReaderRole {
+public final class ReaderRole {
     private static final Logger LOGGER = Logger.getLogger(ReaderRole.class);
 
     /** Delay after a failed read; well below the time in which changes must become active. */
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RouteTable.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/RouteTable.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.discovery;
 
 import java.util.Comparator;
 import java.util.HashMap;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RoutingVersions.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/RoutingVersions.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.discovery;
 
 import io.reactivex.rxjava3.core.Flowable;
 import java.util.Optional;
@@ -11,10 +11,10 @@
  * Provides gossip with the version of the routing document; documents themselves come from the
  * store.
  */
-final class RoutingVersions implements ActiveEnvironments {
+public final class RoutingVersions implements ActiveEnvironments {
     private final ActiveRouting mRouting;
 
-    RoutingVersions(ActiveRouting routing) {
+    public RoutingVersions(ActiveRouting routing) {
         mRouting = routing;
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/StoreReaders.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/StoreReaders.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.discovery;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -16,7 +16,7 @@
  * hashing over the members, so that a store that is silent to some instances is not silent to all
  * readers. Members that start or drain count, as they read the store anyway or still respond.
  */
-final class StoreReaders {
+public final class StoreReaders {
     private static final String KEY = "store-reader";
 
     private static final int READERS_PER_DATA_CENTRE = 2;
@@ -27,12 +27,12 @@
     private final MemberTable mMembers;
     private volatile Choice mChoice = new Choice(-1, List.of());
 
-    StoreReaders(MemberTable members) {
+    public StoreReaders(MemberTable members) {
         mMembers = members;
     }
 
     /** Whether this instance is a reader of its data centre. */
-    boolean isReader() {
+    public boolean isReader() {
         return readers().stream().anyMatch(each -> each.id().equals(mMembers.self().id()));
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndNotices.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/BackEndNotices.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.limits;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
+import org.rattanport.decisions.gateway.discovery.RequestGate;
 import org.rattanport.decisions.membership.RumorHub;
 import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.BackEnd;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndRateLimits.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/BackEndRateLimits.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.limits;
 
 import java.time.Duration;
 import java.util.List;
@@ -9,6 +9,8 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
+import org.rattanport.decisions.gateway.discovery.RequestGate;
+import org.rattanport.decisions.gateway.placement.CoordinatorDirectory;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.RateLimit;
 import org.rattanport.kernel.gateway.RateLimitEvent;
@@ -52,7 +54,7 @@
     private final AtomicLong mResponses = new AtomicLong();
     private final Map<String, Hold> mHolds = new ConcurrentHashMap<>();
 
-    BackEndRateLimits(
+    public BackEndRateLimits(
             RateLimitTable table,
             RateLimitOwner owner,
             CoordinatorDirectory directory,
@@ -76,7 +78,7 @@
      *
      * @param written when the request was written
      */
-    void recordResponse(BackEnd backEnd, ResponseHead head, ClockReading written) {
+    public void recordResponse(BackEnd backEnd, ResponseHead head, ClockReading written) {
         if (head.isMisdirected()) {
             return;
         }
@@ -135,7 +137,7 @@
     }
 
     /** Whether requests to the back end need tokens. */
-    boolean isLimited(BackEnd backEnd) {
+    public boolean isLimited(BackEnd backEnd) {
         return mTable.limited(backEnd).isPresent();
     }
 
@@ -145,7 +147,7 @@
      *
      * @param urgency urgency of the request, 0 for the most urgent
      */
-    boolean tryUse(BackEnd backEnd, int urgency) {
+    public boolean tryUse(BackEnd backEnd, int urgency) {
         Optional<RateLimitUpdate> limited = mTable.limited(backEnd);
         if (limited.isEmpty()) {
             return true;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ClockReading.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/ClockReading.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.limits;
 
 import java.time.Duration;
 import org.rattanport.kernel.time.TimeSource;
@@ -7,8 +7,8 @@
  * A moment on both clocks of this machine. The age of a moment is that of the clock that advanced
  * further: the monotonic clock of a frozen machine may stand still.
  */
-record ClockReading(long nanos, long wallMillis) {
-    static ClockReading now(TimeSource time) {
+public record ClockReading(long nanos, long wallMillis) {
+    public static ClockReading now(TimeSource time) {
         return new ClockReading(time.nanoTime(), time.wallMillis());
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/MissingMembers.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/MissingMembers.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.limits;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -12,18 +12,19 @@
  * Counts the members that fell silent without leaving. They may have ended, or may go on in another
  * part of a parted fleet.
  */
-final class MissingMembers {
+public final class MissingMembers {
     private static final Duration LIFETIME = Duration.ofMinutes(10);
 
     private final TimeSource mTime;
     private final Set<String> mAlive = new HashSet<>();
     private final Map<String, Long> mSilentSinceNanos = new HashMap<>();
 
-    MissingMembers(TimeSource time) {
+    public MissingMembers(TimeSource time) {
         mTime = time;
     }
 
-    synchronized void recordChange(Member member) {
+    /** Records the new state of a member. */
+    public synchronized void recordChange(Member member) {
         String name = member.id().name();
         boolean wasAlive = mAlive.remove(name);
         switch (member.state()) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RateLimitOwner.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitOwner.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.limits;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.jboss.logging.Logger;
+import org.rattanport.decisions.gateway.placement.CoordinatorDirectory;
 import org.rattanport.decisions.quota.TokenBucket;
 import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.RateLimit;
@@ -29,7 +30,7 @@
  * owner. A silent owner has no deputy: the next member takes over when the failure detector
  * suspects it.
  */
-final class RateLimitOwner {
+public final class RateLimitOwner {
     private static final Logger LOGGER = Logger.getLogger(RateLimitOwner.class);
 
     /** Tokens that a bucket holds: a number of requests and the tokens of a time. */
@@ -90,7 +91,7 @@
     private final Random mRandom;
     private final Map<String, Allocation> mAllocations = new HashMap<>();
 
-    RateLimitOwner(
+    public RateLimitOwner(
             RateLimitTable table,
             CoordinatorDirectory directory,
             MissingMembers missing,
@@ -106,7 +107,7 @@
     }
 
     /** Registers the handlers of requests for tokens and of reports with the peer network. */
-    void registerHandlers(PeerNetwork peers) {
+    public void registerHandlers(PeerNetwork peers) {
         peers.registerHandler(RateLimitRequest.class, this::decide);
         peers.registerHandler(
                 RateLimitReport.class,
@@ -228,12 +229,12 @@
     }
 
     /** Number of limits whose tokens this instance grants. */
-    synchronized int ownedLimits() {
+    public synchronized int ownedLimits() {
         return mAllocations.size();
     }
 
     /** Gives up the limits that another member owns now, and tells it what is known of them. */
-    void membersChanged() {
+    public void membersChanged() {
         List<String> owned;
         synchronized (this) {
             owned = List.copyOf(mAllocations.keySet());
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RateLimitPeers.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitPeers.java
@@ -1,8 +1,9 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.limits;
 
 import java.time.Duration;
 import java.util.Optional;
 import org.jboss.logging.Logger;
+import org.rattanport.decisions.gateway.placement.CoordinatorDirectory;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.RateLimitUpdate;
 import org.rattanport.kernel.peer.Member;
@@ -15,7 +16,7 @@
 import org.rattanport.kernel.time.TimeSource;
 
 /** Sends the messages about rate limits to other members, and records which are silent. */
-final class RateLimitPeers {
+public final class RateLimitPeers {
     private static final Logger LOGGER = Logger.getLogger(RateLimitPeers.class);
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(40);
 
@@ -24,7 +25,7 @@
     private final RateLimitTable mTable;
     private final TimeSource mTime;
 
-    RateLimitPeers(
+    public RateLimitPeers(
             PeerNetwork peers,
             CoordinatorDirectory directory,
             RateLimitTable table,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RateLimitTable.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitTable.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.limits;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -18,7 +18,7 @@
  * from other instances. Of two responses of one run, the one to the request that was written later
  * counts, whichever arrived first.
  */
-final class RateLimitTable {
+public final class RateLimitTable {
     private static final Logger LOGGER = Logger.getLogger(RateLimitTable.class);
 
     /** Limits that no fleet reaches; they cost no requests for tokens. */
@@ -43,7 +43,7 @@
     private final Consumer<RateLimitEvent> mOnEvent;
     private final Map<String, Entry> mEntries = new HashMap<>();
 
-    RateLimitTable(TimeSource time, Consumer<RateLimitEvent> onEvent) {
+    public RateLimitTable(TimeSource time, Consumer<RateLimitEvent> onEvent) {
         mTime = time;
         mOnEvent = onEvent;
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatedPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacement.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.placement;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
+import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.EngineGroup;
 import org.rattanport.kernel.gateway.EngineWork;
@@ -64,7 +65,7 @@
     private final Random mRandom;
     private final Map<String, OpenWork> mOpen = new ConcurrentHashMap<>();
 
-    CoordinatedPlacement(
+    public CoordinatedPlacement(
             BackEndRegistry registry,
             PlacementCoordinator local,
             CoordinatorDirectory directory,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/CoordinatorDirectory.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatorDirectory.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.placement;
 
 import java.time.Duration;
 import java.util.List;
@@ -16,7 +16,7 @@
  * with the same view of the members agree without an election. A coordinator that does not respond
  * is passed over for a while.
  */
-final class CoordinatorDirectory {
+public final class CoordinatorDirectory {
     /** Mean number of engines in a group; a prompt is prefilled by up to 17 of them. */
     private static final int ENGINES_PER_GROUP = 24;
 
@@ -33,7 +33,7 @@
     private final Map<String, Order> mOrders = new ConcurrentHashMap<>();
     private final Map<String, Long> mSilenceNanos = new ConcurrentHashMap<>();
 
-    CoordinatorDirectory(MemberTable members, TimeSource time) {
+    public CoordinatorDirectory(MemberTable members, TimeSource time) {
         mMembers = members;
         mTime = time;
     }
@@ -44,17 +44,17 @@
     }
 
     /** Returns the members that may coordinate the group, the preferred one first. */
-    List<Member> candidates(String service, EngineGroup group) {
+    public List<Member> candidates(String service, EngineGroup group) {
         return candidates(service + "/" + group.index());
     }
 
     /** Returns the members that respond and may coordinate the key, the preferred one first. */
-    List<Member> candidates(String key) {
+    public List<Member> candidates(String key) {
         return order(key).stream().filter(each -> !isSilent(each)).toList();
     }
 
     /** Returns all alive members in the order of their preference for the key. */
-    List<Member> order(String key) {
+    public List<Member> order(String key) {
         long changeCount = mMembers.changeCount();
         Order known = mOrders.get(key);
         if (known != null && known.changeCount() == changeCount) {
@@ -75,25 +75,25 @@
         return order.members();
     }
 
-    Member self() {
+    public Member self() {
         return mMembers.self();
     }
 
-    boolean isSelf(Member member) {
+    public boolean isSelf(Member member) {
         return member.id().equals(mMembers.self().id());
     }
 
-    boolean isSilent(Member member) {
+    public boolean isSilent(Member member) {
         Long silenceNanos = mSilenceNanos.get(member.peerAddress());
         return silenceNanos != null && mTime.nanoTime() - silenceNanos < SILENCE_PENALTY.toNanos();
     }
 
     /** Whether the member has not responded since it was silent. */
-    boolean wasSilent(Member member) {
+    public boolean wasSilent(Member member) {
         return mSilenceNanos.containsKey(member.peerAddress());
     }
 
-    void recordResponse(Member member) {
+    public void recordResponse(Member member) {
         mSilenceNanos.remove(member.peerAddress());
     }
 
@@ -101,7 +101,7 @@
      * Records that the member did not respond. It is passed over, but not suspected: a slow member
      * misses this timeout long before the one of the failure detector.
      */
-    void recordSilence(Member member) {
+    public void recordSilence(Member member) {
         mSilenceNanos.put(member.peerAddress(), mTime.nanoTime());
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/LeastLoadedPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/LeastLoadedPlacement.java
@@ -1,9 +1,10 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.placement;
 
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.kernel.gateway.BackEnd;
 
 /** Sends a request of a plain service to the back end with the most free slots. */
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/MemoryLeases.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/MemoryLeases.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.placement;
 
 import java.time.Duration;
 import java.util.List;
@@ -91,7 +91,7 @@
         }
 
         /** Records that the decode engine has sent something. */
-        void recordSignOfLife() {
+        public void recordSignOfLife() {
             mLastSignNanos = mTime.nanoTime();
         }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Placement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/Placement.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.placement;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -70,7 +70,7 @@
     }
 
     /** All back ends of this placement. */
-    Stream<BackEnd> engines() {
+    public Stream<BackEnd> engines() {
         return Stream.concat(Stream.of(backEnd), prefillEngines.stream());
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/PlacementCoordinator.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PlacementCoordinator.java
@@ -1,6 +1,7 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.placement;
 
 import java.util.Optional;
+import org.rattanport.decisions.gateway.discovery.ActiveRouting;
 import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.WorkUpdate;
@@ -12,13 +13,13 @@
  * One decision at a time sees all earlier ones, so that two prompts never take the same free
  * engine. Two coordinators of a group only make the load estimates less exact.
  */
-final class PlacementCoordinator {
+public final class PlacementCoordinator {
     private final ActiveRouting mRouting;
     private final BackEndPlacement mPlacement;
     private final WorkTracker mTracker;
     private final BackEndHealth mHealth;
 
-    PlacementCoordinator(
+    public PlacementCoordinator(
             ActiveRouting routing,
             BackEndPlacement placement,
             WorkTracker tracker,
@@ -30,7 +31,7 @@
     }
 
     /** Registers the handlers of placements and work updates with the peer network. */
-    void registerHandlers(PeerNetwork peers) {
+    public void registerHandlers(PeerNetwork peers) {
         peers.registerHandler(PeerMessage.PlacementRequest.class, this::handle);
         peers.registerHandler(
                 PeerMessage.WorkUpdates.class,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/PlacementTuning.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PlacementTuning.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.placement;
 
 /**
  * Weights of the placement of prompts. The unit of cost is the loss of one late short prompt.
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/PromptPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.placement;
 
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineShare;
 import org.rattanport.kernel.gateway.EngineSpec;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Reservation.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/Reservation.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.placement;
 
 import org.rattanport.kernel.gateway.BackEnd;
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/WorkUpdateSender.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkUpdateSender.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.placement;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -20,7 +20,7 @@
  * placement takes the pending updates of its coordinator along. Updates that cannot be sent are
  * dropped: the coordinator's record of the work expires.
  */
-final class WorkUpdateSender implements AutoCloseable {
+public final class WorkUpdateSender implements AutoCloseable {
     private static final Logger LOGGER = Logger.getLogger(WorkUpdateSender.class);
 
     /** Delay of updates, to batch them; answers take seconds. */
@@ -37,7 +37,7 @@
     private final Map<String, List<WorkUpdate>> mPending = new HashMap<>();
     private final Thread mTask;
 
-    WorkUpdateSender(PeerNetwork peers, TimeSource time) {
+    public WorkUpdateSender(PeerNetwork peers, TimeSource time) {
         mPeers = peers;
         mTime = time;
         mTask = Tasks.start("send-work-updates", this::sendUntilClosed);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BufferedResponseRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/relay/BufferedResponseRelay.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.relay;
 
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -12,7 +12,7 @@
  * Buffers a short response until it is complete, so a response that breaks off never reaches the
  * caller in part. A response above the buffer limit is streamed.
  */
-final class BufferedResponseRelay implements ResponseRelay {
+public final class BufferedResponseRelay implements ResponseRelay {
     /** Largest response that is buffered; responses of plain services have a few kilobytes. */
     private static final int MAX_BUFFERED_BYTES = 65_536;
 
@@ -20,7 +20,7 @@
     private final Runnable mOnForwarded;
     private Optional<ResponseWriter> mResponse = Optional.empty();
 
-    BufferedResponseRelay(CallerExchange caller, Runnable onForwarded) {
+    public BufferedResponseRelay(CallerExchange caller, Runnable onForwarded) {
         mCaller = caller;
         mOnForwarded = onForwarded;
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ByteAccumulator.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/relay/ByteAccumulator.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.relay;
 
 import java.util.Arrays;
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/relay/EventRelay.java
@@ -1,11 +1,11 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.relay;
 
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.function.Supplier;
-import org.rattanport.decisions.gateway.EventStreamParser.Event;
+import org.rattanport.decisions.gateway.relay.EventStreamParser.Event;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
@@ -21,7 +21,7 @@
  * resume it: the relay skips events that the caller already has and keeps the headers of the first
  * back end.
  */
-final class EventRelay implements ResponseRelay {
+public final class EventRelay implements ResponseRelay {
     /** Bytes without the end of an event, above which a response is no event stream. */
     private static final int MAX_EVENT_BYTES = 262_144;
 
@@ -35,7 +35,7 @@
     private final Optional<String> mResumeAfterId;
     private Optional<ResponseWriter> mResponse = Optional.empty();
 
-    EventRelay(
+    public EventRelay(
             CallerExchange caller,
             TimeSource time,
             Optional<String> resumeAfterId,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/EventStreamParser.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/relay/EventStreamParser.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.relay;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/SilenceTimeout.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/relay/SilenceTimeout.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.relay;
 
 import java.time.Duration;
 import java.util.function.Function;
@@ -17,7 +17,7 @@
  * @param base timeout without pending prefill work
  * @param max longest extended timeout; callers disconnect soon after
  */
-record SilenceTimeout(Duration base, Duration max) {
+public record SilenceTimeout(Duration base, Duration max) {
     /** Shortest timeout between two events of a stream. */
     private static final Duration MIN_GAP_TIMEOUT = Duration.ofMillis(1_200);
 
@@ -58,7 +58,7 @@
     private static final Duration PREFILL_MARGIN = Duration.ofMillis(200);
 
     /** Timeout before the first event, for its predicted time. */
-    static SilenceTimeout beforeFirstEvent(Route route, double predictedMillis) {
+    public static SilenceTimeout beforeFirstEvent(Route route, double predictedMillis) {
         if (route.kind() != RouteKind.STREAMING) {
             Duration timeout = route.latencyObjective().multipliedBy(OBJECTIVE_FACTOR);
             return new SilenceTimeout(timeout, timeout);
@@ -72,18 +72,18 @@
     }
 
     /** Timeout between two events. */
-    static SilenceTimeout betweenEvents(Route route) {
+    public static SilenceTimeout betweenEvents(Route route) {
         Duration base = longer(MIN_GAP_TIMEOUT, route.maxEventGap().multipliedBy(GAP_FACTOR));
         return new SilenceTimeout(base, longer(base, maxOf(route)));
     }
 
     /** Timeout when no retry is allowed: only the route limits the silence. */
-    static SilenceTimeout routeTimeout(Route route) {
+    public static SilenceTimeout routeTimeout(Route route) {
         return new SilenceTimeout(route.timeout(), route.timeout());
     }
 
     /** Returns what the first event has left of this timeout after a wait for the head. */
-    SilenceTimeout afterHead(Duration elapsed) {
+    public SilenceTimeout afterHead(Duration elapsed) {
         Duration left = longer(MIN_TIMEOUT_AFTER_HEAD, max.minus(elapsed));
         return new SilenceTimeout(base.compareTo(left) < 0 ? base : left, left);
     }
@@ -108,7 +108,7 @@
      * @throws RattanportException {@code DEADLINE_EXCEEDED} when the back end was silent for too
      *     long
      */
-    <T> T await(
+    public <T> T await(
             TimeSource time,
             Deadline deadline,
             TakeOver takeOver,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/TakeOver.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/relay/TakeOver.java
@@ -1,7 +1,7 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.relay;
 
 /** Whether another back end may take a request over from a silent one. */
-interface TakeOver {
+public interface TakeOver {
     /** Whether that is possible now. */
     boolean isPossible();
 
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingRateLimitsTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingRateLimitsTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.rattanport.decisions.gateway.ScriptedBackEnds.Reaction;
+import org.rattanport.decisions.gateway.limits.ClockReading;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/PeerHub.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/PeerHub.java
@@ -14,14 +14,14 @@
 import org.rattanport.kernel.time.Deadline;
 
 /** Connects the instances of a test in memory; instances can be silenced. */
-final class PeerHub {
+public final class PeerHub {
     private final Map<String, Map<Class<?>, PeerHandler<?>>> mHandlers = new HashMap<>();
     private final Set<String> mSilent = new HashSet<>();
     private final Set<String> mLosingReplies = new HashSet<>();
     private final List<PeerMessage> mMessages = new ArrayList<>();
 
     /** Returns the network as the instance at the address sees it. */
-    PeerNetwork networkOf(String address) {
+    public PeerNetwork networkOf(String address) {
         Map<Class<?>, PeerHandler<?>> handlers =
                 mHandlers.computeIfAbsent(address, key -> new HashMap<>());
         return new PeerNetwork() {
@@ -44,22 +44,22 @@
     }
 
     /** The instance receives nothing any more. */
-    void silence(String address) {
+    public void silence(String address) {
         mSilent.add(address);
     }
 
     /** The instance handles what it receives, but its replies are lost. */
-    void loseReplies(String address) {
+    public void loseReplies(String address) {
         mLosingReplies.add(address);
     }
 
-    void restore(String address) {
+    public void restore(String address) {
         mSilent.remove(address);
         mLosingReplies.remove(address);
     }
 
     /** All messages that an instance received. */
-    List<PeerMessage> messages() {
+    public List<PeerMessage> messages() {
         return mMessages;
     }
 
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ReadinessTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ReadinessTest.java
@@ -6,6 +6,8 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.gateway.discovery.ActiveRouting;
+import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.decisions.membership.MemberTable;
 import org.rattanport.decisions.membership.RumorQueue;
 import org.rattanport.kernel.event.EventStreams;
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
@@ -6,6 +6,9 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.stream.IntStream;
+import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
+import org.rattanport.decisions.gateway.limits.BackEndNotices;
+import org.rattanport.decisions.gateway.limits.RateLimitInstance;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.CallerLimits;
@@ -25,22 +28,22 @@
 import org.rattanport.kernel.time.TimeSource;
 
 /** Back ends, documents and requests for tests of the gateway's decisions. */
-final class TestFleet {
-    static final String ENGINES = "engines";
-    static final String CALLS = "calls";
+public final class TestFleet {
+    public static final String ENGINES = "engines";
+    public static final String CALLS = "calls";
 
-    static final EngineSpec ENGINE_SPEC =
+    public static final EngineSpec ENGINE_SPEC =
             new EngineSpec(8, 450_000, 46, 0.925, 0.007, 0.0025, 256, 0.0917);
 
     private TestFleet() {}
 
     /** A registry of back ends that say nothing about themselves. */
-    static BackEndRegistry registry(TimeSource time) {
+    public static BackEndRegistry registry(TimeSource time) {
         return new BackEndRegistry(time, new BackEndNotices(time, notice -> {}, rumor -> {}));
     }
 
     /** The rate limits that a fleet of one instance keeps. */
-    static RateLimitInstance rateLimits(TimeSource time) {
+    public static RateLimitInstance rateLimits(TimeSource time) {
         return new RateLimitInstance(
                 new PeerHub().networkOf("a:peer"),
                 new Member(
@@ -49,21 +52,22 @@
                 1);
     }
 
-    static BackEnd backEnd(String id, String service, boolean isDraining) {
+    public static BackEnd backEnd(String id, String service, boolean isDraining) {
         return new BackEnd(id, 1, service, "10.0.0.1:" + id.hashCode(), "zone", 8, isDraining);
     }
 
-    static List<BackEnd> engines(int count) {
+    public static List<BackEnd> engines(int count) {
         return IntStream.range(0, count)
                 .mapToObj(i -> backEnd("engine-" + i, ENGINES, false))
                 .toList();
     }
 
-    static BackEndService engineService() {
+    public static BackEndService engineService() {
         return new BackEndService(ENGINES, 100, Optional.of(ENGINE_SPEC));
     }
 
-    static Route route(String host, String prefix, RouteKind kind) {
+    /** Returns a route to the service that fits its kind. */
+    public static Route route(String host, String prefix, RouteKind kind) {
         boolean isStream = kind == RouteKind.STREAMING;
         return new Route(
                 "route" + prefix,
@@ -80,7 +84,7 @@
                 Duration.ofMillis(200));
     }
 
-    static RoutingDocument document(long version, Route... routes) {
+    public static RoutingDocument document(long version, Route... routes) {
         return new RoutingDocument(
                 version,
                 List.of(routes),
@@ -90,7 +94,7 @@
     }
 
     /** A prompt to place at the engines; zero tokens for one without a declared size. */
-    static PlacementDemand demand(
+    public static PlacementDemand demand(
             int promptTokens, Duration objective, Duration maxGap, String... excluded) {
         return new PlacementDemand(
                 "attempt-" + promptTokens,
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndRegistryTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/discovery/BackEndRegistryTest.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.discovery;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.gateway.TestFleet;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.time.ManualTimeSource;
 
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/FleetFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/discovery/FleetFollowerTest.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.discovery;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -12,6 +12,7 @@
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.gateway.TestFleet;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.event.EventStreams;
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ReaderFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/discovery/ReaderFollowerTest.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.discovery;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.gateway.TestFleet;
 import org.rattanport.decisions.membership.MemberTable;
 import org.rattanport.decisions.membership.RumorQueue;
 import org.rattanport.kernel.error.ErrorCode;
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/RoutingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/discovery/RoutingTest.java
@@ -1,9 +1,10 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.discovery;
 
 import static com.google.common.truth.Truth.assertThat;
 
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.gateway.TestFleet;
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.gateway.Route;
 import org.rattanport.kernel.gateway.RouteKind;
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndNoticesTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/limits/BackEndNoticesTest.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.limits;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.gateway.TestFleet;
+import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.BackEndNotice;
 import org.rattanport.kernel.gateway.ResponseHead;
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/BackEndRateLimitsTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/limits/BackEndRateLimitsTest.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.limits;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -10,7 +10,9 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.rattanport.decisions.gateway.RateLimitSimulation.Node;
+import org.rattanport.decisions.gateway.PeerHub;
+import org.rattanport.decisions.gateway.TestFleet;
+import org.rattanport.decisions.gateway.limits.RateLimitSimulation.Node;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.RateLimit;
 import org.rattanport.kernel.gateway.ResponseHead;
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/RateLimitHistory.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitHistory.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.limits;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import org.rattanport.decisions.gateway.RateLimitSimulation.Node;
+import org.rattanport.decisions.gateway.limits.RateLimitSimulation.Node;
 
 /** A random history of a fleet and of the limits that a back end names, replayed by its seed. */
 final class RateLimitHistory {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/RateLimitInstance.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitInstance.java
@@ -1,8 +1,9 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.limits;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import org.rattanport.decisions.gateway.placement.CoordinatorDirectory;
 import org.rattanport.decisions.membership.MemberTable;
 import org.rattanport.decisions.membership.RumorQueue;
 import org.rattanport.kernel.event.EventStreams;
@@ -12,14 +13,14 @@
 import org.rattanport.kernel.time.TimeSource;
 
 /** The rate limits of one instance and its view of the members. */
-final class RateLimitInstance {
+public final class RateLimitInstance {
     private final EventStreams mEvents = new EventStreams();
     private final MemberTable mMembers;
     private final RateLimitOwner mOwner;
     private final BackEndRateLimits mLimits;
     private final List<RateLimitEvent> mPublished = new ArrayList<>();
 
-    RateLimitInstance(PeerNetwork peers, Member self, TimeSource time, long seed) {
+    public RateLimitInstance(PeerNetwork peers, Member self, TimeSource time, long seed) {
         mMembers = new MemberTable(self, new RumorQueue(), mEvents);
         CoordinatorDirectory directory = new CoordinatorDirectory(mMembers, time);
         MissingMembers missing = new MissingMembers(time);
@@ -40,7 +41,7 @@
                         new Random(seed + 1));
     }
 
-    BackEndRateLimits limits() {
+    public BackEndRateLimits limits() {
         return mLimits;
     }
 
@@ -57,7 +58,7 @@
     }
 
     /** The events of this instance, in order. */
-    List<RateLimitEvent> events() {
+    public List<RateLimitEvent> events() {
         return mPublished;
     }
 
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/RateLimitSimulation.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitSimulation.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.limits;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -12,7 +12,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
-import org.rattanport.decisions.gateway.RateLimitRule.Arrival;
+import org.rattanport.decisions.gateway.limits.RateLimitRule.Arrival;
+import org.rattanport.decisions.gateway.placement.CoordinatorDirectory;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.BackEnd;
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/CoordinatedPlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacementTest.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.placement;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -13,6 +13,10 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.gateway.PeerHub;
+import org.rattanport.decisions.gateway.TestFleet;
+import org.rattanport.decisions.gateway.discovery.ActiveRouting;
+import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.decisions.membership.MemberTable;
 import org.rattanport.decisions.membership.RumorQueue;
 import org.rattanport.kernel.error.RattanportException;
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/MemoryLeasesTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/MemoryLeasesTest.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.placement;
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.gateway.TestFleet;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
 import org.rattanport.kernel.gateway.BackEnd;
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/PromptPlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/PromptPlacementTest.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.placement;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -8,6 +8,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.gateway.TestFleet;
+import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineShare;
 import org.rattanport.kernel.gateway.EngineWork;
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ReferencePlacement.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/ReferencePlacement.java
@@ -1,10 +1,11 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.placement;
 
 import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineSpec;
 import org.rattanport.kernel.gateway.PromptSize;
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/EventStreamParserTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/relay/EventStreamParserTest.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.relay;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -8,7 +8,7 @@
 import java.util.Random;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
-import org.rattanport.decisions.gateway.EventStreamParser.Event;
+import org.rattanport.decisions.gateway.relay.EventStreamParser.Event;
 
 final class EventStreamParserTest {
     private final EventStreamParser mParser = new EventStreamParser();
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/SilenceTimeoutTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/relay/SilenceTimeoutTest.java
@@ -1,4 +1,4 @@
-package org.rattanport.decisions.gateway;
+package org.rattanport.decisions.gateway.relay;
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.junit.jupiter.api.Assertions.assertThrows;
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.rattanport.decisions.gateway.TestFleet;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.Route;
