--- a/connectors/src/main/java/org/rattanport/connectors/peer/FleetCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/FleetCodec.java
@@ -2,13 +2,16 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.rattanport.connectors.peer.protocol.BackEndEntry;
 import org.rattanport.connectors.peer.protocol.FleetReply;
 import org.rattanport.connectors.peer.protocol.FleetRequest;
 import org.rattanport.connectors.peer.protocol.RegistryUpdate;
 import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.Evacuations;
 import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
 import org.rattanport.kernel.gateway.FleetUpdate;
+import org.rattanport.kernel.gateway.FleetUpdate.EvacuationUpdate;
 import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.peer.PeerMessage;
 
@@ -21,6 +24,8 @@
                 .setDocumentVersion(request.documentVersion())
                 .setRegistryVersion(request.registryPosition().version())
                 .setRegistryEra(request.registryPosition().era())
+                .setEvacuationVersion(request.evacuationPosition().version())
+                .setEvacuationEra(request.evacuationPosition().era())
                 .setMaxWaitMillis((int) request.maxWaitMillis())
                 .build();
     }
@@ -29,6 +34,7 @@
         return new PeerMessage.FleetRequest(
                 request.getDocumentVersion(),
                 new StorePosition(request.getRegistryEra(), request.getRegistryVersion()),
+                new StorePosition(request.getEvacuationEra(), request.getEvacuationVersion()),
                 Integer.toUnsignedLong(request.getMaxWaitMillis()));
     }
 
@@ -42,6 +48,7 @@
                         .setRegistryAgeMillis(update.ages().registryMillis());
         update.documentSource().map(GzipCodec::compress).ifPresent(builder::setDocument);
         update.registry().map(FleetCodec::encode).ifPresent(builder::setRegistry);
+        update.evacuations().map(FleetCodec::encode).ifPresent(builder::setEvacuations);
         return builder.build();
     }
 
@@ -58,9 +65,31 @@
                                 : Optional.empty(),
                         reply.hasRegistry()
                                 ? Optional.of(decode(reply.getRegistry()))
+                                : Optional.empty(),
+                        reply.hasEvacuations()
+                                ? Optional.of(decode(reply.getEvacuations()))
                                 : Optional.empty()));
     }
 
+    private static org.rattanport.connectors.peer.protocol.Evacuations encode(
+            EvacuationUpdate update) {
+        return org.rattanport.connectors.peer.protocol.Evacuations.newBuilder()
+                .setVersion(update.evacuations().position().version())
+                .setEra(update.evacuations().position().era())
+                .addAllDataCentres(update.evacuations().dataCentres())
+                .setAgeMillis(update.ageMillis())
+                .build();
+    }
+
+    private static EvacuationUpdate decode(
+            org.rattanport.connectors.peer.protocol.Evacuations update) {
+        return new EvacuationUpdate(
+                new Evacuations(
+                        new StorePosition(update.getEra(), update.getVersion()),
+                        Set.copyOf(update.getDataCentresList())),
+                update.getAgeMillis());
+    }
+
     private static RegistryUpdate encode(FleetUpdate.RegistryUpdate update) {
         return RegistryUpdate.newBuilder()
                 .setVersion(update.change().position().version())
--- a/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
@@ -28,6 +28,7 @@
 import org.rattanport.kernel.gateway.EngineGroup;
 import org.rattanport.kernel.gateway.EngineShare;
 import org.rattanport.kernel.gateway.EngineWork;
+import org.rattanport.kernel.gateway.Evacuations;
 import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
 import org.rattanport.kernel.gateway.FleetUpdate;
 import org.rattanport.kernel.gateway.PlacementDemand;
@@ -177,6 +178,14 @@
                             new PeerMessage.PlacementReply(Optional.empty(), 0),
                             new PeerMessage.PendingPrefillRequest("engine"),
                             new PeerMessage.PendingPrefillReply(120),
+                            new PeerMessage.Received(),
+                            new PeerMessage.Unhandled())
+                    .forEach(this::checkRoundTrip);
+        }
+
+        @Test
+        void shouldRoundTripMessagesAboutTheStore() {
+            List.of(
                             new PeerMessage.FleetRequest(7, StorePosition.UNREAD, 500),
                             new PeerMessage.FleetRequest(7, new StorePosition(3, 12), 500),
                             new PeerMessage.FleetReply(
@@ -185,8 +194,20 @@
                             new PeerMessage.FleetReply(
                                     new FleetUpdate(
                                             true, AGES, Optional.empty(), Optional.of(registry()))),
-                            new PeerMessage.Received(),
-                            new PeerMessage.Unhandled())
+                            new PeerMessage.FleetRequest(
+                                    7, StorePosition.UNREAD, new StorePosition(2, 5), 500),
+                            new PeerMessage.FleetReply(
+                                    new FleetUpdate(
+                                            true,
+                                            AGES,
+                                            Optional.empty(),
+                                            Optional.empty(),
+                                            Optional.of(
+                                                    new FleetUpdate.EvacuationUpdate(
+                                                            new Evacuations(
+                                                                    new StorePosition(2, 5),
+                                                                    Set.of("dc")),
+                                                            120)))))
                     .forEach(this::checkRoundTrip);
         }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
@@ -6,9 +6,11 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.decisions.gateway.placement.BackEndPlacement;
 import org.rattanport.decisions.gateway.placement.Placement;
 import org.rattanport.decisions.gateway.placement.PlacementQuery;
+import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.CallerRequest;
@@ -85,17 +87,28 @@
         mExcluded.remove(backEnd.id());
     }
 
+    /** Returns why no back end of the service takes the request, if waiting may help. */
+    Optional<RattanportException> refusal() {
+        BackEndRegistry registry = mComponents.registry();
+        Optional<RattanportException> pause =
+                registry.shortestWait(mService.name()).map(ForwardingErrors::noneAccepts);
+        if (pause.isPresent() || !registry.available(mService.name()).isEmpty()) {
+            return pause;
+        }
+        return registry.registered(mService.name()).stream()
+                .filter(mComponents.evacuated()::isEvacuated)
+                .findFirst()
+                .map(each -> ForwardingErrors.allEvacuated());
+    }
+
     /**
      * Checks at the moment of writing that the request may be written: an engine that processes a
-     * part of it may have left, and the back end may have asked for a pause or begun to leave,
-     * since they were chosen, and each engine with a rate limit needs a token.
+     * part of it may have left, its data centre may have been evacuated, and the back end may have
+     * asked for a pause or begun to leave, since they were chosen, and each engine with a rate
+     * limit needs a token.
      */
     void requireAccepting(Placement placement) {
-        placement
-                .engines()
-                .filter(each -> !mComponents.registry().isInUse(each))
-                .findFirst()
-                .ifPresent(this::rejectLeft);
+        requireUsable(placement);
         if (!mComponents.notices().accepts(placement.backEnd())) {
             throw ForwardingErrors.wantsNoRequests();
         }
@@ -109,11 +122,30 @@
             mHeldBack = Math.min(MAX_HELD_BACK, mHeldBack + 1);
             throw ForwardingErrors.heldBack(held.get());
         }
+        // The owner of a rate limit may have taken its time.
+        requireUsable(placement);
         if (!mComponents.notices().tryUse(placement.backEnd())) {
             throw ForwardingErrors.wantsNoRequests();
         }
     }
 
+    /** Checks that no engine has left and none is in an evacuated data centre. */
+    private void requireUsable(Placement placement) {
+        placement
+                .engines()
+                .filter(each -> !mComponents.registry().isInUse(each))
+                .findFirst()
+                .ifPresent(this::rejectLeft);
+        placement
+                .engines()
+                .filter(each -> !mComponents.evacuated().accepts(each))
+                .findFirst()
+                .ifPresent(
+                        each -> {
+                            throw ForwardingErrors.isEvacuated(each);
+                        });
+    }
+
     private void rejectLeft(BackEnd backEnd) {
         exclude(backEnd);
         throw ForwardingErrors.hasLeft(backEnd);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -161,10 +161,7 @@
             }
             Optional<Placement> placement = mSelection.place();
             if (placement.isEmpty()) {
-                mComponents
-                        .registry()
-                        .shortestWait(mService.name())
-                        .ifPresent(wait -> mLastError = ForwardingErrors.noneAccepts(wait));
+                mSelection.refusal().ifPresent(error -> mLastError = error);
                 break;
             }
             if (attempt(placement.get())) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ForwardingErrors.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ForwardingErrors.java
@@ -18,6 +18,9 @@
     /** Largest addition to the time until back ends take requests, as a fraction of it. */
     private static final double WAIT_SPREAD = 0.25;
 
+    /** Delay after which a caller may retry while all back ends are in evacuated data centres. */
+    private static final Duration EVACUATION_RETRY_AFTER = Duration.ofSeconds(1);
+
     private ForwardingErrors() {}
 
     static RattanportException poisonRequest(
@@ -55,6 +58,27 @@
                 .build();
     }
 
+    /** The end of an evacuation is not known, so callers return within one to two seconds. */
+    static RattanportException allEvacuated() {
+        double spread = 1 + ThreadLocalRandom.current().nextDouble();
+        return RattanportException.builder(
+                        ErrorCode.NO_TARGET,
+                        "every back end that could take requests is in an evacuated data centre")
+                .retryAfter(
+                        Duration.ofMillis(Math.round(EVACUATION_RETRY_AFTER.toMillis() * spread)))
+                .build();
+    }
+
+    static RattanportException isEvacuated(BackEnd backEnd) {
+        return new RattanportException(
+                ErrorCode.TARGET_REFUSED,
+                "data centre "
+                        + backEnd.dataCentre()
+                        + " of back end "
+                        + backEnd.id()
+                        + " was evacuated since it was chosen");
+    }
+
     static RattanportException wantsNoRequests() {
         return new RattanportException(
                 ErrorCode.TARGET_REFUSED, "the back end wants no requests now");
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayComponents.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayComponents.java
@@ -2,6 +2,7 @@
 
 import org.rattanport.decisions.gateway.discovery.ActiveRouting;
 import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
+import org.rattanport.decisions.gateway.discovery.EvacuatedDataCentres;
 import org.rattanport.decisions.gateway.limits.BackEndNotices;
 import org.rattanport.decisions.gateway.limits.BackEndRateLimits;
 import org.rattanport.decisions.gateway.placement.BackEndPlacement;
@@ -16,6 +17,7 @@
 record GatewayComponents(
         ActiveRouting routing,
         BackEndRegistry registry,
+        EvacuatedDataCentres evacuated,
         BackEndNotices notices,
         BackEndRateLimits rateLimits,
         BackEndPlacement promptPlacement,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import org.rattanport.decisions.gateway.discovery.ActiveRouting;
 import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
+import org.rattanport.decisions.gateway.discovery.EvacuatedDataCentres;
 import org.rattanport.decisions.gateway.discovery.FleetFollower;
 import org.rattanport.decisions.gateway.discovery.FleetState;
 import org.rattanport.decisions.gateway.discovery.ReaderFollower;
@@ -97,7 +98,12 @@
                 BackEndNotices.withRumors(
                         time, context.events()::publish, context.require(RumorHub.class));
         BackEndRateLimits rateLimits = rateLimits(context);
-        BackEndRegistry registry = new BackEndRegistry(time, notices, rateLimits);
+        EvacuatedDataCentres evacuated =
+                new EvacuatedDataCentres(
+                        context.require(InstanceSettings.class).instanceName(),
+                        context.events()::publish,
+                        time);
+        BackEndRegistry registry = new BackEndRegistry(time, notices, rateLimits, evacuated);
         WorkTracker tracker = new WorkTracker(time);
         BackEndHealth health = new BackEndHealth(time);
         GatewayService service =
@@ -106,6 +112,7 @@
                                 context,
                                 settings,
                                 registry,
+                                evacuated,
                                 notices,
                                 rateLimits,
                                 health,
@@ -115,11 +122,17 @@
                 new Readiness(
                         routing,
                         registry,
+                        evacuated,
                         context.require(MemberTable.class),
                         context.require(Drain.class)::isDraining);
         FleetState state =
                 new FleetState(
-                        routing, registry, readiness::update, context.events()::publish, time);
+                        routing,
+                        registry,
+                        evacuated,
+                        readiness::update,
+                        context.events()::publish,
+                        time);
         mFollower = Optional.of(startFollowing(context, state));
         RequestLog log = new RequestLog(time);
         mSubscriptions.add(
@@ -221,6 +234,7 @@
             PluginContext context,
             GatewaySettings settings,
             BackEndRegistry registry,
+            EvacuatedDataCentres evacuated,
             BackEndNotices notices,
             BackEndRateLimits rateLimits,
             BackEndHealth health,
@@ -240,12 +254,13 @@
         return new GatewayComponents(
                 context.require(ActiveRouting.class),
                 registry,
+                evacuated,
                 notices,
                 rateLimits,
                 placement,
                 new LeastLoadedPlacement(dataCentre, registry, health, loadTable, new Random()),
                 context.require(BackEndClient.class),
-                new MemoryLeases(context.require(EngineMemoryClient.class), time),
+                new MemoryLeases(context.require(EngineMemoryClient.class), evacuated, time),
                 new OutcomeRecorder(health, crashes),
                 loadTable,
                 placement,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Readiness.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Readiness.java
@@ -4,19 +4,21 @@
 import org.jboss.logging.Logger;
 import org.rattanport.decisions.gateway.discovery.ActiveRouting;
 import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
+import org.rattanport.decisions.gateway.discovery.EvacuatedDataCentres;
 import org.rattanport.decisions.membership.MemberTable;
 import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.peer.MemberState;
 
 /**
- * Whether this instance can serve: it has a routing document and the back-end registry, and is not
- * draining. Other instances list it to callers only after its announcement.
+ * Whether this instance can serve: it has a routing document, the back-end registry and the
+ * evacuations, and is not draining. Other instances list it to callers only after its announcement.
  */
 public final class Readiness {
     private static final Logger LOGGER = Logger.getLogger(Readiness.class);
 
     private final ActiveRouting mRouting;
     private final BackEndRegistry mRegistry;
+    private final EvacuatedDataCentres mEvacuated;
     private final MemberTable mMembers;
     private final BooleanSupplier mIsDraining;
     private boolean mIsAnnounced;
@@ -24,10 +26,12 @@
     Readiness(
             ActiveRouting routing,
             BackEndRegistry registry,
+            EvacuatedDataCentres evacuated,
             MemberTable members,
             BooleanSupplier isDraining) {
         mRouting = routing;
         mRegistry = registry;
+        mEvacuated = evacuated;
         mMembers = members;
         mIsDraining = isDraining;
     }
@@ -46,6 +50,6 @@
     }
 
     private boolean hasRequiredState() {
-        return mRouting.current().isPresent() && mRegistry.isInitialized();
+        return mRouting.current().isPresent() && mRegistry.isInitialized() && mEvacuated.isKnown();
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/BackEndRegistry.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/BackEndRegistry.java
@@ -253,7 +253,7 @@
     }
 
     /** Returns the back ends of the service that are not draining by their entries. */
-    private synchronized List<BackEnd> registered(String service) {
+    public synchronized List<BackEnd> registered(String service) {
         removeLapsed();
         putDoubtful();
         List<BackEnd> found = new ArrayList<>();
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/FleetFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/FleetFollower.java
@@ -8,17 +8,16 @@
 import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.FleetSource;
 import org.rattanport.kernel.gateway.FleetSource.HistoryLostException;
+import org.rattanport.kernel.gateway.FleetSource.OperatorChange;
 import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
-import org.rattanport.kernel.gateway.FleetSource.Versioned;
-import org.rattanport.kernel.gateway.SourcedDocument;
 import org.rattanport.kernel.gateway.StorePart;
 import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
- * Follows the store while this instance has the role of a reader, with one task for the routing
- * document and one for the back-end registry. Each task reads in full, then waits for changes, and
+ * Follows the store while this instance has the role of a reader, with one task for the operator's
+ * table and one for the back-end registry. Each task reads in full, then waits for changes, and
  * reads in full again when the history has a gap or the store was unavailable. A read without a
  * response is repeated at once, as only its connection may be broken.
  */
@@ -62,7 +61,7 @@
         mRole.close();
     }
 
-    /** Body of the task that follows the routing document. */
+    /** Body of the task that follows the routing document and the evacuations. */
     public void followDocument() {
         followWithRetries(StorePart.DOCUMENT, mDocumentStore, this::followDocumentUntilGap);
     }
@@ -123,12 +122,11 @@
     }
 
     private void followDocumentUntilGap() {
-        Versioned<SourcedDocument> reading =
-                mSource.readDocument(Deadline.after(mTime, READ_TIMEOUT));
+        OperatorChange change = mSource.readOperatorTable(Deadline.after(mTime, READ_TIMEOUT));
         while (isActive()) {
             markAvailable(StorePart.DOCUMENT, mDocumentStore);
-            reading.value().ifPresent(mState::recordDocument);
-            reading = mSource.awaitDocument(reading.position(), MAX_LONG_POLL);
+            mState.recordOperatorChange(change);
+            change = mSource.awaitOperatorChange(change.position(), MAX_LONG_POLL);
         }
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/FleetState.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/FleetState.java
@@ -18,6 +18,8 @@
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.Evacuations;
+import org.rattanport.kernel.gateway.FleetSource.OperatorChange;
 import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
 import org.rattanport.kernel.gateway.FleetUpdate;
 import org.rattanport.kernel.gateway.FleetUpdate.RegistryUpdate;
@@ -26,13 +28,14 @@
 import org.rattanport.kernel.gateway.StoreChange.Origin;
 import org.rattanport.kernel.gateway.StorePart;
 import org.rattanport.kernel.gateway.StorePosition;
+import org.rattanport.kernel.peer.PeerMessage;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
- * The routing document and the registry as of known versions of the store, whether this instance
- * read them itself or got them from another one. Keeps recent changes, so that other instances get
- * only what they lack. A position is never replaced by an earlier one, nor a document by an older
- * one, also when the store is restored from a copy that has only the older one.
+ * The routing document, the evacuations and the registry as of known versions of the store, whether
+ * this instance read them itself or got them from another one. Keeps recent changes, so that other
+ * instances get only what they lack. A position is never replaced by an earlier one, nor a document
+ * by an older one, also when the store is restored from a copy that has only the older one.
  */
 public final class FleetState {
     private static final Logger LOGGER = Logger.getLogger(FleetState.class);
@@ -47,6 +50,7 @@
 
     private final ActiveRouting mRouting;
     private final BackEndRegistry mRegistry;
+    private final EvacuatedDataCentres mEvacuated;
     private final Runnable mOnUpdate;
     private final Consumer<StoreChange> mOnChange;
     private final TimeSource mTime;
@@ -70,11 +74,13 @@
     public FleetState(
             ActiveRouting routing,
             BackEndRegistry registry,
+            EvacuatedDataCentres evacuated,
             Runnable onUpdate,
             Consumer<StoreChange> onChange,
             TimeSource time) {
         mRouting = routing;
         mRegistry = registry;
+        mEvacuated = evacuated;
         mOnUpdate = onUpdate;
         mOnChange = onChange;
         mTime = time;
@@ -95,6 +101,26 @@
         mOnUpdate.run();
     }
 
+    /**
+     * Applies what this instance has read from the operator's table; the evacuations first, as the
+     * document may let this instance serve.
+     */
+    public synchronized void recordOperatorChange(OperatorChange change) {
+        if (mEvacuated.record(change)) {
+            notifyAll();
+        }
+        change.document().ifPresent(this::recordDocument);
+        mOnUpdate.run();
+    }
+
+    /** Applies the evacuations that another instance has read. */
+    synchronized void recordPeerEvacuations(Evacuations evacuations, Origin origin) {
+        if (mEvacuated.record(evacuations, origin)) {
+            notifyAll();
+        }
+        mOnUpdate.run();
+    }
+
     /**
      * Applies a full read of the registry.
      *
@@ -284,25 +310,34 @@
         return mPosition;
     }
 
+    /** Position of the store that the evacuations are as of. */
+    public StorePosition evacuationPosition() {
+        return mEvacuated.position();
+    }
+
+    /** Whether the evacuations were read, by this instance or by one that it follows. */
+    boolean hasEvacuations() {
+        return mEvacuated.isKnown();
+    }
+
     public long documentVersion() {
         return mRouting.version();
     }
 
     /**
-     * Waits until this state is newer than the version and the position; returns early while the
-     * store does not respond to this instance.
+     * Waits until this state is newer than what the sender of the request has; returns early while
+     * the store does not respond to this instance.
      */
-    public synchronized FleetUpdate await(
-            long documentVersion, StorePosition registryPosition, Duration maxWait) {
+    public synchronized FleetUpdate await(PeerMessage.FleetRequest request, Duration maxWait) {
         long endNanos = mTime.nanoTime() + maxWait.toNanos();
-        FleetUpdate update = since(documentVersion, registryPosition);
+        FleetUpdate update = since(request);
         while (update.isEmpty() && update.isStoreAvailable()) {
             long remainingNanos = endNanos - mTime.nanoTime();
             if (remainingNanos <= 0) {
                 break;
             }
             awaitNotification(remainingNanos);
-            update = since(documentVersion, registryPosition);
+            update = since(request);
         }
         return update;
     }
@@ -315,12 +350,13 @@
         }
     }
 
-    private FleetUpdate since(long documentVersion, StorePosition registryPosition) {
+    private FleetUpdate since(PeerMessage.FleetRequest request) {
         return new FleetUpdate(
                 isAvailable(),
                 ages(),
-                mDocumentSource.filter(source -> mRouting.version() > documentVersion),
-                registrySince(registryPosition));
+                mDocumentSource.filter(source -> mRouting.version() > request.documentVersion()),
+                registrySince(request.registryPosition()),
+                mEvacuated.since(request.evacuationPosition()));
     }
 
     private Optional<RegistryUpdate> registrySince(StorePosition position) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/ReaderFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/ReaderFollower.java
@@ -91,12 +91,7 @@
     public void registerHandler() {
         mPeers.registerHandler(
                 PeerMessage.FleetRequest.class,
-                request ->
-                        new PeerMessage.FleetReply(
-                                mState.await(
-                                        request.documentVersion(),
-                                        request.registryPosition(),
-                                        waitLimit(request))));
+                request -> new PeerMessage.FleetReply(mState.await(request, waitLimit(request))));
     }
 
     private static Duration waitLimit(PeerMessage.FleetRequest request) {
@@ -156,6 +151,10 @@
             }
             return false;
         }
+        if (!mState.hasEvacuations()) {
+            // The reader has not read them yet, and this instance is not ready without them.
+            return false;
+        }
         mState.recordPeerResponse(Duration.ofMillis(update.ages().storeMillis()));
         mLastServedNanos = mTime.nanoTime();
         mWasServed = true;
@@ -166,7 +165,10 @@
     private Optional<FleetUpdate> request(Member reader) {
         PeerMessage.FleetRequest request =
                 new PeerMessage.FleetRequest(
-                        mState.documentVersion(), mState.registryPosition(), maxWait().toMillis());
+                        mState.documentVersion(),
+                        mState.registryPosition(),
+                        mState.evacuationPosition(),
+                        maxWait().toMillis());
         Deadline deadline = Deadline.after(mTime, maxWait().plus(RESPONSE_MARGIN));
         try {
             return mPeers.call(reader.peerAddress(), request, deadline)
@@ -207,6 +209,11 @@
 
     private void apply(FleetUpdate update, Member reader) {
         FleetUpdate.Ages ages = update.ages();
+        update.evacuations()
+                .ifPresent(
+                        each ->
+                                mState.recordPeerEvacuations(
+                                        each.evacuations(), origin(reader, each.ageMillis())));
         update.documentSource()
                 .map(source -> new SourcedDocument(mSource.parseDocument(source), source))
                 .ifPresent(
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/MemoryLeases.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/MemoryLeases.java
@@ -1,6 +1,7 @@
 package org.rattanport.decisions.gateway.placement;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
@@ -8,6 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.jboss.logging.Logger;
+import org.rattanport.decisions.gateway.discovery.RequestGate;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.event.LogLine;
@@ -47,15 +49,26 @@
     private static final int MAX_FAILED_CHECKS = 2;
 
     private final EngineMemoryClient mClient;
+    private final RequestGate mGate;
     private final TimeSource mTime;
     private final Duration mRenewalInterval;
 
-    public MemoryLeases(EngineMemoryClient client, TimeSource time) {
-        this(client, time, RENEWAL_INTERVAL);
+    /**
+     * Creates a client of the engines' memory.
+     *
+     * @param gate what keeps new leases and checks, though not renewals, away from engines
+     */
+    public MemoryLeases(EngineMemoryClient client, RequestGate gate, TimeSource time) {
+        this(client, gate, time, RENEWAL_INTERVAL);
     }
 
-    MemoryLeases(EngineMemoryClient client, TimeSource time, Duration renewalInterval) {
+    MemoryLeases(
+            EngineMemoryClient client,
+            RequestGate gate,
+            TimeSource time,
+            Duration renewalInterval) {
         mClient = client;
+        mGate = gate;
         mTime = time;
         mRenewalInterval = renewalInterval;
     }
@@ -100,6 +113,10 @@
             if (mTime.nanoTime() - mLastSignNanos < MAX_SILENCE.toNanos()) {
                 return true;
             }
+            if (!mGate.accepts(mDecodeEngine)) {
+                // Work in progress keeps its memory; the end of the request releases it.
+                return true;
+            }
             for (int i = 0; i < MAX_FAILED_CHECKS && mClosed.getCount() > 0; i++) {
                 if (isReachable(mDecodeEngine)) {
                     recordSignOfLife();
@@ -132,14 +149,20 @@
      * @param decodeEngine engine whose work needs the memory
      * @param onRefusal receives each engine that did not grant its lease
      * @throws RattanportException {@code TARGET_REFUSED} with the verdict {@code NOT_RUN} when an
-     *     engine did not grant its lease
+     *     engine did not grant its lease or may not be asked
      */
     public Lease acquire(
             List<Reservation> reservations, BackEnd decodeEngine, Consumer<BackEnd> onRefusal) {
         Queue<Reservation> refused = new ConcurrentLinkedQueue<>();
+        Queue<Reservation> ordered = new ConcurrentLinkedQueue<>();
         runConcurrently(
                 reservations,
                 each -> {
+                    if (!mGate.accepts(each.engine())) {
+                        refused.add(each);
+                        return;
+                    }
+                    ordered.add(each);
                     if (!sendOrder(each, true)) {
                         refused.add(each);
                     }
@@ -148,8 +171,8 @@
             return new Lease(reservations, decodeEngine);
         }
         refused.forEach(each -> onRefusal.accept(each.engine()));
-        // An engine may have granted an order whose response was lost, so all leases are released.
-        release(reservations);
+        // An engine may have granted an order whose response was lost, so all orders are undone.
+        release(ordered);
         throw new RattanportException(
                 ErrorCode.TARGET_REFUSED,
                 refused.size()
@@ -167,7 +190,7 @@
         }
     }
 
-    private void release(List<Reservation> reservations) {
+    private void release(Collection<Reservation> reservations) {
         runConcurrently(reservations, each -> sendOrder(each, false));
     }
 
@@ -191,7 +214,7 @@
     }
 
     private static void runConcurrently(
-            List<Reservation> reservations, Consumer<Reservation> action) {
+            Collection<Reservation> reservations, Consumer<Reservation> action) {
         CountDownLatch pending = new CountDownLatch(reservations.size());
         for (Reservation each : reservations) {
             Tasks.start(
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
@@ -10,6 +10,7 @@
 import org.rattanport.decisions.gateway.ScriptedBackEnds.Reaction;
 import org.rattanport.decisions.gateway.discovery.ActiveRouting;
 import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
+import org.rattanport.decisions.gateway.discovery.EvacuatedDataCentres;
 import org.rattanport.decisions.gateway.limits.BackEndNotices;
 import org.rattanport.decisions.gateway.limits.BackEndRateLimits;
 import org.rattanport.decisions.gateway.limits.RateLimitInstance;
@@ -38,7 +39,8 @@
     final BackEndNotices mNotices = new BackEndNotices(mTime, notice -> {}, rumor -> {});
     final RateLimitInstance mRateLimitInstance = TestFleet.rateLimits(mTime);
     final BackEndRateLimits mRateLimits = mRateLimitInstance.limits();
-    final BackEndRegistry mRegistry = new BackEndRegistry(mTime, mNotices, mRateLimits);
+    final EvacuatedDataCentres mEvacuated = TestFleet.evacuated(mTime);
+    final BackEndRegistry mRegistry = new BackEndRegistry(mTime, mNotices, mRateLimits, mEvacuated);
     final BackEndHealth mHealth = new BackEndHealth(mTime);
     final ActiveRouting mRouting = new ActiveRouting(mEvents);
     final ScriptedBackEnds mBackEnds = new ScriptedBackEnds(mTime);
@@ -80,13 +82,14 @@
                     mDuringPlacement.run();
                     return calls.place(query).map(this::withPrefillEngines);
                 };
-        MemoryLeases leases = new MemoryLeases(new GrantingMemoryClient(), mTime);
+        MemoryLeases leases = new MemoryLeases(new GrantingMemoryClient(), mEvacuated, mTime);
         ServiceRetryBudget retryBudget =
                 new ServiceRetryBudget(mTime, Duration.ofSeconds(10), 0.2, mSlack, () -> 1);
         GatewayComponents components =
                 new GatewayComponents(
                         mRouting,
                         mRegistry,
+                        mEvacuated,
                         mNotices,
                         mRateLimits,
                         delayedCalls,
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ReadinessTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ReadinessTest.java
@@ -3,14 +3,19 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.rattanport.decisions.gateway.discovery.ActiveRouting;
 import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
+import org.rattanport.decisions.gateway.discovery.EvacuatedDataCentres;
 import org.rattanport.decisions.membership.MemberTable;
 import org.rattanport.decisions.membership.RumorQueue;
 import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.gateway.Evacuations;
+import org.rattanport.kernel.gateway.StoreChange.Origin;
+import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.model.InstanceId;
 import org.rattanport.kernel.peer.Member;
 import org.rattanport.kernel.peer.MemberState;
@@ -20,6 +25,8 @@
     private final EventStreams mEvents = new EventStreams();
     private final ActiveRouting mRouting = new ActiveRouting(mEvents);
     private final BackEndRegistry mRegistry = TestFleet.registry(new ManualTimeSource());
+    private final EvacuatedDataCentres mEvacuated =
+            new EvacuatedDataCentres("a", change -> {}, new ManualTimeSource());
     private final AtomicBoolean mIsDraining = new AtomicBoolean();
     private final MemberTable mMembers =
             new MemberTable(
@@ -28,11 +35,12 @@
                     new RumorQueue(),
                     mEvents);
     private final Readiness mReadiness =
-            new Readiness(mRouting, mRegistry, mMembers, mIsDraining::get);
+            new Readiness(mRouting, mRegistry, mEvacuated, mMembers, mIsDraining::get);
 
     private void initialize() {
         mRouting.activateIfNewer(TestFleet.document(1));
         mRegistry.replace(List.of());
+        mEvacuated.record(new Evacuations(new StorePosition(1, 0), Set.of()), Origin.STORE);
         mReadiness.update();
     }
 
@@ -48,8 +56,18 @@
             assertThat(mMembers.aliveMembers()).isEmpty();
         }
 
+        /** An instance that starts during an evacuation would have sent requests there. */
         @Test
-        void shouldAnnounceOnceBothAreRead() {
+        void shouldNotAnnounceBeforeTheEvacuationsAreRead() {
+            mRouting.activateIfNewer(TestFleet.document(1));
+            mRegistry.replace(List.of());
+            mReadiness.update();
+            assertThat(mReadiness.isReady()).isFalse();
+            assertThat(mMembers.aliveMembers()).isEmpty();
+        }
+
+        @Test
+        void shouldAnnounceOnceAllAreRead() {
             initialize();
             assertThat(mReadiness.isReady()).isTrue();
             assertThat(mMembers.aliveMembers()).hasSize(1);
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
+import org.rattanport.decisions.gateway.discovery.EvacuatedDataCentres;
 import org.rattanport.decisions.gateway.limits.BackEndNotices;
 import org.rattanport.decisions.gateway.limits.RateLimitInstance;
 import org.rattanport.kernel.gateway.BackEnd;
@@ -15,12 +16,15 @@
 import org.rattanport.kernel.gateway.CallerRequest;
 import org.rattanport.kernel.gateway.EngineGroup;
 import org.rattanport.kernel.gateway.EngineSpec;
+import org.rattanport.kernel.gateway.Evacuations;
 import org.rattanport.kernel.gateway.GatewayAccount;
 import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.PromptSize;
 import org.rattanport.kernel.gateway.Route;
 import org.rattanport.kernel.gateway.RouteKind;
 import org.rattanport.kernel.gateway.RoutingDocument;
+import org.rattanport.kernel.gateway.StoreChange.Origin;
+import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.gateway.WeightedService;
 import org.rattanport.kernel.model.InstanceId;
 import org.rattanport.kernel.peer.Member;
@@ -42,6 +46,13 @@
         return new BackEndRegistry(time, new BackEndNotices(time, notice -> {}, rumor -> {}));
     }
 
+    /** Evacuations that were read, and are none. */
+    public static EvacuatedDataCentres evacuated(TimeSource time) {
+        EvacuatedDataCentres evacuated = new EvacuatedDataCentres("a", change -> {}, time);
+        evacuated.record(new Evacuations(new StorePosition(1, 0), Set.of()), Origin.STORE);
+        return evacuated;
+    }
+
     /** The rate limits that a fleet of one instance keeps. */
     public static RateLimitInstance rateLimits(TimeSource time) {
         return new RateLimitInstance(
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/discovery/FleetFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/discovery/FleetFollowerTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Supplier;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -18,6 +19,7 @@
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.FleetSource;
+import org.rattanport.kernel.gateway.FleetSource.OperatorChange;
 import org.rattanport.kernel.gateway.RoutingDocument;
 import org.rattanport.kernel.gateway.SourcedDocument;
 import org.rattanport.kernel.gateway.StorePosition;
@@ -29,9 +31,11 @@
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final ActiveRouting mRouting = new ActiveRouting(new EventStreams());
     private final BackEndRegistry mRegistry = TestFleet.registry(mTime);
+    private final EvacuatedDataCentres mEvacuated =
+            new EvacuatedDataCentres("a", change -> {}, mTime);
     private final ScriptedSource mSource = new ScriptedSource();
     private final FleetState mState =
-            new FleetState(mRouting, mRegistry, () -> {}, change -> {}, mTime);
+            new FleetState(mRouting, mRegistry, mEvacuated, () -> {}, change -> {}, mTime);
     private final ReaderRole mRole = new ReaderRole();
     private final FleetFollower mFollower =
             new FleetFollower(mSource, mState, mRole, mTime, new Random(1));
@@ -46,8 +50,7 @@
     /** Returns scripted results; closes the follower when the script ends. */
     private final class ScriptedSource implements FleetSource {
         private final Deque<Supplier<RegistryChange>> mRegistryScript = new ArrayDeque<>();
-        private final Deque<Supplier<Versioned<SourcedDocument>>> mDocumentScript =
-                new ArrayDeque<>();
+        private final Deque<Supplier<OperatorChange>> mDocumentScript = new ArrayDeque<>();
         private final List<String> mCalls = new ArrayList<>();
 
         private <T> T next(Deque<Supplier<T>> script, T last) {
@@ -59,15 +62,15 @@
         }
 
         @Override
-        public Versioned<SourcedDocument> readDocument(Deadline deadline) {
+        public OperatorChange readOperatorTable(Deadline deadline) {
             mCalls.add("read");
-            return next(mDocumentScript, new Versioned<>(at(0), Optional.empty()));
+            return next(mDocumentScript, empty(at(0), true));
         }
 
         @Override
-        public Versioned<SourcedDocument> awaitDocument(StorePosition after, Duration maxWait) {
+        public OperatorChange awaitOperatorChange(StorePosition after, Duration maxWait) {
             mCalls.add("await " + after.version());
-            return next(mDocumentScript, new Versioned<>(after, Optional.empty()));
+            return next(mDocumentScript, empty(after, false));
         }
 
         @Override
@@ -115,12 +118,18 @@
         return () -> new FleetSource.RegistryChange(at(version), present, List.of(removed));
     }
 
-    private static Supplier<FleetSource.Versioned<SourcedDocument>> document(
-            long position, long version) {
+    private static OperatorChange empty(StorePosition position, boolean isFull) {
+        return new OperatorChange(position, Optional.empty(), Set.of(), Set.of(), isFull);
+    }
+
+    private static Supplier<OperatorChange> document(long position, long version) {
         return () ->
-                new FleetSource.Versioned<>(
+                new OperatorChange(
                         at(position),
-                        Optional.of(new SourcedDocument(TestFleet.document(version), new byte[0])));
+                        Optional.of(new SourcedDocument(TestFleet.document(version), new byte[0])),
+                        Set.of(),
+                        Set.of(),
+                        true);
     }
 
     @Nested
@@ -164,6 +173,39 @@
         }
     }
 
+    @Nested
+    final class EvacuationsOfDataCentres {
+        private static Supplier<OperatorChange> evacuations(
+                long position, boolean isFull, String... dataCentres) {
+            return () ->
+                    new OperatorChange(
+                            at(position), Optional.empty(), Set.of(dataCentres), Set.of(), isFull);
+        }
+
+        @Test
+        void shouldBeReadWithTheDocument() {
+            mSource.mDocumentScript.addAll(
+                    List.of(
+                            evacuations(10, true),
+                            evacuations(12, false, mOne.dataCentre()),
+                            evacuations(14, false)));
+            mFollower.followDocument();
+            assertThat(mEvacuated.isEvacuated(mOne)).isTrue();
+        }
+
+        /** What is known holds while the store is down. */
+        @Test
+        void shouldHoldWhileStoreIsUnavailable() {
+            mSource.mDocumentScript.addAll(
+                    List.of(
+                            evacuations(10, true, mOne.dataCentre()),
+                            storeUnavailable(),
+                            storeUnavailable()));
+            mFollower.followDocument();
+            assertThat(mEvacuated.isEvacuated(mOne)).isTrue();
+        }
+    }
+
     @Nested
     final class SilentConnections {
         /** A wait without a response was followed by a pause, and taken for an outage. */
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/discovery/FleetStateTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/discovery/FleetStateTest.java
@@ -6,6 +6,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -13,6 +16,7 @@
 import org.rattanport.decisions.gateway.TestFleet;
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.FleetSource.OperatorChange;
 import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
 import org.rattanport.kernel.gateway.FleetUpdate;
 import org.rattanport.kernel.gateway.FleetUpdate.RegistryUpdate;
@@ -21,6 +25,8 @@
 import org.rattanport.kernel.gateway.StoreChange.Origin;
 import org.rattanport.kernel.gateway.StorePart;
 import org.rattanport.kernel.gateway.StorePosition;
+import org.rattanport.kernel.peer.PeerMessage;
+import org.rattanport.kernel.task.Tasks;
 import org.rattanport.kernel.time.ManualTimeSource;
 
 /** What an instance passes on to others, and what it accepts from them. */
@@ -38,16 +44,25 @@
     private final class Node {
         private final ActiveRouting mRouting = new ActiveRouting(new EventStreams());
         private final BackEndRegistry mRegistry = TestFleet.registry(mTime);
+        private final EvacuatedDataCentres mEvacuated =
+                new EvacuatedDataCentres("a", change -> {}, mTime);
         private final List<StoreChange> mChanges = new ArrayList<>();
         private final FleetState mState =
-                new FleetState(mRouting, mRegistry, () -> {}, mChanges::add, mTime);
+                new FleetState(mRouting, mRegistry, mEvacuated, () -> {}, mChanges::add, mTime);
 
         private FleetUpdate updateFor(Node other) {
             return mState.await(
-                    other.mState.documentVersion(), other.mState.registryPosition(), Duration.ZERO);
+                    new PeerMessage.FleetRequest(
+                            other.mState.documentVersion(),
+                            other.mState.registryPosition(),
+                            other.mState.evacuationPosition(),
+                            0),
+                    Duration.ZERO);
         }
 
         private void take(FleetUpdate update) {
+            update.evacuations()
+                    .ifPresent(each -> mState.recordPeerEvacuations(each.evacuations(), PEER));
             update.registry().ifPresent(each -> mState.recordPeerUpdate(each, PEER));
         }
     }
@@ -193,7 +208,10 @@
             assertThat(
                             mFollower
                                     .mState
-                                    .await(0, new StorePosition(1, 12), Duration.ZERO)
+                                    .await(
+                                            new PeerMessage.FleetRequest(
+                                                    0, new StorePosition(1, 12), 0),
+                                            Duration.ZERO)
                                     .ages()
                                     .registryMillis())
                     .isEqualTo(100);
@@ -228,4 +246,46 @@
             assertThat(mFollower.mState.documentVersion()).isEqualTo(5);
         }
     }
+
+    @Nested
+    final class EvacuationsOfDataCentres {
+        private final BackEnd mBackEnd = TestFleet.backEnd("one", TestFleet.CALLS, false);
+
+        private OperatorChange evacuation(long version) {
+            return new OperatorChange(
+                    new StorePosition(1, version),
+                    Optional.empty(),
+                    Set.of(mBackEnd.dataCentre()),
+                    Set.of(),
+                    true);
+        }
+
+        @Test
+        void shouldReachAnInstanceThatReadsNothingItself() {
+            mReader.mState.recordOperatorChange(evacuation(12));
+            mFollower.take(mReader.updateFor(mFollower));
+            assertThat(mFollower.mState.hasEvacuations()).isTrue();
+            assertThat(mFollower.mEvacuated.accepts(mBackEnd)).isFalse();
+            assertThat(mReader.updateFor(mFollower).isEmpty()).isTrue();
+        }
+
+        @Test
+        void shouldEndTheWaitOfAnotherInstanceAtOnce() throws InterruptedException {
+            mReader.mState.setAvailable(StorePart.DOCUMENT, true);
+            mReader.mState.setAvailable(StorePart.REGISTRY, true);
+            CountDownLatch isReceived = new CountDownLatch(1);
+            Tasks.start(
+                    "await",
+                    () -> {
+                        FleetUpdate update =
+                                mReader.mState.await(
+                                        new PeerMessage.FleetRequest(
+                                                0, new StorePosition(1, 10), 60_000),
+                                        Duration.ofMinutes(1));
+                        update.evacuations().ifPresent(each -> isReceived.countDown());
+                    });
+            mReader.mState.recordOperatorChange(evacuation(12));
+            assertThat(isReceived.await(20, TimeUnit.SECONDS)).isTrue();
+        }
+    }
 }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/discovery/ReaderFollowerTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/discovery/ReaderFollowerTest.java
@@ -21,12 +21,15 @@
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.Evacuations;
 import org.rattanport.kernel.gateway.FleetSource;
+import org.rattanport.kernel.gateway.FleetSource.OperatorChange;
 import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
 import org.rattanport.kernel.gateway.FleetUpdate;
+import org.rattanport.kernel.gateway.FleetUpdate.EvacuationUpdate;
 import org.rattanport.kernel.gateway.FleetUpdate.RegistryUpdate;
 import org.rattanport.kernel.gateway.RoutingDocument;
-import org.rattanport.kernel.gateway.SourcedDocument;
 import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.model.InstanceId;
 import org.rattanport.kernel.peer.Member;
@@ -46,14 +49,20 @@
                     List.of(TestFleet.backEnd("one", TestFleet.CALLS, false)),
                     List.of());
 
+    private static final EvacuationUpdate NO_EVACUATIONS =
+            new EvacuationUpdate(new Evacuations(new StorePosition(1, 10), Set.of()), 0);
+
     private final ManualTimeSource mTime = new ManualTimeSource();
     private final MemberTable mMembers =
             new MemberTable(member("self"), new RumorQueue(), new EventStreams());
     private final BackEndRegistry mRegistry = TestFleet.registry(mTime);
+    private final EvacuatedDataCentres mEvacuated =
+            new EvacuatedDataCentres("self", change -> {}, mTime);
     private final FleetState mState =
             new FleetState(
                     new ActiveRouting(new EventStreams()),
                     mRegistry,
+                    mEvacuated,
                     () -> {},
                     change -> {},
                     mTime);
@@ -81,6 +90,7 @@
         private boolean mIsSilent;
         private boolean mHasStore = true;
         private Optional<RegistryUpdate> mUpdate = Optional.empty();
+        private Optional<EvacuationUpdate> mEvacuations = Optional.of(NO_EVACUATIONS);
         private int mCallsUntilClose = 20;
         private final List<Long> mWaits = new ArrayList<>();
 
@@ -96,7 +106,11 @@
             }
             return new PeerMessage.FleetReply(
                     new FleetUpdate(
-                            mHasStore, new FleetUpdate.Ages(0, 0, 0), Optional.empty(), mUpdate));
+                            mHasStore,
+                            new FleetUpdate.Ages(0, 0, 0),
+                            Optional.empty(),
+                            mUpdate,
+                            mEvacuations));
         }
 
         @Override
@@ -109,12 +123,12 @@
 
     private static final class NoSource implements FleetSource {
         @Override
-        public Versioned<SourcedDocument> readDocument(Deadline deadline) {
+        public OperatorChange readOperatorTable(Deadline deadline) {
             throw new UnsupportedOperationException();
         }
 
         @Override
-        public Versioned<SourcedDocument> awaitDocument(StorePosition after, Duration maxWait) {
+        public OperatorChange awaitOperatorChange(StorePosition after, Duration maxWait) {
             throw new UnsupportedOperationException();
         }
 
@@ -211,6 +225,33 @@
         }
     }
 
+    @Nested
+    final class UnknownEvacuations {
+        /** An instance would have waited for a reader that says nothing about evacuations. */
+        @Test
+        void shouldBeReadFromTheStore() {
+            addReaders();
+            mPeers.mEvacuations = Optional.empty();
+            mFollower.followUntilClosed();
+            assertThat(mRole.current()).isEqualTo(ReaderRole.Role.STAND_IN);
+        }
+
+        @Test
+        void shouldBeTakenFromAReader() {
+            addReaders();
+            BackEnd backEnd = CHANGE.present().getFirst();
+            mPeers.mEvacuations =
+                    Optional.of(
+                            new EvacuationUpdate(
+                                    new Evacuations(
+                                            new StorePosition(1, 10), Set.of(backEnd.dataCentre())),
+                                    0));
+            mFollower.followUntilClosed();
+            assertThat(mEvacuated.isEvacuated(backEnd)).isTrue();
+            assertThat(mRole.current()).isEqualTo(ReaderRole.Role.FOLLOWER);
+        }
+    }
+
     @Nested
     final class Reader {
         @Test
@@ -274,7 +315,8 @@
                                 true,
                                 new FleetUpdate.Ages(0, 0, 0),
                                 Optional.empty(),
-                                Optional.empty()));
+                                Optional.empty(),
+                                Optional.of(NO_EVACUATIONS)));
             }
 
             private Duration delay() {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/placement/MemoryLeasesTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/MemoryLeasesTest.java
@@ -13,15 +13,21 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.rattanport.decisions.gateway.TestFleet;
+import org.rattanport.decisions.gateway.discovery.EvacuatedDataCentres;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineMemoryClient;
+import org.rattanport.kernel.gateway.Evacuations;
+import org.rattanport.kernel.gateway.StoreChange.Origin;
+import org.rattanport.kernel.gateway.StorePosition;
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.ManualTimeSource;
 import org.rattanport.kernel.time.SystemTimeSource;
 
 final class MemoryLeasesTest {
+    private final EvacuatedDataCentres mEvacuated = TestFleet.evacuated(new SystemTimeSource());
+
     private static final BackEnd DECODE_ENGINE =
             TestFleet.backEnd("decode", TestFleet.ENGINES, false);
 
@@ -94,7 +100,7 @@
         void shouldHoldAllLeasesUntilClosed() throws InterruptedException {
             FakeMemoryClient client = new FakeMemoryClient(3);
             MemoryLeases.Lease lease =
-                    new MemoryLeases(client, new SystemTimeSource())
+                    new MemoryLeases(client, mEvacuated, new SystemTimeSource())
                             .acquire(reservations(), DECODE_ENGINE, engine -> {});
             assertThat(client.mLeased).hasSize(3);
             lease.close();
@@ -106,7 +112,11 @@
         void shouldReleaseAfterRenewalInProgress() throws InterruptedException {
             FakeMemoryClient client = new FakeMemoryClient(3);
             MemoryLeases.Lease lease =
-                    new MemoryLeases(client, new SystemTimeSource(), Duration.ofMillis(1))
+                    new MemoryLeases(
+                                    client,
+                                    mEvacuated,
+                                    new SystemTimeSource(),
+                                    Duration.ofMillis(1))
                             .acquire(reservations(), DECODE_ENGINE, engine -> {});
             assertThat(client.mRenewalsStarted.await(20, TimeUnit.SECONDS)).isTrue();
             lease.close();
@@ -120,7 +130,7 @@
             FakeMemoryClient client = new FakeMemoryClient(3);
             client.mFullAddresses.add(reservations().get(1).engine().address());
             List<BackEnd> refused = new ArrayList<>();
-            MemoryLeases leases = new MemoryLeases(client, new SystemTimeSource());
+            MemoryLeases leases = new MemoryLeases(client, mEvacuated, new SystemTimeSource());
             RattanportException error =
                     assertThrows(
                             RattanportException.class,
@@ -131,13 +141,69 @@
         }
     }
 
+    /** Engines in an evacuated data centre got orders for leases and checks of their address. */
+    @Nested
+    final class EvacuatedEngines {
+        private final ManualTimeSource mTime = new ManualTimeSource();
+        private final List<Reservation> mReservations =
+                List.of(reservation("one", "a"), reservation("two", "b"));
+
+        private static Reservation reservation(String id, String dataCentre) {
+            return new Reservation(engine(id, dataCentre), "lease-" + id, 1_000);
+        }
+
+        private static BackEnd engine(String id, String dataCentre) {
+            return new BackEnd(id, 1, TestFleet.ENGINES, id, dataCentre, 8, false);
+        }
+
+        private void evacuate(String dataCentre) {
+            mEvacuated.record(
+                    new Evacuations(new StorePosition(1, 2), Set.of(dataCentre)), Origin.STORE);
+        }
+
+        @Test
+        void shouldGetNoOrder() {
+            FakeMemoryClient client = new FakeMemoryClient(3);
+            evacuate("b");
+            List<BackEnd> refused = new ArrayList<>();
+            MemoryLeases leases = new MemoryLeases(client, mEvacuated, mTime);
+            RattanportException error =
+                    assertThrows(
+                            RattanportException.class,
+                            () -> leases.acquire(mReservations, DECODE_ENGINE, refused::add));
+            assertThat(error.verdict()).isEqualTo(Verdict.NOT_RUN);
+            assertThat(refused).containsExactly(mReservations.get(1).engine());
+            assertThat(client.mRequestedIds).containsExactly("lease-one");
+            // Only the order that was sent is undone.
+            assertThat(client.mReleased.getCount()).isEqualTo(2);
+        }
+
+        /** Work in progress ends as usual, so its leases are renewed and released. */
+        @Test
+        void shouldKeepTheLeasesOfWorkInProgressWithoutChecks() throws InterruptedException {
+            FakeMemoryClient client = new FakeMemoryClient(2);
+            client.mRenewalsMayFinish.countDown();
+            client.mIsDecodeEngineAlive = false;
+            MemoryLeases.Lease lease =
+                    new MemoryLeases(client, mEvacuated, mTime, Duration.ofMillis(1))
+                            .acquire(mReservations, engine("decode", "c"), engine -> {});
+            evacuate("c");
+            mTime.advance(Duration.ofSeconds(2));
+            assertThat(client.mRenewalsStarted.await(20, TimeUnit.SECONDS)).isTrue();
+            assertThat(client.mChecks.getCount()).isEqualTo(2);
+            assertThat(client.mReleased.getCount()).isEqualTo(2);
+            lease.close();
+            assertThat(client.mReleased.await(20, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
     @Nested
     final class SilentDecodeEngine {
         private final ManualTimeSource mTime = new ManualTimeSource();
 
         private MemoryLeases.Lease acquire(FakeMemoryClient client) {
             client.mRenewalsMayFinish.countDown();
-            return new MemoryLeases(client, mTime, Duration.ofMillis(1))
+            return new MemoryLeases(client, mEvacuated, mTime, Duration.ofMillis(1))
                     .acquire(reservations(), DECODE_ENGINE, engine -> {});
         }
 
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/FleetSource.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/FleetSource.java
@@ -5,17 +5,26 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.rattanport.kernel.time.Deadline;
 
-/** Source of the routing document and of the registry of back ends. */
+/** Source of the routing document, the evacuations and the registry of back ends. */
 public interface FleetSource {
     /**
-     * A value as of a version of the store.
+     * Rows of the operator's table that exist, or that have changed.
      *
      * @param position position from which to wait for later changes
-     * @param value the value, or empty if the store has none
+     * @param document the document, if it was read or has changed
+     * @param evacuated data centres whose evacuation exists or was written
+     * @param ended data centres whose evacuation was removed
+     * @param isFull whether all rows were read, so that all other evacuations have ended
      */
-    record Versioned<T>(StorePosition position, Optional<T> value) {}
+    record OperatorChange(
+            StorePosition position,
+            Optional<SourcedDocument> document,
+            Set<String> evacuated,
+            Set<String> ended,
+            boolean isFull) {}
 
     /**
      * Changes of the registry.
@@ -49,11 +58,11 @@
         }
     }
 
-    /** Reads the latest document. */
-    Versioned<SourcedDocument> readDocument(Deadline deadline);
+    /** Reads the latest document and all evacuations. */
+    OperatorChange readOperatorTable(Deadline deadline);
 
-    /** Waits for a document that was written after the position; empty on timeout. */
-    Versioned<SourcedDocument> awaitDocument(StorePosition after, Duration maxWait);
+    /** Waits for a document or an evacuation that was written after the position. */
+    OperatorChange awaitOperatorChange(StorePosition after, Duration maxWait);
 
     /** Parses the bytes of a document that another instance passed on. */
     RoutingDocument parseDocument(byte[] source);
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/FleetUpdate.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/FleetUpdate.java
@@ -10,12 +10,23 @@
  * @param ages how old the knowledge of the other instance is
  * @param documentSource bytes of a newer routing document
  * @param registry newer entries of the back-end registry
+ * @param evacuations all data centres that are evacuated, if that is newer
  */
 public record FleetUpdate(
         boolean isStoreAvailable,
         Ages ages,
         Optional<byte[]> documentSource,
-        Optional<RegistryUpdate> registry) {
+        Optional<RegistryUpdate> registry,
+        Optional<EvacuationUpdate> evacuations) {
+    /** Creates an update without evacuations. */
+    public FleetUpdate(
+            boolean isStoreAvailable,
+            Ages ages,
+            Optional<byte[]> documentSource,
+            Optional<RegistryUpdate> registry) {
+        this(isStoreAvailable, ages, documentSource, registry, Optional.empty());
+    }
+
     /**
      * Ages of what an instance knows.
      *
@@ -34,8 +45,15 @@
      */
     public record RegistryUpdate(RegistryChange change, boolean isFull, boolean followsOutage) {}
 
+    /**
+     * Newer evacuations.
+     *
+     * @param ageMillis time since the first instance read them
+     */
+    public record EvacuationUpdate(Evacuations evacuations, long ageMillis) {}
+
     /** Whether the update contains anything new. */
     public boolean isEmpty() {
-        return documentSource.isEmpty() && registry.isEmpty();
+        return documentSource.isEmpty() && registry.isEmpty() && evacuations.isEmpty();
     }
 }
--- a/kernel/src/main/java/org/rattanport/kernel/model/RendezvousHash.java
+++ b/kernel/src/main/java/org/rattanport/kernel/model/RendezvousHash.java
@@ -60,6 +60,11 @@
                 .toList();
     }
 
+    /** Returns a number between zero and one that depends on the key and the candidate only. */
+    public static double fraction(String key, String candidate) {
+        return unitInterval(weight(key, candidate));
+    }
+
     /** Maps a hash to a number between zero and one, excluding both. */
     private static double unitInterval(long hash) {
         return ((hash >>> UNUSED_HASH_BITS) + 0.5) * UNIT_OF_HASH;
--- a/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
+++ b/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
@@ -90,10 +90,21 @@
      *
      * @param documentVersion version of the sender's routing document
      * @param registryPosition position of the store that the sender's registry is as of
+     * @param evacuationPosition position of the store that the sender's evacuations are as of
      * @param maxWaitMillis longest time to wait for a change
      */
-    record FleetRequest(long documentVersion, StorePosition registryPosition, long maxWaitMillis)
-            implements GatewayMessage {}
+    record FleetRequest(
+            long documentVersion,
+            StorePosition registryPosition,
+            StorePosition evacuationPosition,
+            long maxWaitMillis)
+            implements GatewayMessage {
+        /** Creates a request of a sender that has read no evacuations. */
+        public FleetRequest(
+                long documentVersion, StorePosition registryPosition, long maxWaitMillis) {
+            this(documentVersion, registryPosition, StorePosition.UNREAD, maxWaitMillis);
+        }
+    }
 
     /** What the store has changed, as far as the responding instance has read it. */
     record FleetReply(FleetUpdate update) implements GatewayMessage {}
