Count evacuations in the metrics

Operators need to see from which instance an evacuation is not known. Counts beginnings and ends by data centre, holds the number of evacuated data centres, and adds the ages to the histogram of store changes.

Measured: the tests of connectors pass.

--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
@@ -13,6 +13,7 @@
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.BackEndNotice;
+import org.rattanport.kernel.gateway.EvacuationChange;
 import org.rattanport.kernel.gateway.PlacementDecision;
 import org.rattanport.kernel.gateway.RateLimitEvent;
 import org.rattanport.kernel.gateway.RequestOutcome;
@@ -70,6 +71,12 @@
                                     + " requests granted, held_back or unanswered by the owner")
                     .labelNames("kind")
                     .register(mRegistry);
+    private final Counter mEvacuations =
+            Counter.builder()
+                    .name("rattanport_gateway_evacuations")
+                    .help("Evacuations of data centres that began or ended, by data centre")
+                    .labelNames("data_centre", "kind")
+                    .register(mRegistry);
     private final Histogram mDurations =
             Histogram.builder()
                     .name("rattanport_gateway_request_seconds")
@@ -136,6 +143,16 @@
                 .observe(change.origin().age().toMillis() / MILLIS_PER_SECOND);
     }
 
+    void countEvacuation(EvacuationChange change) {
+        mEvacuations
+                .labelValues(change.dataCentre(), change.isEvacuated() ? "began" : "ended")
+                .inc();
+        mStoreChanges
+                .labelValues("evacuations")
+                .observe(change.origin().age().toMillis() / MILLIS_PER_SECOND);
+        setState("evacuated_data_centres", change.evacuatedCount());
+    }
+
     void setState(String name, double value) {
         mState.labelValues(name).set(value);
     }
