Place prompts only in groups with a usable engine

A prompt went to two random groups of engines. When few engines were left to it, because the others failed it, were evacuated or refuse it, neither of the two may have held one, and the prompt was refused although an engine was free. Groups are now drawn among those that have a usable engine by this instance's view; with none, the answer comes without a message to a coordinator.

Measured: the new test with one usable engine of 96 fails before (the first prompt was refused) and passes; CoordinatedPlacementTest passes.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacement.java
@@ -6,11 +6,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.jboss.logging.Logger;
 import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineGroup;
 import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.PlacementDecision;
@@ -63,6 +66,7 @@
     private final Consumer<PlacementDecision> mOnDecision;
     private final TimeSource mTime;
     private final Random mRandom;
+    private final EngineGroupIndex mGroups = new EngineGroupIndex();
     private final Map<String, OpenWork> mOpen = new ConcurrentHashMap<>();
 
     public CoordinatedPlacement(
@@ -88,10 +92,8 @@
 
     @Override
     public Optional<Placement> place(PlacementQuery query) {
-        int engines = mRegistry.available(query.service().name()).size();
-        List<EngineGroup> groups = groups(CoordinatorDirectory.groupCount(engines));
         Optional<Grant> best = Optional.empty();
-        for (EngineGroup group : groups) {
+        for (EngineGroup group : groups(query)) {
             Optional<Grant> grant = placeInGroup(query, group);
             best = better(best, grant);
             if (best.isPresent() && !isPoor(best.get())) {
@@ -102,14 +104,30 @@
         return best.map(Grant::placement);
     }
 
-    /** Two different groups in random order, or the only one. */
-    private List<EngineGroup> groups(int count) {
-        int first = mRandom.nextInt(count);
-        if (count == 1) {
-            return List.of(new EngineGroup(first, count));
+    /** Two different groups with a usable engine in random order, or the only one. */
+    private List<EngineGroup> groups(PlacementQuery query) {
+        List<BackEnd> engines = mRegistry.available(query.service().name());
+        int count = CoordinatorDirectory.groupCount(engines.size());
+        List<EngineGroup> groups =
+                IntStream.range(0, count)
+                        .mapToObj(index -> new EngineGroup(index, count))
+                        .filter(group -> hasUsableEngine(group, engines, query.excluded()))
+                        .toList();
+        if (groups.size() <= 1) {
+            return groups;
         }
-        int second = (first + 1 + mRandom.nextInt(count - 1)) % count;
-        return List.of(new EngineGroup(first, count), new EngineGroup(second, count));
+        int first = mRandom.nextInt(groups.size());
+        int second = (first + 1 + mRandom.nextInt(groups.size() - 1)) % groups.size();
+        return List.of(groups.get(first), groups.get(second));
+    }
+
+    /** Few engines may be left to a request, because of their regions or of an evacuation. */
+    private boolean hasUsableEngine(
+            EngineGroup group, List<BackEnd> engines, Set<String> excluded) {
+        return excluded.isEmpty()
+                || engines.stream()
+                        .filter(each -> !excluded.contains(each.id()))
+                        .anyMatch(each -> mGroups.contains(group, each.id()));
     }
 
     private static boolean isPoor(Grant grant) {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacementTest.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -135,6 +136,10 @@
     }
 
     private static PlacementQuery query(String attemptId, int tokens) {
+        return query(attemptId, tokens, Set.of());
+    }
+
+    private static PlacementQuery query(String attemptId, int tokens, Set<String> excluded) {
         return new PlacementQuery(
                 TestFleet.engineService(),
                 new PlacementDemand(
@@ -144,7 +149,7 @@
                         Optional.of(new PromptSize(tokens, 1_500)),
                         OBJECTIVE,
                         MAX_GAP,
-                        Set.of()));
+                        excluded));
     }
 
     private static String address(int index) {
@@ -176,6 +181,47 @@
         mInstances.forEach(each -> each.mSender.close());
     }
 
+    @Nested
+    final class FewUsableEngines {
+        private static final int ENGINES = 96;
+
+        private Set<String> allBut(String usable) {
+            return TestFleet.engines(ENGINES).stream()
+                    .map(BackEnd::id)
+                    .filter(id -> !id.equals(usable))
+                    .collect(Collectors.toSet());
+        }
+
+        /** Requests were refused because neither of two random groups had a usable engine. */
+        @Test
+        void shouldBeFoundInWhicheverGroupTheyAre() {
+            start(3, ENGINES);
+            for (BackEnd usable : TestFleet.engines(20)) {
+                Set<String> excluded = allBut(usable.id());
+                Placement placement =
+                        mInstances
+                                .getFirst()
+                                .mPlacement
+                                .place(query("attempt-" + usable.id(), 5_000, excluded))
+                                .orElseThrow();
+                assertThat(placement.backEnd()).isEqualTo(usable);
+            }
+        }
+
+        @Test
+        void shouldCostNoMessageWhenThereIsNone() {
+            start(3, ENGINES);
+            assertThat(
+                            mInstances
+                                    .getFirst()
+                                    .mPlacement
+                                    .place(query("attempt", 5_000, allBut("none")))
+                                    .isPresent())
+                    .isFalse();
+            assertThat(mHub.messages()).isEmpty();
+        }
+    }
+
     @Nested
     final class OneGroup {
         @Test
