Keep requests in the regions that their route and account allow

The document may list the regions of a route and of an account, and nothing read the lists: requests ran wherever an engine was free. Back ends in other regions are left out of each placement, and the engines that a coordinator chose are checked before a lease is ordered or a connection opened. Without an allowed back end the request is refused at once as not run. Waits of other regions are not promised as Retry-After.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
@@ -1,6 +1,7 @@
 package org.rattanport.decisions.gateway;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -30,6 +31,7 @@
     private final CallerRequest mRequest;
     private final Route mRoute;
     private final BackEndService mService;
+    private final RegionRule mRegions;
     private final Set<String> mExcluded = new HashSet<>();
     private int mHeldBack;
 
@@ -37,11 +39,13 @@
             GatewayComponents components,
             CallerRequest request,
             Route route,
-            BackEndService service) {
+            BackEndService service,
+            RegionRule regions) {
         mComponents = components;
         mRequest = request;
         mRoute = route;
         mService = service;
+        mRegions = regions;
     }
 
     /** Places the next attempt; empty if no back end takes it. */
@@ -52,6 +56,9 @@
                         : mComponents.servicePlacement();
         Set<String> excluded = new HashSet<>(mExcluded);
         excluded.addAll(mComponents.registry().refusing(mService.name()));
+        mComponents.registry().registered(mService.name()).stream()
+                .filter(each -> !mRegions.allows(each))
+                .forEach(each -> excluded.add(each.id()));
         if (mHeldBack >= MAX_HELD_BACK) {
             excluded.addAll(avoidableLimited());
         }
@@ -74,6 +81,7 @@
 
     private Stream<BackEnd> untried() {
         return mComponents.registry().available(mService.name()).stream()
+                .filter(mRegions::allows)
                 .filter(each -> !mExcluded.contains(each.id()));
     }
 
@@ -87,18 +95,36 @@
         mExcluded.remove(backEnd.id());
     }
 
-    /** Returns why no back end of the service takes the request, if waiting may help. */
+    /** Returns why no back end that the request may run at takes it, if more is known. */
     Optional<RattanportException> refusal() {
         BackEndRegistry registry = mComponents.registry();
         Optional<RattanportException> pause =
-                registry.shortestWait(mService.name()).map(ForwardingErrors::noneAccepts);
-        if (pause.isPresent() || !registry.available(mService.name()).isEmpty()) {
+                registry.shortestWait(mService.name(), mRegions::allows)
+                        .map(ForwardingErrors::noneAccepts);
+        if (pause.isPresent()
+                || registry.available(mService.name()).stream().anyMatch(mRegions::allows)) {
             return pause;
         }
-        return registry.registered(mService.name()).stream()
-                .filter(mComponents.evacuated()::isEvacuated)
+        List<BackEnd> registered = registry.registered(mService.name());
+        List<BackEnd> allowed = registered.stream().filter(mRegions::allows).toList();
+        if (allowed.isEmpty() && !registered.isEmpty()) {
+            return Optional.of(ForwardingErrors.noneAllowed());
+        }
+        return allowed.stream().anyMatch(mComponents.evacuated()::isEvacuated)
+                ? Optional.of(ForwardingErrors.allEvacuated())
+                : Optional.empty();
+    }
+
+    /** Checks that the request may run at all engines, of which a coordinator may know others. */
+    void requireAllowed(Placement placement) {
+        placement
+                .engines()
+                .filter(each -> !mRegions.allows(each))
                 .findFirst()
-                .map(each -> ForwardingErrors.allEvacuated());
+                .ifPresent(
+                        each -> {
+                            throw ForwardingErrors.isNotAllowed(each);
+                        });
     }
 
     /**
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -94,7 +94,8 @@
                         account.map(GatewayAccount::name).orElse("-"),
                         request.sharedParts(),
                         components.routing().version());
-        mSelection = new BackEndSelection(components, request, route, service);
+        RegionRule regions = RegionRule.of(route, account, components.regions());
+        mSelection = new BackEndSelection(components, request, route, service, regions);
         mTrace = new RequestTrace(info, components.events(), components.time());
         mSilence = new SilencePolicy(components, request, route, service, mSelection);
         mWritten = ClockReading.now(components.time());
@@ -216,6 +217,7 @@
     }
 
     private UncheckedCloseable acquireLeases(Placement placement) {
+        mSelection.requireAllowed(placement);
         if (placement.reservations().isEmpty()) {
             return () -> {};
         }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ForwardingErrors.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ForwardingErrors.java
@@ -69,6 +69,22 @@
                 .build();
     }
 
+    static RattanportException noneAllowed() {
+        return new RattanportException(
+                ErrorCode.NO_TARGET,
+                "no back end is in a region that the route and the account allow");
+    }
+
+    static RattanportException isNotAllowed(BackEnd backEnd) {
+        return new RattanportException(
+                ErrorCode.TARGET_REFUSED,
+                "back end "
+                        + backEnd.id()
+                        + " in data centre "
+                        + backEnd.dataCentre()
+                        + " is in no region that the route and the account allow");
+    }
+
     static RattanportException isEvacuated(BackEnd backEnd) {
         return new RattanportException(
                 ErrorCode.TARGET_REFUSED,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayComponents.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayComponents.java
@@ -11,6 +11,7 @@
 import org.rattanport.decisions.gateway.placement.WorkNotifier;
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.gateway.BackEndClient;
+import org.rattanport.kernel.gateway.DataCentreRegions;
 import org.rattanport.kernel.time.TimeSource;
 
 /** Components of the instance that forwarding a request uses. */
@@ -28,5 +29,6 @@
         LoadTable loadTable,
         WorkNotifier workNotifier,
         ServiceRetryBudget retryBudget,
+        DataCentreRegions regions,
         EventStreams events,
         TimeSource time) {}
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -270,6 +270,7 @@
                         settings.retryBudgetRatio(),
                         settings.retryBudgetSlack(),
                         () -> membership.members().size()),
+                settings.regions(),
                 context.events(),
                 time);
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/BackEndRegistry.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/BackEndRegistry.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.event.LogLine;
@@ -233,7 +234,13 @@
      * and the time is known for each of them.
      */
     public Optional<Duration> shortestWait(String service) {
-        List<Optional<Duration>> waits = registered(service).stream().map(this::waitTime).toList();
+        return shortestWait(service, backEnd -> true);
+    }
+
+    /** Returns the shortest wait for those back ends of the service that may be used. */
+    public Optional<Duration> shortestWait(String service, Predicate<BackEnd> isAllowed) {
+        List<Optional<Duration>> waits =
+                registered(service).stream().filter(isAllowed).map(this::waitTime).toList();
         return waits.stream().allMatch(Optional::isPresent)
                 ? waits.stream().flatMap(Optional::stream).min(Duration::compareTo)
                 : Optional.empty();
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.rattanport.decisions.gateway.ScriptedBackEnds.Reaction;
@@ -26,6 +27,7 @@
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.gateway.Attempt;
 import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.DataCentreRegions;
 import org.rattanport.kernel.gateway.EngineMemoryClient;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.RouteKind;
@@ -41,6 +43,7 @@
     final BackEndRateLimits mRateLimits = mRateLimitInstance.limits();
     final EvacuatedDataCentres mEvacuated = TestFleet.evacuated(mTime);
     final BackEndRegistry mRegistry = new BackEndRegistry(mTime, mNotices, mRateLimits, mEvacuated);
+    DataCentreRegions mRegions = new DataCentreRegions(Map.of());
     final BackEndHealth mHealth = new BackEndHealth(mTime);
     final ActiveRouting mRouting = new ActiveRouting(mEvents);
     final ScriptedBackEnds mBackEnds = new ScriptedBackEnds(mTime);
@@ -102,6 +105,7 @@
                         loadTable,
                         new NoOpWorkNotifier(),
                         retryBudget,
+                        mRegions,
                         mEvents,
                         mTime);
         return new GatewayService(components, random);
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
@@ -95,6 +95,24 @@
                 Duration.ofMillis(200));
     }
 
+    /** Returns the route with a list of the regions that it allows. */
+    public static Route inRegions(Route route, String... regions) {
+        return new Route(
+                route.name(),
+                route.host(),
+                route.pathPrefix(),
+                route.services(),
+                route.kind(),
+                route.timeout(),
+                route.latencyObjective(),
+                route.maxAttempts(),
+                route.priority(),
+                route.isPublic(),
+                route.isResumable(),
+                route.maxEventGap(),
+                Set.of(regions));
+    }
+
     public static RoutingDocument document(long version, Route... routes) {
         return new RoutingDocument(
                 version,
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/Route.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/Route.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 
 /**
  * A route of the active routing document.
@@ -18,6 +19,7 @@
  * @param isPublic whether requests need no account key
  * @param isResumable whether another engine may resume an interrupted stream
  * @param maxEventGap maximum gap between two events of a stream that is on time
+ * @param allowedRegions regions where its requests may run; empty for all
  */
 public record Route(
         String name,
@@ -31,7 +33,38 @@
         int priority,
         boolean isPublic,
         boolean isResumable,
-        Duration maxEventGap) {
+        Duration maxEventGap,
+        Set<String> allowedRegions) {
+    /** Creates a route whose requests may run in all regions. */
+    public Route(
+            String name,
+            String host,
+            String pathPrefix,
+            List<WeightedService> services,
+            RouteKind kind,
+            Duration timeout,
+            Duration latencyObjective,
+            int maxAttempts,
+            int priority,
+            boolean isPublic,
+            boolean isResumable,
+            Duration maxEventGap) {
+        this(
+                name,
+                host,
+                pathPrefix,
+                services,
+                kind,
+                timeout,
+                latencyObjective,
+                maxAttempts,
+                priority,
+                isPublic,
+                isResumable,
+                maxEventGap,
+                Set.of());
+    }
+
     /** Whether a request may be retried after an attempt that may have run. */
     public boolean isRetryable() {
         return kind == RouteKind.IDEMPOTENT || (kind == RouteKind.STREAMING && isResumable);
