Name instances in allowed regions to callers

Callers of a host whose routes allow only some regions were sent to any instance. Hosts without lists get the same answers as before.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/RouteTable.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/RouteTable.java
@@ -35,11 +35,14 @@
         return mDocument;
     }
 
+    /** Returns all routes of the host. */
+    public List<Route> routes(String host) {
+        return mRoutesByHost.getOrDefault(normalize(host), List.of());
+    }
+
     /** Returns the route of the host with the longest prefix that matches the path. */
     public Optional<Route> route(String host, String path) {
-        return mRoutesByHost.getOrDefault(normalize(host), List.of()).stream()
-                .filter(each -> path.startsWith(each.pathPrefix()))
-                .findFirst();
+        return routes(host).stream().filter(each -> path.startsWith(each.pathPrefix())).findFirst();
     }
 
     /** Returns the account of the key. */
--- a/decisions/src/main/java/org/rattanport/decisions/lifecycle/AddressSelector.java
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/AddressSelector.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.function.Predicate;
 import org.rattanport.kernel.peer.Member;
 import org.rattanport.kernel.peer.Membership;
 
@@ -37,7 +38,13 @@
 
     /** Returns addresses for a caller in the given data centre; the name may be unknown. */
     public List<String> addresses(String dataCentre) {
-        List<Member> alive = new ArrayList<>(mMembership.aliveMembers());
+        return addresses(dataCentre, member -> true);
+    }
+
+    /** Returns addresses of instances that the caller may be sent to. */
+    public List<String> addresses(String dataCentre, Predicate<Member> isAllowed) {
+        List<Member> alive =
+                new ArrayList<>(mMembership.aliveMembers().stream().filter(isAllowed).toList());
         Collections.shuffle(alive, mRandom);
         List<Member> chosen = new ArrayList<>();
         alive.stream()
