Take no token of a rate limit for an evacuated back end

The order in which reasons to keep requests away are asked is part of record 0020; evacuations come before tokens.

--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingRateLimitsTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingRateLimitsTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
@@ -17,9 +18,12 @@
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
 import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.Evacuations;
 import org.rattanport.kernel.gateway.RateLimit;
 import org.rattanport.kernel.gateway.RateLimitEvent;
 import org.rattanport.kernel.gateway.ResponseHead;
+import org.rattanport.kernel.gateway.StoreChange.Origin;
+import org.rattanport.kernel.gateway.StorePosition;
 
 /** Forwarding to back ends that named a rate limit. */
 final class ForwardingRateLimitsTest extends ForwardingHarness {
@@ -165,6 +169,24 @@
             assertThat(error.code()).isEqualTo(ErrorCode.DEADLINE_EXCEEDED);
             assertThat(granted()).isEqualTo(0);
         }
+
+        /** The evacuation becomes known while the connection is opened. */
+        @Test
+        void shouldTakeNoTokenOfAnEvacuatedBackEnd() {
+            List<BackEnd> backEnds = nameAll();
+            serveExpectingError("/read/early");
+            mTime.advance(Duration.ofSeconds(10));
+            mBackEnds.mDuringConnect =
+                    () ->
+                            mEvacuated.record(
+                                    new Evacuations(
+                                            new StorePosition(1, 5),
+                                            Set.of(backEnds.getFirst().dataCentre())),
+                                    Origin.STORE);
+            RattanportException error = serveExpectingError("/read/a");
+            assertThat(error.code()).isEqualTo(ErrorCode.NO_TARGET);
+            assertThat(granted()).isEqualTo(0);
+        }
     }
 
     /** Engines with a limit got parts of prompts without a token. */
