--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
@@ -1,14 +1,17 @@
 package org.rattanport.decisions.gateway;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
+import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.decisions.gateway.placement.BackEndPlacement;
 import org.rattanport.decisions.gateway.placement.Placement;
 import org.rattanport.decisions.gateway.placement.PlacementQuery;
+import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.CallerRequest;
@@ -28,6 +31,7 @@
     private final CallerRequest mRequest;
     private final Route mRoute;
     private final BackEndService mService;
+    private final RegionRule mRegions;
     private final Set<String> mExcluded = new HashSet<>();
     private int mHeldBack;
 
@@ -35,11 +39,13 @@
             GatewayComponents components,
             CallerRequest request,
             Route route,
-            BackEndService service) {
+            BackEndService service,
+            RegionRule regions) {
         mComponents = components;
         mRequest = request;
         mRoute = route;
         mService = service;
+        mRegions = regions;
     }
 
     /** Places the next attempt; empty if no back end takes it. */
@@ -50,6 +56,9 @@
                         : mComponents.servicePlacement();
         Set<String> excluded = new HashSet<>(mExcluded);
         excluded.addAll(mComponents.registry().refusing(mService.name()));
+        mComponents.registry().registered(mService.name()).stream()
+                .filter(each -> !mRegions.allows(each))
+                .forEach(each -> excluded.add(each.id()));
         if (mHeldBack >= MAX_HELD_BACK) {
             excluded.addAll(avoidableLimited());
         }
@@ -72,6 +81,7 @@
 
     private Stream<BackEnd> untried() {
         return mComponents.registry().available(mService.name()).stream()
+                .filter(mRegions::allows)
                 .filter(each -> !mExcluded.contains(each.id()));
     }
 
@@ -85,17 +95,46 @@
         mExcluded.remove(backEnd.id());
     }
 
+    /** Returns why no back end that the request may run at takes it, if more is known. */
+    Optional<RattanportException> refusal() {
+        BackEndRegistry registry = mComponents.registry();
+        Optional<RattanportException> pause =
+                registry.shortestWait(mService.name(), mRegions::allows)
+                        .map(ForwardingErrors::noneAccepts);
+        if (pause.isPresent()
+                || registry.available(mService.name()).stream().anyMatch(mRegions::allows)) {
+            return pause;
+        }
+        List<BackEnd> registered = registry.registered(mService.name());
+        List<BackEnd> allowed = registered.stream().filter(mRegions::allows).toList();
+        if (allowed.isEmpty() && !registered.isEmpty()) {
+            return Optional.of(ForwardingErrors.noneAllowed());
+        }
+        return allowed.stream().anyMatch(mComponents.evacuated()::isEvacuated)
+                ? Optional.of(ForwardingErrors.allEvacuated())
+                : Optional.empty();
+    }
+
+    /** Checks that the request may run at all engines, of which a coordinator may know others. */
+    void requireAllowed(Placement placement) {
+        placement
+                .engines()
+                .filter(each -> !mRegions.allows(each))
+                .findFirst()
+                .ifPresent(
+                        each -> {
+                            throw ForwardingErrors.isNotAllowed(each);
+                        });
+    }
+
     /**
      * Checks at the moment of writing that the request may be written: an engine that processes a
-     * part of it may have left, and the back end may have asked for a pause or begun to leave,
-     * since they were chosen, and each engine with a rate limit needs a token.
+     * part of it may have left, its data centre may have been evacuated, and the back end may have
+     * asked for a pause or begun to leave, since they were chosen, and each engine with a rate
+     * limit needs a token.
      */
     void requireAccepting(Placement placement) {
-        placement
-                .engines()
-                .filter(each -> !mComponents.registry().isInUse(each))
-                .findFirst()
-                .ifPresent(this::rejectLeft);
+        requireUsable(placement);
         if (!mComponents.notices().accepts(placement.backEnd())) {
             throw ForwardingErrors.wantsNoRequests();
         }
@@ -109,11 +148,30 @@
             mHeldBack = Math.min(MAX_HELD_BACK, mHeldBack + 1);
             throw ForwardingErrors.heldBack(held.get());
         }
+        // The owner of a rate limit may have taken its time.
+        requireUsable(placement);
         if (!mComponents.notices().tryUse(placement.backEnd())) {
             throw ForwardingErrors.wantsNoRequests();
         }
     }
 
+    /** Checks that no engine has left and none is in an evacuated data centre. */
+    private void requireUsable(Placement placement) {
+        placement
+                .engines()
+                .filter(each -> !mComponents.registry().isInUse(each))
+                .findFirst()
+                .ifPresent(this::rejectLeft);
+        placement
+                .engines()
+                .filter(each -> !mComponents.evacuated().accepts(each))
+                .findFirst()
+                .ifPresent(
+                        each -> {
+                            throw ForwardingErrors.isEvacuated(each);
+                        });
+    }
+
     private void rejectLeft(BackEnd backEnd) {
         exclude(backEnd);
         throw ForwardingErrors.hasLeft(backEnd);
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
@@ -5,11 +5,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.rattanport.decisions.gateway.ScriptedBackEnds.Reaction;
 import org.rattanport.decisions.gateway.discovery.ActiveRouting;
 import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
+import org.rattanport.decisions.gateway.discovery.EvacuatedDataCentres;
 import org.rattanport.decisions.gateway.limits.BackEndNotices;
 import org.rattanport.decisions.gateway.limits.BackEndRateLimits;
 import org.rattanport.decisions.gateway.limits.RateLimitInstance;
@@ -25,6 +27,7 @@
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.gateway.Attempt;
 import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.DataCentreRegions;
 import org.rattanport.kernel.gateway.EngineMemoryClient;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.RouteKind;
@@ -38,7 +41,9 @@
     final BackEndNotices mNotices = new BackEndNotices(mTime, notice -> {}, rumor -> {});
     final RateLimitInstance mRateLimitInstance = TestFleet.rateLimits(mTime);
     final BackEndRateLimits mRateLimits = mRateLimitInstance.limits();
-    final BackEndRegistry mRegistry = new BackEndRegistry(mTime, mNotices, mRateLimits);
+    final EvacuatedDataCentres mEvacuated = TestFleet.evacuated(mTime);
+    final BackEndRegistry mRegistry = new BackEndRegistry(mTime, mNotices, mRateLimits, mEvacuated);
+    DataCentreRegions mRegions = new DataCentreRegions(Map.of());
     final BackEndHealth mHealth = new BackEndHealth(mTime);
     final ActiveRouting mRouting = new ActiveRouting(mEvents);
     final ScriptedBackEnds mBackEnds = new ScriptedBackEnds(mTime);
@@ -80,13 +85,14 @@
                     mDuringPlacement.run();
                     return calls.place(query).map(this::withPrefillEngines);
                 };
-        MemoryLeases leases = new MemoryLeases(new GrantingMemoryClient(), mTime);
+        MemoryLeases leases = new MemoryLeases(new GrantingMemoryClient(), mEvacuated, mTime);
         ServiceRetryBudget retryBudget =
                 new ServiceRetryBudget(mTime, Duration.ofSeconds(10), 0.2, mSlack, () -> 1);
         GatewayComponents components =
                 new GatewayComponents(
                         mRouting,
                         mRegistry,
+                        mEvacuated,
                         mNotices,
                         mRateLimits,
                         delayedCalls,
@@ -99,6 +105,7 @@
                         loadTable,
                         new NoOpWorkNotifier(),
                         retryBudget,
+                        mRegions,
                         mEvents,
                         mTime);
         return new GatewayService(components, random);
