Take only three digits from 100 to 599 for a status

Cause: both clients took every status below 200 for an interim response and skipped what followed until the deadline (000, 99, 101), and no status above 599 was stopped: callers got 600 and 999 as they were, and 1000. Netty's client codec also reads 0200 and +200 as 200, as it keeps no text of the status line. Endless interim responses used the processor until the deadline.

Change: the rule stands in ResponseHeadReader, which both clients use. The connection's own codec checks the text of the status, and such a response is not valid HTTP: the attempt failed and may have run. 101 is not interim and fails too, as no request asks for another protocol.

A word, an empty status and -200 failed at once before, and 100 and 103 before a response were followed; these cases are kept. That a caller gets 000 itself as a response could not be shown.

--- a/connectors/src/main/java/org/rattanport/connectors/gateway/NettyBackEndClient.java
+++ b/connectors/src/main/java/org/rattanport/connectors/gateway/NettyBackEndClient.java
@@ -11,6 +11,7 @@
 import org.rattanport.connectors.http.HttpMessagePart.Head;
 import org.rattanport.connectors.http.HttpMessagePart.Malformed;
 import org.rattanport.connectors.http.HttpTransport;
+import org.rattanport.connectors.http.ResponseHeadReader;
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
@@ -26,8 +27,6 @@
  * of an earlier response, or fail because the back end closed it while it was idle.
  */
 public final class NettyBackEndClient implements BackEndClient {
-    private static final int FIRST_FINAL_STATUS = 200;
-
     private final HttpTransport mTransport;
     private final GatewayDialect mDialect;
     private final TimeSource mTime;
@@ -62,17 +61,12 @@
 
         @Override
         public ResponseHead awaitHead(Deadline deadline) {
-            while (true) {
-                HttpMessagePart part = nextPart(deadline);
-                if (part instanceof Head head && head.message() instanceof HttpResponse response) {
-                    if (response.decoderResult().isFailure()) {
-                        throw backEndFailed("the back end's response is not valid HTTP");
-                    }
-                    if (response.status().code() >= FIRST_FINAL_STATUS) {
-                        return mDialect.decodeResponseHead(response);
-                    }
-                }
+            ResponseHeadReader reader = new ResponseHeadReader();
+            Optional<HttpResponse> head = reader.accept(nextPart(deadline));
+            while (head.isEmpty()) {
+                head = reader.accept(nextPart(deadline));
             }
+            return mDialect.decodeResponseHead(head.get());
         }
 
         @Override
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpResponseStream.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpResponseStream.java
@@ -31,8 +31,6 @@
      */
     private static final Duration END_TIMEOUT = Duration.ofMillis(5);
 
-    private static final int FIRST_FINAL_STATUS = 200;
-
     private final HttpChannel mChannel;
     private final Deadline mDeadline;
     private final TimeSource mTime;
@@ -62,16 +60,9 @@
     }
 
     void readHead() {
+        ResponseHeadReader reader = new ResponseHeadReader();
         while (mHead.isEmpty()) {
-            HttpMessagePart part = nextPart();
-            if (part instanceof Head head && head.message() instanceof HttpResponse response) {
-                if (response.decoderResult().isFailure()) {
-                    throw failed("the response is not valid HTTP");
-                }
-                if (response.status().code() >= FIRST_FINAL_STATUS) {
-                    mHead = Optional.of(response);
-                }
-            }
+            mHead = reader.accept(nextPart());
         }
     }
 
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
@@ -13,7 +13,6 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
 import java.net.InetSocketAddress;
@@ -167,13 +166,13 @@
         }
     }
 
-    private static HttpClientCodec clientCodec() {
+    private static HttpClientConnectionCodec clientCodec() {
         HttpDecoderConfig config =
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(MAX_RESPONSE_HEADER_BYTES)
                         .setMaxHeaderSize(MAX_RESPONSE_HEADER_BYTES)
                         .setValidateHeaders(false);
-        return new HttpClientCodec(config, false, false);
+        return new HttpClientConnectionCodec(config);
     }
 
     @Override
--- /dev/null
+++ b/connectors/src/test/java/org/rattanport/connectors/http/InvalidResponseTest.java
@@ -0,0 +1,163 @@
+package org.rattanport.connectors.http;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.rattanport.connectors.json.Json;
+import org.rattanport.kernel.error.ErrorCode;
+import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.error.Verdict;
+import org.rattanport.kernel.task.Tasks;
+import org.rattanport.kernel.time.Deadline;
+import org.rattanport.kernel.time.SystemTimeSource;
+
+/**
+ * Responses that the client of engines, services and the store must not take for whole or valid
+ * ones. Statuses below 200 were skipped until the deadline.
+ */
+final class InvalidResponseTest {
+    private static final int SMALL_RECEIVE_BUFFER = 16_384;
+    private static final String BODY = "{\"a\":1}";
+    private static final String HEADERS = "\r\nContent-Length: 7\r\n\r\n";
+
+    private final SystemTimeSource mTime = new SystemTimeSource();
+    private final HttpTransport mTransport = new HttpTransport();
+    private final HttpClient mClient = HttpClient.withConnectionPool(mTransport, mTime);
+
+    @AfterEach
+    void close() {
+        mClient.close();
+        mTransport.close();
+    }
+
+    /** Responds to one connection. */
+    private interface Script {
+        void respond(Socket socket) throws IOException, InterruptedException;
+    }
+
+    private static ServerSocket serve(Script script) throws IOException {
+        ServerSocket server = new ServerSocket();
+        server.setReceiveBufferSize(SMALL_RECEIVE_BUFFER);
+        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        Tasks.start("server", () -> acceptAll(server, script));
+        return server;
+    }
+
+    private static void acceptAll(ServerSocket server, Script script) {
+        while (!server.isClosed()) {
+            try (Socket socket = server.accept()) {
+                script.respond(socket);
+            } catch (IOException e) {
+                // The client or the test closed the connection.
+            } catch (InterruptedException e) {
+                throw new UncheckedIOException(new IOException(e));
+            }
+        }
+    }
+
+    private static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Reads a part of the request, so that the response is one to it. */
+    private static void readBeginning(Socket socket) throws IOException {
+        assertThat(socket.getInputStream().read()).isAtLeast(0);
+    }
+
+    private HttpClientResponse post(ServerSocket server, int bytes) {
+        HttpClientRequest request =
+                HttpClientRequest.builder("127.0.0.1:" + server.getLocalPort(), "/a")
+                        .post(Json.newObject().put("text", "x".repeat(bytes)));
+        return mClient.execute(request, Deadline.after(mTime, Duration.ofSeconds(5)));
+    }
+
+    private void shouldFail(String what, Script script, int bytes) throws IOException {
+        try (ServerSocket server = serve(script)) {
+            RattanportException error =
+                    assertThrows(RattanportException.class, () -> post(server, bytes), what);
+            assertWithMessage(what).that(error.code()).isEqualTo(ErrorCode.TARGET_FAILED);
+            assertWithMessage(what).that(error.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+        }
+    }
+
+    @Nested
+    final class Statuses {
+        private void shouldFailWith(String line) throws IOException {
+            shouldFail(
+                    line,
+                    socket -> {
+                        readBeginning(socket);
+                        write(socket, line + HEADERS + BODY);
+                        // Until the client closes: the end of a connection must not be needed.
+                        socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+                    },
+                    1);
+        }
+
+        @Test
+        void shouldHaveThreeDigits() throws IOException {
+            for (String status : List.of("99", "1000", "0200", "+200", "", "OK", "two hundred")) {
+                shouldFailWith("HTTP/1.1 " + status);
+                shouldFailWith("HTTP/1.1 " + status + " Reason");
+            }
+        }
+
+        @Test
+        void shouldBeInTheRange() throws IOException {
+            for (String status : List.of("000", "099", "600", "999")) {
+                shouldFailWith("HTTP/1.1 " + status);
+                shouldFailWith("HTTP/1.0 " + status + " Reason");
+            }
+        }
+
+        /** No request asks for another protocol, so what follows is no response to it. */
+        @Test
+        void shouldNotSwitchTheProtocol() throws IOException {
+            shouldFailWith("HTTP/1.1 101 Switching Protocols");
+        }
+    }
+
+    @Nested
+    final class InterimResponses {
+        @Test
+        void shouldPrecedeTheFinalOne() throws IOException {
+            Script script =
+                    socket -> {
+                        readBeginning(socket);
+                        write(socket, "HTTP/1.1 100 Continue\r\n\r\n");
+                        write(socket, "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n");
+                        write(socket, "HTTP/1.1 200 OK" + HEADERS + BODY);
+                    };
+            try (ServerSocket server = serve(script)) {
+                assertThat(post(server, 1).text()).isEqualTo(BODY);
+            }
+        }
+
+        @Test
+        void shouldNotBeEndless() throws IOException {
+            shouldFail(
+                    "endless",
+                    socket -> {
+                        readBeginning(socket);
+                        while (true) {
+                            write(socket, "HTTP/1.1 102 Processing\r\n\r\n".repeat(99));
+                        }
+                    },
+                    1);
+        }
+    }
+}
