Bound what a connection holds by bytes, and all together

Cause: a connection stopped reading at 8 queued parts, about 64 KB when they are large (Netty splits them at 8 KB), but less than a kilobyte when each is an event; a head of 64 KB counted as little as an event; nothing bounded all connections together; and the buffers of the system grew to some megabytes for each caller that does not read, which count toward the instance's memory too.

Change: ReceiveMemory counts the bytes of the parts that tasks have not taken. A connection reads ahead up to 256 KB, and while all together hold an eighth of the heap or more, up to 16 KB, so that a slow reader cannot keep others from reading. The system's buffers are bounded: 192 KB to send to a caller and 256 KB to receive (Linux doubles both).

Measured: SlowReaderTest (platform): a caller that reads nothing of an endless response cost 4.05 MB before, which failed, and less than 2 MB now; 40 such callers 163.7 MB before and 48.0 MB now (as sent by the back end), and others beside them were answered within 1 s before and after. That a request which a server does not read is copied (connectors' SlowReaderTest) could not be shown: it passed before as well. The 120 other tests of connectors, SlowCallerEndsTest, ExchangeEndsTest, EarlyResponseTest and GatewayTest pass.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpChannel.java
@@ -39,12 +39,6 @@
 public final class HttpChannel extends ChannelInboundHandlerAdapter {
     private static final Logger LOGGER = Logger.getLogger(HttpChannel.class);
 
-    /** Number of queued parts at which the channel stops reading from the socket. */
-    private static final int MAX_QUEUED_PARTS = 8;
-
-    /** Number of queued parts at which the channel resumes reading. */
-    private static final int RESUME_READING_AT_PARTS = 2;
-
     /** Time for which the other side may go on sending after this side ended its output. */
     private static final Duration CLOSE_LINGER = Duration.ofMillis(500);
 
@@ -59,6 +53,7 @@
     private final Condition mWritable = mLock.newCondition();
     private final Cancellation mDisconnection = new Cancellation();
     private final Channel mChannel;
+    private final ReceiveMemory.Claim mReceived;
     private final CountDownLatch mServed = new CountDownLatch(1);
     private boolean mIsBroken;
     private boolean mIsOutputEnded;
@@ -72,8 +67,14 @@
     /** Whether the other side has ended its output, and the end of its response is awaited. */
     private volatile boolean mIsInputEnded;
 
+    /** Serves a connection whose unread parts no other ones share their memory with. */
     public HttpChannel(Channel channel) {
+        this(channel, new ReceiveMemory(Long.MAX_VALUE));
+    }
+
+    HttpChannel(Channel channel, ReceiveMemory memory) {
         mChannel = channel;
+        mReceived = memory.open();
     }
 
     /** Cancelled when the connection is closed or breaks. */
@@ -93,8 +94,10 @@
             if (part instanceof Closed) {
                 // Later calls find the end too, and do not wait for parts that cannot come.
                 mParts.add(part);
+            } else if (part != null) {
+                mReceived.remove(part.heldBytes());
             }
-            if (mParts.size() <= RESUME_READING_AT_PARTS) {
+            if (mReceived.isLow()) {
                 resumeReading();
             }
             return Optional.ofNullable(part);
@@ -159,7 +162,7 @@
                 mChannel.config().setAutoRead(false);
             }
             // Wakes the task if it waits for a request.
-            mParts.add(new End());
+            add(new End());
         }
     }
 
@@ -168,6 +171,11 @@
         mServed.countDown();
     }
 
+    /** Releases the memory of the parts that no task takes any more. */
+    void releaseReceived() {
+        mReceived.close();
+    }
+
     /** Waits until the task serves no more requests; returns whether that is so. */
     boolean awaitServed(Duration timeout) {
         try {
@@ -240,6 +248,7 @@
     }
 
     public void close() {
+        mReceived.close();
         mChannel.close();
     }
 
@@ -267,6 +276,7 @@
 
     /** Closes the connection with a reset, which a reader cannot mistake for a complete end. */
     public void reset() {
+        mReceived.close();
         try {
             mChannel.config().setOption(ChannelOption.SO_LINGER, 0);
         } catch (ChannelException e) {
@@ -290,15 +300,15 @@
         try {
             if (message instanceof HttpMessage head) {
                 mIsMessageOpen = true;
-                mParts.add(new Head(head));
+                add(new Head(head));
             }
             if (message instanceof HttpContent content && content.decoderResult().isFailure()) {
                 // Netty reports the end of a body after a malformed chunk as if it were complete.
                 mIsBroken = true;
-                mParts.add(new Malformed(String.valueOf(content.decoderResult().cause())));
+                add(new Malformed(String.valueOf(content.decoderResult().cause())));
             } else if (message instanceof HttpContent content) {
                 if (content.content().isReadable()) {
-                    mParts.add(new BodyChunk(ByteBufUtil.getBytes(content.content())));
+                    add(new BodyChunk(ByteBufUtil.getBytes(content.content())));
                 }
                 if (message instanceof LastHttpContent && !mIsBroken && mChannel.isActive()) {
                     addEnd();
@@ -311,20 +321,26 @@
         } finally {
             ReferenceCountUtil.release(message);
         }
-        if (mParts.size() >= MAX_QUEUED_PARTS && !isReadingOver()) {
+        if (mReceived.isFull() && !isReadingOver()) {
             mChannel.config().setAutoRead(false);
-            if (mParts.size() <= RESUME_READING_AT_PARTS) {
+            if (mReceived.isLow()) {
                 // The task took the parts meanwhile and may already wait for the next one.
                 mChannel.config().setAutoRead(true);
             }
         }
     }
 
+    private void add(HttpMessagePart part) {
+        // The task may take the part at once, and must find it counted then.
+        mReceived.add(part.heldBytes());
+        mParts.add(part);
+    }
+
     private void addEnd() {
         if (mChannel instanceof SocketChannel socket && socket.isInputShutdown()) {
             endAfterRequest();
         } else {
-            mParts.add(new End());
+            add(new End());
         }
     }
 
@@ -341,7 +357,7 @@
                 .addListener(
                         written -> {
                             if (written.isSuccess()) {
-                                mParts.add(new End());
+                                add(new End());
                             }
                             mChannel.close();
                         });
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpIntake.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpIntake.java
@@ -61,6 +61,7 @@
                 task.accept(connection);
             } finally {
                 connection.markServed();
+                connection.releaseReceived();
                 mOpen.remove(connection);
             }
         }
--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpTransport.java
@@ -49,6 +49,20 @@
      */
     private static final int REQUEST_SEND_BUFFER_BYTES = 65_536;
 
+    /**
+     * What the system holds of a response for a caller that does not read it; Linux doubles it. It
+     * held some megabytes without this bound. A caller that is 10 ms away gets 20 MB a second.
+     */
+    private static final int RESPONSE_SEND_BUFFER_BYTES = 196_608;
+
+    /** What the system holds of a message that this process does not read; Linux doubles it. */
+    private static final int RECEIVE_BUFFER_BYTES = 262_144;
+
+    /** Messages that no task has taken may fill this part of the heap. */
+    private static final int RECEIVE_SHARE = 8;
+
+    private final ReceiveMemory mReceiveMemory =
+            new ReceiveMemory(Runtime.getRuntime().maxMemory() / RECEIVE_SHARE);
     private final EventLoopGroup mEventLoop =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final UnpooledByteBufAllocator mAllocator = new UnpooledByteBufAllocator(false, true);
@@ -70,6 +84,8 @@
                         .channel(NioServerSocketChannel.class)
                         .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                         .option(ChannelOption.SO_REUSEADDR, true)
+                        .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+                        .childOption(ChannelOption.SO_SNDBUF, RESPONSE_SEND_BUFFER_BYTES)
                         .childOption(ChannelOption.ALLOCATOR, mAllocator)
                         .childOption(ChannelOption.TCP_NODELAY, true)
                         .childHandler(
@@ -94,8 +110,8 @@
         return new HttpIntake(bound.channel(), connections);
     }
 
-    private static HttpChannel accept(NioSocketChannel channel, int maxHeaderBytes) {
-        HttpChannel accepted = new HttpChannel(channel);
+    private HttpChannel accept(NioSocketChannel channel, int maxHeaderBytes) {
+        HttpChannel accepted = new HttpChannel(channel, mReceiveMemory);
         HttpDecoderConfig config =
                 new HttpDecoderConfig()
                         .setMaxInitialLineLength(maxHeaderBytes)
@@ -123,6 +139,7 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.ALLOCATOR, mAllocator)
                         .option(ChannelOption.TCP_NODELAY, true)
+                        .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                         .option(ChannelOption.SO_SNDBUF, REQUEST_SEND_BUFFER_BYTES)
                         // Tells an orderly end of the response from every other close.
                         .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -143,7 +160,7 @@
                                 new ChannelInitializer<NioSocketChannel>() {
                                     @Override
                                     protected void initChannel(NioSocketChannel channel) {
-                                        opened[0] = new HttpChannel(channel);
+                                        opened[0] = new HttpChannel(channel, mReceiveMemory);
                                         channel.pipeline().addLast(clientCodec(), opened[0]);
                                     }
                                 });
