Pass the parts of a prompt on where engines retain prompts

The placement shall weigh how much of a prompt an engine still holds, so it needs to know which engines retain prompts and what each prompt consists of. A caller's request keeps all parts of its prompt with their tokens, up to the first entry that has none; sharedParts is as before. PlacementDemand carries the parts only where the service's engines retain prompts, so that messages between instances stay the same in today's deployments. Nothing reads them yet.

--- a/connectors/src/main/java/org/rattanport/connectors/peer/PlacementCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PlacementCodec.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.rattanport.connectors.peer.protocol.PlacementReply;
 import org.rattanport.connectors.peer.protocol.PlacementRequest;
+import org.rattanport.connectors.peer.protocol.PromptPart;
 import org.rattanport.kernel.gateway.EngineGroup;
 import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.PromptSize;
@@ -31,9 +32,18 @@
                         size ->
                                 builder.setPromptTokens(size.promptTokens())
                                         .setMaxOutputTokens(size.maxOutputTokens()));
+        demand.parts().stream().map(PlacementCodec::encode).forEach(builder::addParts);
         return builder.build();
     }
 
+    private static PromptPart encode(org.rattanport.kernel.gateway.PromptPart part) {
+        return PromptPart.newBuilder().setId(part.id()).setTokens(part.tokens()).build();
+    }
+
+    private static org.rattanport.kernel.gateway.PromptPart decode(PromptPart part) {
+        return new org.rattanport.kernel.gateway.PromptPart(part.getId(), part.getTokens());
+    }
+
     static PeerMessage.PlacementRequest decode(PlacementRequest request) {
         return new PeerMessage.PlacementRequest(
                 new PlacementDemand(
@@ -48,6 +58,7 @@
                                 : Optional.empty(),
                         Duration.ofMillis(request.getObjectiveMillis()),
                         Duration.ofMillis(request.getMaxEventGapMillis()),
+                        request.getPartsList().stream().map(PlacementCodec::decode).toList(),
                         Set.copyOf(request.getExcludedList())),
                 WorkUpdateCodec.decodeUpdates(request.getNoticesList()));
     }
--- a/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
@@ -31,6 +31,7 @@
 import org.rattanport.kernel.gateway.FleetSource.RegistryChange;
 import org.rattanport.kernel.gateway.FleetUpdate;
 import org.rattanport.kernel.gateway.PlacementDemand;
+import org.rattanport.kernel.gateway.PromptPart;
 import org.rattanport.kernel.gateway.PromptSize;
 import org.rattanport.kernel.gateway.RateLimit;
 import org.rattanport.kernel.gateway.RateLimitUpdate;
@@ -190,6 +191,14 @@
                     .forEach(this::checkRoundTrip);
         }
 
+        @Test
+        void shouldRoundTripThePartsOfAPrompt() {
+            List<PromptPart> parts =
+                    List.of(new PromptPart("5c1e07a2", 800), new PromptPart("e4402b7d", 250));
+            checkRoundTrip(
+                    new PeerMessage.PlacementRequest(demand(Optional.empty(), parts), List.of()));
+        }
+
         @Test
         void shouldRoundTripMessagesAboutRateLimits() {
             List.of(
@@ -214,6 +223,10 @@
     }
 
     private static PlacementDemand demand(Optional<PromptSize> size) {
+        return demand(size, List.of());
+    }
+
+    private static PlacementDemand demand(Optional<PromptSize> size, List<PromptPart> parts) {
         return new PlacementDemand(
                 "attempt-1",
                 "service",
@@ -221,6 +234,7 @@
                 size,
                 Duration.ofMillis(300),
                 Duration.ofMillis(200),
+                parts,
                 Set.of("engine"));
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
@@ -1,6 +1,7 @@
 package org.rattanport.decisions.gateway;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -13,7 +14,9 @@
 import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.CallerRequest;
 import org.rattanport.kernel.gateway.EngineGroup;
+import org.rattanport.kernel.gateway.EngineSpec;
 import org.rattanport.kernel.gateway.PlacementDemand;
+import org.rattanport.kernel.gateway.PromptPart;
 import org.rattanport.kernel.gateway.Route;
 
 /** Chooses the back ends for the attempts of one request. */
@@ -61,10 +64,18 @@
                         mRequest.promptSize(),
                         mRoute.latencyObjective(),
                         mRoute.maxEventGap(),
+                        retainedParts(),
                         Set.copyOf(excluded));
         return policy.place(new PlacementQuery(mService, demand));
     }
 
+    /** The parts of the prompt if the engines of the service retain prompts; none otherwise. */
+    private List<PromptPart> retainedParts() {
+        return mService.engineSpec().filter(EngineSpec::retainsPrompts).isPresent()
+                ? mRequest.promptParts()
+                : List.of();
+    }
+
     /** Whether a back end that has not been tried takes requests. */
     boolean hasUntried() {
         return untried().findAny().isPresent();
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/CallerRequest.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/CallerRequest.java
@@ -18,6 +18,8 @@
  * @param promptSize size of the prompt, if the request carries one
  * @param sharedParts ids of the prompt's parts that other prompts may contain too, in order; the
  *     last part of a prompt belongs to it alone and is left out
+ * @param promptParts all parts of the prompt, in order, up to the first one whose number of tokens
+ *     is unknown
  * @param lastEventId id of the last event that the caller received of an interrupted stream
  * @param headers headers that are forwarded to the back end
  * @param body the whole body
@@ -31,9 +33,38 @@
         Optional<Duration> waitLimit,
         Optional<PromptSize> promptSize,
         List<String> sharedParts,
+        List<PromptPart> promptParts,
         Optional<String> lastEventId,
         List<Header> headers,
         byte[] body) {
+    /** A request that does not give the number of tokens of the parts of its prompt. */
+    public CallerRequest(
+            String method,
+            String requestTarget,
+            String host,
+            String attemptId,
+            Optional<String> accountKey,
+            Optional<Duration> waitLimit,
+            Optional<PromptSize> promptSize,
+            List<String> sharedParts,
+            Optional<String> lastEventId,
+            List<Header> headers,
+            byte[] body) {
+        this(
+                method,
+                requestTarget,
+                host,
+                attemptId,
+                accountKey,
+                waitLimit,
+                promptSize,
+                sharedParts,
+                List.of(),
+                lastEventId,
+                headers,
+                body);
+    }
+
     /** Path without the query. */
     public String path() {
         int query = requestTarget.indexOf('?');
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/EngineSpec.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/EngineSpec.java
@@ -12,6 +12,8 @@
  *     context
  * @param prefillTokensPerMilli prompt tokens that are prefilled in one millisecond
  * @param prefillMillisPerMillionPairs added prefill time for each million pairs of tokens
+ * @param retainsPrompts whether an engine keeps prompts after their requests have ended, as long as
+ *     its memory has room, and does not prefill a beginning again that it still holds
  */
 public record EngineSpec(
         int slots,
@@ -21,4 +23,27 @@
         double stepMillisPerSequence,
         double stepMillisPerThousandContextTokens,
         double prefillTokensPerMilli,
-        double prefillMillisPerMillionPairs) {}
+        double prefillMillisPerMillionPairs,
+        boolean retainsPrompts) {
+    /** Engines that retain no prompts. */
+    public EngineSpec(
+            int slots,
+            long memoryTokens,
+            int decodeStepsPerPass,
+            double stepBaseMillis,
+            double stepMillisPerSequence,
+            double stepMillisPerThousandContextTokens,
+            double prefillTokensPerMilli,
+            double prefillMillisPerMillionPairs) {
+        this(
+                slots,
+                memoryTokens,
+                decodeStepsPerPass,
+                stepBaseMillis,
+                stepMillisPerSequence,
+                stepMillisPerThousandContextTokens,
+                prefillTokensPerMilli,
+                prefillMillisPerMillionPairs,
+                false);
+    }
+}
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/PlacementDemand.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/PlacementDemand.java
@@ -1,6 +1,7 @@
 package org.rattanport.kernel.gateway;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
@@ -13,6 +14,7 @@
  * @param size declared size of the prompt
  * @param objective time within which the first event is on time
  * @param maxEventGap longest gap between events that is on time
+ * @param parts all parts of the prompt in order, if the engines retain prompts; empty otherwise
  * @param excluded ids of engines that may not be used, because they failed or refused the request
  */
 public record PlacementDemand(
@@ -22,10 +24,23 @@
         Optional<PromptSize> size,
         Duration objective,
         Duration maxEventGap,
+        List<PromptPart> parts,
         Set<String> excluded) {
+    /** A prompt of which no part is known, or whose engines retain no prompts. */
+    public PlacementDemand(
+            String attemptId,
+            String service,
+            EngineGroup group,
+            Optional<PromptSize> size,
+            Duration objective,
+            Duration maxEventGap,
+            Set<String> excluded) {
+        this(attemptId, service, group, size, objective, maxEventGap, List.of(), excluded);
+    }
+
     /** Returns the same demand for the engines of a group. */
     public PlacementDemand inGroup(EngineGroup newGroup) {
         return new PlacementDemand(
-                attemptId, service, newGroup, size, objective, maxEventGap, excluded);
+                attemptId, service, newGroup, size, objective, maxEventGap, parts, excluded);
     }
 }
