Weigh in the placement what an engine still holds of a prompt

A prompt whose beginning an engine holds went to any engine and was prefilled anew. PromptPlacement now predicts its prefill at each engine without the tokens that the engine holds, in the same cost as the wait behind the engine's work and the loss of its decode requests. A full engine saves nothing, and a prompt that is split over several engines loses the saving. The wait for a first event counts the whole prompt, as an engine may have evicted what it was believed to hold.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -26,6 +26,8 @@
 import org.rattanport.decisions.gateway.placement.PlacementCoordinator;
 import org.rattanport.decisions.gateway.placement.PlacementTuning;
 import org.rattanport.decisions.gateway.placement.PromptPlacement;
+import org.rattanport.decisions.gateway.placement.RememberedPrompts;
+import org.rattanport.decisions.gateway.placement.RetainedPrompts;
 import org.rattanport.decisions.gateway.placement.WorkTracker;
 import org.rattanport.decisions.gateway.placement.WorkUpdateSender;
 import org.rattanport.decisions.lifecycle.Drain;
@@ -98,7 +100,8 @@
                         time, context.events()::publish, context.require(RumorHub.class));
         BackEndRateLimits rateLimits = rateLimits(context);
         BackEndRegistry registry = new BackEndRegistry(time, notices, rateLimits);
-        WorkTracker tracker = new WorkTracker(time);
+        RetainedPrompts retained = new RememberedPrompts(time);
+        WorkTracker tracker = new WorkTracker(time, retained::recordEnded);
         BackEndHealth health = new BackEndHealth(time);
         GatewayService service =
                 new GatewayService(
@@ -109,7 +112,7 @@
                                 notices,
                                 rateLimits,
                                 health,
-                                placement(context, registry, health, tracker)),
+                                placement(context, registry, health, tracker, retained)),
                         new Random());
         Readiness readiness =
                 new Readiness(
@@ -171,16 +174,23 @@
             PluginContext context,
             BackEndRegistry registry,
             BackEndHealth health,
-            WorkTracker tracker) {
+            WorkTracker tracker,
+            RetainedPrompts retained) {
         TimeSource time = context.time();
         PeerNetwork peers = context.require(PeerNetwork.class);
         PlacementCoordinator coordinator =
                 new PlacementCoordinator(
                         context.require(ActiveRouting.class),
                         new PromptPlacement(
-                                registry, health, tracker, PlacementTuning.DEFAULTS, new Random()),
+                                registry,
+                                health,
+                                tracker,
+                                PlacementTuning.DEFAULTS,
+                                new Random(),
+                                retained),
                         tracker,
-                        health);
+                        health,
+                        retained);
         coordinator.registerHandlers(peers);
         WorkUpdateSender sender = new WorkUpdateSender(peers, time);
         mUpdateSender = Optional.of(sender);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/SilencePolicy.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/SilencePolicy.java
@@ -3,12 +3,15 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Function;
+import org.rattanport.decisions.gateway.placement.ForwardPassModel;
 import org.rattanport.decisions.gateway.placement.Placement;
 import org.rattanport.decisions.gateway.relay.SilenceTimeout;
 import org.rattanport.decisions.gateway.relay.TakeOver;
 import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.CallerRequest;
+import org.rattanport.kernel.gateway.EngineSpec;
 import org.rattanport.kernel.gateway.EngineWork;
+import org.rattanport.kernel.gateway.PromptSize;
 import org.rattanport.kernel.gateway.Route;
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.TimeSource;
@@ -72,10 +75,26 @@
         if (!mayRetry || hasStarted) {
             return SilenceTimeout.routeTimeout(mRoute);
         }
-        double predicted = placement.work().map(EngineWork::predictedFirstEventMillis).orElse(0.0);
+        double predicted = placement.work().map(this::firstEventMillis).orElse(0.0);
         return SilenceTimeout.beforeFirstEvent(mRoute, predicted);
     }
 
+    /**
+     * Predicted time of the first event if the engine holds nothing of the prompt. It may have
+     * evicted what it was believed to hold, which must not look like a failure.
+     */
+    private double firstEventMillis(EngineWork work) {
+        Optional<PromptSize> size = mRequest.promptSize();
+        Optional<EngineSpec> spec = mService.engineSpec().filter(EngineSpec::retainsPrompts);
+        if (size.isEmpty() || spec.isEmpty() || work.shares().size() != 1) {
+            return work.predictedFirstEventMillis();
+        }
+        double wholeMillis =
+                new ForwardPassModel(spec.get()).prefillMillis(size.get().promptTokens(), 1);
+        double savedMillis = wholeMillis - work.shares().getFirst().prefillMillis();
+        return work.predictedFirstEventMillis() + Math.max(0, savedMillis);
+    }
+
     /** Once no retry is allowed, only the route limits the silence of the last engine. */
     SilenceTimeout beforeNextEvent(int runs, boolean hasStarted) {
         if (!hasStarted) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacement.java
@@ -295,6 +295,7 @@
 
     @Override
     public void engineFailed(String attemptId, String engineId, double weight) {
+        mLocal.engineFailed(engineId, weight);
         OpenWork open = mOpen.get(attemptId);
         if (open != null) {
             sendToCoordinator(open, new WorkUpdate.EngineFailed(attemptId, engineId, weight));
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/ForwardPassModel.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/ForwardPassModel.java
@@ -26,6 +26,17 @@
                 + tokenPairs / MILLION * mSpec.prefillMillisPerMillionPairs();
     }
 
+    /**
+     * Time to prefill a prompt on an idle engine that holds its beginning, in milliseconds. Each
+     * token of the rest is paired with all tokens before it.
+     */
+    public double restPrefillMillis(int promptTokens, int heldTokens) {
+        double tokenPairs =
+                ((double) promptTokens * promptTokens - (double) heldTokens * heldTokens) / 2;
+        return (promptTokens - heldTokens) / mSpec.prefillTokensPerMilli()
+                + tokenPairs / MILLION * mSpec.prefillMillisPerMillionPairs();
+    }
+
     /** Duration of a pass that decodes for the requests, without any prefill in it. */
     public double decodePassMillis(int decodes, long contextTokens) {
         if (decodes == 0) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PlacementCoordinator.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PlacementCoordinator.java
@@ -1,5 +1,6 @@
 package org.rattanport.decisions.gateway.placement;
 
+import java.util.List;
 import java.util.Optional;
 import org.rattanport.decisions.gateway.discovery.ActiveRouting;
 import org.rattanport.kernel.gateway.BackEndService;
@@ -18,16 +19,28 @@
     private final BackEndPlacement mPlacement;
     private final WorkTracker mTracker;
     private final BackEndHealth mHealth;
+    private final RetainedPrompts mRetained;
 
     public PlacementCoordinator(
             ActiveRouting routing,
             BackEndPlacement placement,
             WorkTracker tracker,
             BackEndHealth health) {
+        this(routing, placement, tracker, health, new NoRetainedPrompts());
+    }
+
+    /** Creates a coordinator that records its placements in the memory of retained prompts. */
+    public PlacementCoordinator(
+            ActiveRouting routing,
+            BackEndPlacement placement,
+            WorkTracker tracker,
+            BackEndHealth health,
+            RetainedPrompts retained) {
         mRouting = routing;
         mPlacement = placement;
         mTracker = tracker;
         mHealth = health;
+        mRetained = retained;
     }
 
     /** Registers the handlers of placements and work updates with the peer network. */
@@ -50,9 +63,18 @@
     synchronized Optional<Placement> place(PlacementQuery query) {
         Optional<Placement> placement = mPlacement.place(query);
         placement.flatMap(Placement::work).ifPresent(mTracker::placed);
+        if (query.retainsPrompt()) {
+            List<PromptPrefix> prefixes = PromptPrefix.of(query.demand().parts());
+            placement.ifPresent(each -> mRetained.recordPlaced(each, prefixes));
+        }
         return placement;
     }
 
+    /** Records that an engine failed a request that was placed here. */
+    void engineFailed(String engineId, double weight) {
+        mRetained.recordFailure(engineId, weight);
+    }
+
     private PeerMessage handle(PeerMessage.PlacementRequest request) {
         request.updates().forEach(this::apply);
         PlacementDemand demand = request.demand();
@@ -74,8 +96,10 @@
             case WorkUpdate.Placed placed -> mTracker.placed(placed.work());
             case WorkUpdate.Decoding started -> mTracker.decodeStarted(started.attemptId());
             case WorkUpdate.Ended ended -> mTracker.ended(ended.attemptId());
-            case WorkUpdate.EngineFailed failed ->
-                    mHealth.recordFailure(failed.engineId(), failed.weight());
+            case WorkUpdate.EngineFailed failed -> {
+                mHealth.recordFailure(failed.engineId(), failed.weight());
+                engineFailed(failed.engineId(), failed.weight());
+            }
         }
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
@@ -13,7 +13,6 @@
 import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineShare;
-import org.rattanport.kernel.gateway.EngineSpec;
 import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.PromptSize;
 
@@ -38,7 +37,9 @@
     /** Fraction of an engine's memory that placement uses; the rest covers unknown requests. */
     private static final double USABLE_MEMORY_FRACTION = 0.92;
 
-    private record Candidate(BackEnd backEnd, EngineLoadEstimate load, double penalty) {}
+    /** An engine with the tokens of the prompt's beginning that it holds. */
+    private record Candidate(
+            BackEnd backEnd, EngineLoadEstimate load, double penalty, int heldTokens) {}
 
     /** The prompt to place with values derived from it. */
     private record Prompt(
@@ -47,8 +48,17 @@
             return query.demand().maxEventGap().toMillis();
         }
 
-        double partMillis(int parts) {
-            return model.prefillMillis(size.promptTokens(), parts);
+        /** Prefill time of a part; the equal parts of a split prompt gain nothing at a holder. */
+        double partMillis(int parts, Candidate candidate) {
+            return parts == 1 && candidate.heldTokens() > 0
+                    ? model.restPrefillMillis(size.promptTokens(), candidate.heldTokens())
+                    : model.prefillMillis(size.promptTokens(), parts);
+        }
+
+        /** Tokens of a part that the engine prefills. */
+        int partTokens(int parts, Candidate candidate) {
+            int heldTokens = parts == 1 ? candidate.heldTokens() : 0;
+            return Math.ceilDiv(size.promptTokens() - heldTokens, parts);
         }
 
         long neededTokens() {
@@ -74,6 +84,7 @@
     private final WorkTracker mTracker;
     private final PlacementTuning mTuning;
     private final Random mRandom;
+    private final RetainedPrompts mRetained;
     private final EngineGroupIndex mGroups = new EngineGroupIndex();
 
     public PromptPlacement(
@@ -82,11 +93,23 @@
             WorkTracker tracker,
             PlacementTuning tuning,
             Random random) {
+        this(registry, health, tracker, tuning, random, new NoRetainedPrompts());
+    }
+
+    /** Creates a placement that knows which prompts the engines retain. */
+    public PromptPlacement(
+            BackEndRegistry registry,
+            BackEndHealth health,
+            WorkTracker tracker,
+            PlacementTuning tuning,
+            Random random,
+            RetainedPrompts retained) {
         mRegistry = registry;
         mHealth = health;
         mTracker = tracker;
         mTuning = tuning;
         mRandom = random;
+        mRetained = retained;
     }
 
     @Override
@@ -101,43 +124,65 @@
                         size,
                         weight);
         mTracker.removeExpired();
-        List<Candidate> candidates = candidates(query);
+        List<Candidate> candidates = candidates(prompt);
         return IntStream.rangeClosed(1, Math.min(MAX_EXTRA_PREFILL_ENGINES + 1, candidates.size()))
                 .mapToObj(parts -> plan(prompt, candidates, parts))
                 .min(Comparator.comparingDouble(Plan::cost))
                 .map(plan -> placement(prompt, plan));
     }
 
-    private List<Candidate> candidates(PlacementQuery query) {
+    private List<Candidate> candidates(Prompt prompt) {
+        PlacementQuery query = prompt.query();
+        List<PromptPrefix> prefixes =
+                query.retainsPrompt() ? PromptPrefix.of(query.demand().parts()) : List.of();
         List<Candidate> all =
                 mRegistry.available(query.service().name()).stream()
                         .filter(each -> !query.excluded().contains(each.id()))
                         .filter(each -> mGroups.contains(query.demand().group(), each.id()))
-                        .map(
-                                each ->
-                                        new Candidate(
-                                                each,
-                                                mTracker.estimateLoad(each.id()),
-                                                penalty(each)))
+                        .map(each -> candidate(prompt, each, prefixes))
                         .toList();
         List<Candidate> healthy =
                 all.stream().filter(each -> !mHealth.isUnhealthy(each.backEnd().id())).toList();
         return healthy.isEmpty() ? all : healthy;
     }
 
+    private Candidate candidate(Prompt prompt, BackEnd engine, List<PromptPrefix> prefixes) {
+        EngineLoadEstimate load = mTracker.estimateLoad(engine.id());
+        int heldTokens = prefixes.isEmpty() ? 0 : heldTokens(prompt, engine, load, prefixes);
+        return new Candidate(engine, load, penalty(engine), heldTokens);
+    }
+
+    /**
+     * Tokens of the prompt's beginning that the engine need not prefill; at least the last token is
+     * always prefilled. A full engine saves nothing: the prompt waits there, and what the engine
+     * holds may be evicted meanwhile.
+     */
+    private int heldTokens(
+            Prompt prompt, BackEnd engine, EngineLoadEstimate load, List<PromptPrefix> prefixes) {
+        if (isFull(prompt, load, 1)) {
+            return 0;
+        }
+        long room = prompt.model().spec().memoryTokens() - load.reservedTokens();
+        long held = mRetained.heldTokens(engine, prefixes, room);
+        return (int) Math.clamp(held, 0, Math.max(0, prompt.size().promptTokens() - 1));
+    }
+
     private double penalty(BackEnd engine) {
         return mHealth.failureWeight(engine.id()) * mTuning.failureCost()
                 + mTuning.jitterCost() * mRandom.nextDouble();
     }
 
     private Plan plan(Prompt prompt, List<Candidate> candidates, int parts) {
-        double partMillis = prompt.partMillis(parts);
         List<RatedCandidate> rated =
                 candidates.stream()
                         .map(
                                 each ->
                                         new RatedCandidate(
-                                                each, prefillCost(prompt, each, partMillis)))
+                                                each,
+                                                prefillCost(
+                                                        prompt,
+                                                        each,
+                                                        prompt.partMillis(parts, each))))
                         .toList();
         RatedCandidate decode =
                 rated.stream()
@@ -160,6 +205,7 @@
                                 .limit(parts - 1L)
                                 .map(RatedCandidate::candidate)
                                 .toList();
+        double partMillis = prompt.partMillis(parts, decodeEngine);
         double firstEventMillis = prefillFinishMillis(prompt, decodeEngine, partMillis);
         double cost = decode.cost() - latenessCost(prompt, firstEventMillis);
         for (Candidate prefillEngine : prefillEngines) {
@@ -209,16 +255,21 @@
     /** Cost of the decode engine besides that of its prefill part. */
     private double decodeExtraCost(Prompt prompt, Candidate candidate, int parts) {
         EngineLoadEstimate load = candidate.load();
-        EngineSpec spec = prompt.model().spec();
-        double slotUsage = (load.decodes().size() + 1.0) / spec.slots();
-        double slotCost = mTuning.slotUsageCost() * Math.pow(slotUsage, 4);
-        boolean isFull = slotUsage > 1 || lacksMemory(prompt, load, parts);
+        double slotCost = mTuning.slotUsageCost() * Math.pow(slotUsage(prompt, load), 4);
         boolean isFirstDecode = !load.hasDecodeWithMaxGap(prompt.maxGapMillis());
         return slotCost
-                + (isFull ? mTuning.noCapacityCost() : 0)
+                + (isFull(prompt, load, parts) ? mTuning.noCapacityCost() : 0)
                 + (isFirstDecode ? mTuning.firstDecodeCost() : 0);
     }
 
+    private static double slotUsage(Prompt prompt, EngineLoadEstimate load) {
+        return (load.decodes().size() + 1.0) / prompt.model().spec().slots();
+    }
+
+    private static boolean isFull(Prompt prompt, EngineLoadEstimate load, int parts) {
+        return slotUsage(prompt, load) > 1 || lacksMemory(prompt, load, parts);
+    }
+
     /**
      * Whether the engine lacks memory for the prompt, even if the other engines hold their own
      * parts.
@@ -237,8 +288,8 @@
 
     private Placement placement(Prompt prompt, Plan plan) {
         int parts = plan.parts();
-        int partTokens = Math.ceilDiv(prompt.size().promptTokens(), parts);
-        double partMillis = prompt.partMillis(parts);
+        int partTokens = prompt.partTokens(parts, plan.decodeEngine());
+        double partMillis = prompt.partMillis(parts, plan.decodeEngine());
         boolean isLeased =
                 parts > 1
                         && prompt.neededTokens()
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkTracker.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkTracker.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.rattanport.kernel.gateway.EngineShare;
 import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.time.TimeSource;
@@ -42,11 +43,22 @@
     }
 
     private final TimeSource mTime;
+    private final Consumer<String> mOnEnded;
     private final Map<String, Entry> mEntries = new LinkedHashMap<>();
     private final Map<String, Map<String, EngineShare>> mByEngine = new HashMap<>();
 
     public WorkTracker(TimeSource time) {
+        this(time, attemptId -> {});
+    }
+
+    /**
+     * Creates a tracker without requests.
+     *
+     * @param onEnded receives the attempt id of each request that is no longer tracked
+     */
+    public WorkTracker(TimeSource time, Consumer<String> onEnded) {
         mTime = time;
+        mOnEnded = onEnded;
     }
 
     /** Records a request that is placed now. */
@@ -110,6 +122,7 @@
                 mByEngine.remove(share.engineId());
             }
         }
+        mOnEnded.accept(attemptId);
     }
 
     /** Removes requests whose end update is overdue. */
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.rattanport.decisions.gateway.ScriptedBackEnds.Reaction;
@@ -26,6 +27,8 @@
 import org.rattanport.kernel.gateway.Attempt;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineMemoryClient;
+import org.rattanport.kernel.gateway.EngineWork;
+import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.RouteKind;
 import org.rattanport.kernel.time.Deadline;
@@ -45,11 +48,15 @@
     final List<Attempt> mAttempts = mBackEnds.attempts();
     final List<RequestOutcome> mOutcomes = new ArrayList<>();
     final FakeCaller mCaller = new FakeCaller();
+    final List<PlacementDemand> mDemands = new ArrayList<>();
     int mSlack = 100;
 
     /** Engines that prefill parts of each request. */
     List<BackEnd> mPrefillEngines = List.of();
 
+    /** The predicted work of each request. */
+    Optional<EngineWork> mWork = Optional.empty();
+
     /** What happens while a back end is chosen. */
     Runnable mDuringPlacement = () -> {};
 
@@ -78,6 +85,7 @@
         BackEndPlacement delayedCalls =
                 query -> {
                     mDuringPlacement.run();
+                    mDemands.add(query.demand());
                     return calls.place(query).map(this::withPrefillEngines);
                 };
         MemoryLeases leases = new MemoryLeases(new GrantingMemoryClient(), mTime);
@@ -109,7 +117,7 @@
                 placement.backEnd(),
                 mPrefillEngines,
                 placement.reservations(),
-                placement.work(),
+                mWork.or(placement::work),
                 placement.cost());
     }
 
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/TestFleet.java
@@ -17,6 +17,7 @@
 import org.rattanport.kernel.gateway.EngineSpec;
 import org.rattanport.kernel.gateway.GatewayAccount;
 import org.rattanport.kernel.gateway.PlacementDemand;
+import org.rattanport.kernel.gateway.PromptPart;
 import org.rattanport.kernel.gateway.PromptSize;
 import org.rattanport.kernel.gateway.Route;
 import org.rattanport.kernel.gateway.RouteKind;
@@ -35,6 +36,10 @@
     public static final EngineSpec ENGINE_SPEC =
             new EngineSpec(8, 450_000, 46, 0.925, 0.007, 0.0025, 256, 0.0917);
 
+    /** Engines that retain prompts, otherwise like the others. */
+    public static final EngineSpec RETAINING_SPEC =
+            new EngineSpec(8, 450_000, 46, 0.925, 0.007, 0.0025, 256, 0.0917, true);
+
     private TestFleet() {}
 
     /** A registry of back ends that say nothing about themselves. */
@@ -108,6 +113,25 @@
                 Set.of(excluded));
     }
 
+    /** A prompt that consists of these parts, at engines that retain prompts. */
+    public static PlacementDemand demand(
+            String attemptId,
+            List<PromptPart> parts,
+            Duration objective,
+            Duration maxGap,
+            String... excluded) {
+        return new PlacementDemand(
+                attemptId,
+                ENGINES,
+                EngineGroup.ALL,
+                Optional.of(
+                        new PromptSize(parts.stream().mapToInt(PromptPart::tokens).sum(), 1_500)),
+                objective,
+                maxGap,
+                parts,
+                Set.of(excluded));
+    }
+
     static CallerRequest request(String path, int promptTokens) {
         return request(path, promptTokens, List.of());
     }
