Name instances to callers in proportion to their capacity

Address answers named alive instances at random, so that a machine of 0.252 cores got as many requests as one of 1.5 cores. Where capacities differ, an instance now comes first with a probability in proportion to its capacity, and the others are left out of the list in proportion, as some callers use the first address and others any one of the list. The caller's data centre still comes first, and the smallest number of addresses is still reached. With equal capacities the lists are the same as before, for the same random numbers.

Measured: LifecycleTest.Capacities: over 20,000 answers, the shares of machines with 252, 750 and 1,500 millicores are within 15 % of their capacities' shares for both kinds of callers; 21 tests of LifecycleTest pass.

--- a/decisions/src/main/java/org/rattanport/decisions/lifecycle/AddressSelector.java
+++ b/decisions/src/main/java/org/rattanport/decisions/lifecycle/AddressSelector.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Random;
 import org.rattanport.kernel.peer.Member;
@@ -9,7 +10,9 @@
 
 /**
  * Selects the addresses that callers get: alive instances in random order, those in the caller's
- * data centre first.
+ * data centre first. Where capacities differ, an instance is first, and is in the list at all, with
+ * a probability in proportion to its capacity, as some callers use the first address and others any
+ * one.
  */
 public final class AddressSelector {
     /**
@@ -39,13 +42,46 @@
     public List<String> addresses(String dataCentre) {
         List<Member> alive = new ArrayList<>(mMembership.aliveMembers());
         Collections.shuffle(alive, mRandom);
+        List<Member> local =
+                alive.stream().filter(each -> each.dataCentre().equals(dataCentre)).toList();
         List<Member> chosen = new ArrayList<>();
-        alive.stream()
-                .filter(each -> each.dataCentre().equals(dataCentre))
-                .limit(mCounts.maxLocal())
-                .forEach(chosen::add);
+        inProportion(local).stream().limit(mCounts.maxLocal()).forEach(chosen::add);
         int others = Math.max(mCounts.minOthers(), mCounts.minTotal() - chosen.size());
-        alive.stream().filter(each -> !chosen.contains(each)).limit(others).forEach(chosen::add);
+        List<Member> remaining = alive.stream().filter(each -> !chosen.contains(each)).toList();
+        orderByCapacity(remaining).stream().limit(others).forEach(chosen::add);
         return chosen.stream().map(Member::callerAddress).toList();
     }
+
+    /** Leaves members out in proportion to their capacity, but never all. */
+    private List<Member> inProportion(List<Member> shuffled) {
+        int largest = shuffled.stream().mapToInt(AddressSelector::capacity).max().orElse(0);
+        List<Member> named = new ArrayList<>();
+        for (Member each : orderByCapacity(shuffled)) {
+            boolean isNamed =
+                    named.isEmpty()
+                            || capacity(each) == largest
+                            || mRandom.nextDouble() * largest < capacity(each);
+            if (isNamed) {
+                named.add(each);
+            }
+        }
+        return named;
+    }
+
+    /** Orders members so that each comes next in proportion to its capacity. */
+    private List<Member> orderByCapacity(List<Member> shuffled) {
+        if (shuffled.stream().mapToInt(AddressSelector::capacity).distinct().count() <= 1) {
+            return shuffled;
+        }
+        record Drawn(Member member, double order) {}
+        return shuffled.stream()
+                .map(each -> new Drawn(each, -Math.log(mRandom.nextDouble()) / capacity(each)))
+                .sorted(Comparator.comparingDouble(Drawn::order))
+                .map(Drawn::member)
+                .toList();
+    }
+
+    private static int capacity(Member member) {
+        return Math.max(1, member.capacityMillicores());
+    }
 }
--- a/decisions/src/test/java/org/rattanport/decisions/FakeMembership.java
+++ b/decisions/src/test/java/org/rattanport/decisions/FakeMembership.java
@@ -18,6 +18,12 @@
 
     /** Adds a member; the first member is this instance. */
     public FakeMembership add(String name, String dataCentre, MemberState state) {
+        return add(name, dataCentre, state, Member.DEFAULT_CAPACITY_MILLICORES);
+    }
+
+    /** Adds a member with that processor capacity. */
+    public FakeMembership add(
+            String name, String dataCentre, MemberState state, int capacityMillicores) {
         mMembers.add(
                 new Member(
                         new InstanceId(name, 1),
@@ -25,7 +31,8 @@
                         name + ":peer",
                         dataCentre,
                         state,
-                        0));
+                        0,
+                        capacityMillicores));
         return this;
     }
 
--- a/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/lifecycle/LifecycleTest.java
@@ -1,11 +1,17 @@
 package org.rattanport.decisions.lifecycle;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -19,6 +25,7 @@
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.error.Verdict;
 import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.peer.Member;
 import org.rattanport.kernel.peer.MemberState;
 import org.rattanport.kernel.time.Deadline;
 import org.rattanport.kernel.time.ManualTimeSource;
@@ -76,6 +83,122 @@
         }
     }
 
+    /** Equal shares of the requests overload the smallest machines, which are a sixth as fast. */
+    @Nested
+    final class Capacities {
+        private static final int ANSWERS = 20_000;
+
+        /** Deviation from the exact share that a caller does not notice. */
+        private static final double TOLERANCE = 0.15;
+
+        /** As many addresses as the gateway names, which is all of a data centre. */
+        private static final AddressSelector.AddressCounts LONG_LIST =
+                new AddressSelector.AddressCounts(64, 0, 3);
+
+        private final Map<String, Integer> mCapacities = new LinkedHashMap<>();
+        private final FakeMembership mMembership = new FakeMembership();
+
+        private AddressSelector selector(AddressSelector.AddressCounts counts) {
+            return new AddressSelector(mMembership, counts, new Random(5));
+        }
+
+        private void add(String name, String dataCentre, int millicores) {
+            mMembership.add(name, dataCentre, MemberState.ALIVE, millicores);
+            mCapacities.put(name + ":caller", millicores);
+        }
+
+        private void addDataCentre() {
+            for (int i = 0; i < 12; i++) {
+                add("small-" + i, "near", 252);
+                add("middle-" + i, "near", 750);
+                add("large-" + i, "near", 1_500);
+            }
+            add("far", "far", 1_500);
+        }
+
+        private void checkShares(Map<String, Double> requests) {
+            double near = mCapacities.values().stream().mapToInt(each -> each).sum() - 1_500;
+            for (String kind : List.of("small", "middle", "large")) {
+                double expected = 12 * mCapacities.get(kind + "-0:caller") / near;
+                double actual =
+                        requests.entrySet().stream()
+                                        .filter(each -> each.getKey().startsWith(kind))
+                                        .mapToDouble(Map.Entry::getValue)
+                                        .sum()
+                                / ANSWERS;
+                assertWithMessage(kind).that(actual).isWithin(TOLERANCE * expected).of(expected);
+            }
+        }
+
+        @Test
+        void shouldGiveCallersThatUseTheFirstAddressInProportion() {
+            addDataCentre();
+            Map<String, Double> requests = new HashMap<>();
+            AddressSelector selector = selector(LONG_LIST);
+            for (int i = 0; i < ANSWERS; i++) {
+                requests.merge(selector.addresses("near").getFirst(), 1.0, Double::sum);
+            }
+            checkShares(requests);
+        }
+
+        @Test
+        void shouldGiveCallersThatUseAnyAddressInProportion() {
+            addDataCentre();
+            Map<String, Double> requests = new HashMap<>();
+            AddressSelector selector = selector(LONG_LIST);
+            for (int i = 0; i < ANSWERS; i++) {
+                List<String> addresses = selector.addresses("near");
+                addresses.forEach(
+                        each -> requests.merge(each, 1.0 / addresses.size(), Double::sum));
+            }
+            checkShares(requests);
+        }
+
+        @Test
+        void shouldGiveAShortListInProportionOfItsFirstAddress() {
+            add("small", "near", 252);
+            add("large", "near", 1_500);
+            AddressSelector selector = selector(AddressSelector.AddressCounts.DEFAULTS);
+            int small = 0;
+            for (int i = 0; i < ANSWERS; i++) {
+                small += selector.addresses("near").getFirst().equals("small:caller") ? 1 : 0;
+            }
+            double expected = 252.0 / 1_752;
+            assertThat((double) small / ANSWERS).isWithin(TOLERANCE * expected).of(expected);
+        }
+
+        @Test
+        void shouldStillNameEnoughAddresses() {
+            add("small", "near", 252);
+            add("large", "near", 1_500);
+            add("far", "far", 252);
+            AddressSelector selector = selector(LONG_LIST);
+            for (int i = 0; i < ANSWERS; i++) {
+                assertThat(selector.addresses("near")).hasSize(3);
+            }
+        }
+
+        @Test
+        void shouldKeepTheSameListsForEqualCapacities() {
+            FakeMembership equal = new FakeMembership();
+            List<Member> shuffled = new ArrayList<>();
+            for (int i = 0; i < 9; i++) {
+                equal.add("m" + i, "near", MemberState.ALIVE, 252);
+            }
+            Random expected = new Random(5);
+            AddressSelector selector = new AddressSelector(equal, LONG_LIST, new Random(5));
+            for (int i = 0; i < 100; i++) {
+                shuffled.clear();
+                shuffled.addAll(equal.aliveMembers());
+                Collections.shuffle(shuffled, expected);
+                assertThat(selector.addresses("near"))
+                        .containsExactlyElementsIn(
+                                shuffled.stream().map(Member::callerAddress).toList())
+                        .inOrder();
+            }
+        }
+    }
+
     @Nested
     final class Draining {
         /** Time without a new request at the end of a drain. */
