Place prompts by the slowdowns of engines that coordinators are told

An engine that becomes five times slower for some seconds was predicted by the figures that it declares, so that prompts went on to it and were late. The work updates get one more record, EngineSlow, with the engine and the factor; WorkUpdateCodec reads and writes it as a notice of the kind SLOWDOWN, which it ignored (the generated code is as it was). The load estimate of an engine has its slowdown, which lengthens its predicted passes, first events and answers, and the placement counts an answer as late whose passes exceed its gap limit. A coordinator leaves out a report that prefill work which it knows explains (RecentPrefills), and a slowdown that most engines of the group share.

No instance sends such an update yet. With a slowdown of 1 each prediction is the same number as before: PromptPlacementTest (with its comparison with ReferencePlacement) and CoordinatedPlacementTest pass unchanged; PeerNetworkTest has the new update in its list.

--- a/connectors/src/main/java/org/rattanport/connectors/peer/WorkUpdateCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/WorkUpdateCodec.java
@@ -41,6 +41,12 @@
                     builder.setKind(org.rattanport.connectors.peer.protocol.WorkNotice.Kind.FAILED)
                             .addShares(WorkShare.newBuilder().setEngine(failed.engineId()))
                             .setWeight((float) failed.weight());
+            case WorkUpdate.EngineSlow slow ->
+                    builder.setKind(
+                                    org.rattanport.connectors.peer.protocol.WorkNotice.Kind
+                                            .SLOWDOWN)
+                            .addShares(WorkShare.newBuilder().setEngine(slow.engineId()))
+                            .setWeight((float) slow.factor());
         }
         return builder.build();
     }
@@ -95,7 +101,16 @@
                                                     notice.getId(),
                                                     share.getEngine(),
                                                     notice.getWeight()));
-            case SLOWDOWN, UNRECOGNIZED -> Optional.empty();
+            case SLOWDOWN ->
+                    notice.getSharesList().stream()
+                            .findFirst()
+                            .map(
+                                    share ->
+                                            new WorkUpdate.EngineSlow(
+                                                    notice.getId(),
+                                                    share.getEngine(),
+                                                    notice.getWeight()));
+            case UNRECOGNIZED -> Optional.empty();
         };
     }
 
--- a/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
@@ -168,7 +168,9 @@
                                             new WorkUpdate.Placed(work()),
                                             new WorkUpdate.Decoding("attempt-1"),
                                             new WorkUpdate.Ended("attempt-1"),
-                                            new WorkUpdate.EngineFailed("attempt-1", "e", 2))),
+                                            new WorkUpdate.EngineFailed("attempt-1", "e", 2),
+                                            new WorkUpdate.EngineSlow("attempt-1", "e", 5),
+                                            new WorkUpdate.EngineSlow("attempt-1", "e", 1))),
                             new PeerMessage.PlacementRequest(
                                     demand(Optional.of(new PromptSize(5_000, 300))),
                                     List.of(new WorkUpdate.Ended("attempt-0"))),
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -98,7 +98,7 @@
                         time, context.events()::publish, context.require(RumorHub.class));
         BackEndRateLimits rateLimits = rateLimits(context);
         BackEndRegistry registry = new BackEndRegistry(time, notices, rateLimits);
-        WorkTracker tracker = new WorkTracker(time);
+        WorkTracker tracker = new WorkTracker(time, registry::findAvailable);
         BackEndHealth health = new BackEndHealth(time);
         GatewayService service =
                 new GatewayService(
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/EngineLoadEstimate.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/EngineLoadEstimate.java
@@ -9,14 +9,17 @@
  * @param activeDecodes requests that decode now
  * @param contextTokens context tokens of the requests that decode now
  * @param reservedTokens memory that requests use or have reserved, in tokens
- * @param pendingPrefillMillis time that the remaining prefill work on the engine takes
+ * @param pendingPrefillMillis time that the remaining prefill work takes by the figures that the
+ *     engine declares
+ * @param slowdown duration of the engine's passes compared with these figures; at least 1
  */
 public record EngineLoadEstimate(
         List<DecodeRequest> decodes,
         int activeDecodes,
         long contextTokens,
         long reservedTokens,
-        double pendingPrefillMillis) {
+        double pendingPrefillMillis,
+        double slowdown) {
     /**
      * A decode request: the longest gap between events that is on time, and the cost of a late
      * event.
@@ -24,13 +27,20 @@
     public record DecodeRequest(double maxGapMillis, double weight) {}
 
     /** The estimate of an engine without requests. */
-    public static final EngineLoadEstimate IDLE = new EngineLoadEstimate(List.of(), 0, 0, 0, 0);
+    public static final EngineLoadEstimate IDLE = new EngineLoadEstimate(List.of(), 0, 0, 0, 0, 1);
+
+    /** Returns this load on an engine with another slowdown. */
+    EngineLoadEstimate withSlowdown(double other) {
+        return new EngineLoadEstimate(
+                decodes, activeDecodes, contextTokens, reservedTokens, pendingPrefillMillis, other);
+    }
 
     /** Duration of a pass that prefills the pending work and a new prompt part. */
     public double passMillis(ForwardPassModel model, double partMillis) {
-        return model.decodePassMillis(activeDecodes, contextTokens)
-                + pendingPrefillMillis
-                + partMillis;
+        return slowdown
+                * (model.decodePassMillis(activeDecodes, contextTokens)
+                        + pendingPrefillMillis
+                        + partMillis);
     }
 
     /**
@@ -38,7 +48,8 @@
      * and the part; it begins when the current pass ends, half a decode pass from now on average.
      */
     public double prefillFinishMillis(ForwardPassModel model, double partMillis) {
-        double currentPassRemainder = model.decodePassMillis(activeDecodes, contextTokens) / 2;
+        double currentPassRemainder =
+                slowdown * model.decodePassMillis(activeDecodes, contextTokens) / 2;
         return currentPassRemainder + passMillis(model, partMillis);
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PlacementCoordinator.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PlacementCoordinator.java
@@ -76,6 +76,7 @@
             case WorkUpdate.Ended ended -> mTracker.ended(ended.attemptId());
             case WorkUpdate.EngineFailed failed ->
                     mHealth.recordFailure(failed.engineId(), failed.weight());
+            case WorkUpdate.EngineSlow slow -> mTracker.recordSlowdown(slow);
         }
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
@@ -38,7 +38,12 @@
     /** Fraction of an engine's memory that placement uses; the rest covers unknown requests. */
     private static final double USABLE_MEMORY_FRACTION = 0.92;
 
-    private record Candidate(BackEnd backEnd, EngineLoadEstimate load, double penalty) {}
+    private record Candidate(BackEnd backEnd, EngineLoadEstimate load, double penalty) {
+        Candidate relativeTo(double slowdown) {
+            double relative = Math.max(1, load.slowdown() / slowdown);
+            return new Candidate(backEnd, load.withSlowdown(relative), penalty);
+        }
+    }
 
     /** The prompt to place with values derived from it. */
     private record Prompt(
@@ -120,9 +125,23 @@
                                                 mTracker.estimateLoad(each.id()),
                                                 penalty(each)))
                         .toList();
+        List<Candidate> compared = relativeToUsualSlowdown(all);
         List<Candidate> healthy =
-                all.stream().filter(each -> !mHealth.isUnhealthy(each.backEnd().id())).toList();
-        return healthy.isEmpty() ? all : healthy;
+                compared.stream()
+                        .filter(each -> !mHealth.isUnhealthy(each.backEnd().id()))
+                        .toList();
+        return healthy.isEmpty() ? compared : healthy;
+    }
+
+    /** A slowdown that most engines share shows wrong figures, which hold for all of them. */
+    private static List<Candidate> relativeToUsualSlowdown(List<Candidate> all) {
+        double shared =
+                EngineSlowdowns.sharedFactor(
+                        all.stream().mapToDouble(each -> each.load().slowdown()));
+        if (shared <= 1) {
+            return all;
+        }
+        return all.stream().map(each -> each.relativeTo(shared)).toList();
     }
 
     private double penalty(BackEnd engine) {
@@ -216,7 +235,22 @@
         boolean isFirstDecode = !load.hasDecodeWithMaxGap(prompt.maxGapMillis());
         return slotCost
                 + (isFull ? mTuning.noCapacityCost() : 0)
-                + (isFirstDecode ? mTuning.firstDecodeCost() : 0);
+                + (isFirstDecode ? mTuning.firstDecodeCost() : 0)
+                + slowDecodeCost(prompt, load);
+    }
+
+    /** Cost of decode passes that a slowdown makes longer than the gaps that are on time. */
+    private double slowDecodeCost(Prompt prompt, EngineLoadEstimate load) {
+        double passMillis =
+                load.slowdown()
+                        * prompt.model()
+                                .decodePassMillis(
+                                        load.activeDecodes() + 1,
+                                        load.contextTokens() + prompt.neededTokens());
+        boolean isLate =
+                load.slowdown() > 1
+                        && passMillis / mTuning.gapSafetyFactor() > prompt.maxGapMillis();
+        return isLate ? prompt.weight() : 0;
     }
 
     /**
@@ -284,7 +318,8 @@
         double passMillis =
                 model.decodePassMillis(
                         decodeEngine.load().decodes().size() + 1, decodeEngineTokens);
-        return passMillis
+        return decodeEngine.load().slowdown()
+                * passMillis
                 * prompt.size().maxOutputTokens()
                 / Math.max(1, model.spec().decodeStepsPerPass());
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkTracker.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkTracker.java
@@ -6,8 +6,12 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineShare;
 import org.rattanport.kernel.gateway.EngineWork;
+import org.rattanport.kernel.gateway.WorkUpdate;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
@@ -29,6 +33,15 @@
 
     private static final double NANOS_PER_MILLI = 1e6;
 
+    /** Time over which known prefill work may explain a slowdown; at least that of the passes. */
+    private static final Duration EXPLAINED_TIME = Duration.ofSeconds(1);
+
+    /**
+     * Fraction of the excess in that time that known prefill work must take to explain it, as the
+     * slow passes took only a part of that time.
+     */
+    private static final double EXPLAINED_FRACTION = 0.4;
+
     private static final class Entry {
         private final EngineWork mWork;
         private final long mPlacedNanos;
@@ -44,9 +57,25 @@
     private final TimeSource mTime;
     private final Map<String, Entry> mEntries = new LinkedHashMap<>();
     private final Map<String, Map<String, EngineShare>> mByEngine = new HashMap<>();
+    private final EngineSlowdowns mSlowdowns;
+    private final RecentPrefills mPrefills;
 
+    /** Creates a tracker that does not tell two runs of an engine apart. */
     public WorkTracker(TimeSource time) {
+        this(time, engineId -> Optional.empty());
+    }
+
+    /**
+     * @param findEngine returns the engine that runs under an id now
+     */
+    public WorkTracker(TimeSource time, Function<String, Optional<BackEnd>> findEngine) {
         mTime = time;
+        mSlowdowns = new EngineSlowdowns(time, findEngine);
+        mPrefills = new RecentPrefills(time);
+    }
+
+    EngineSlowdowns slowdowns() {
+        return mSlowdowns;
     }
 
     /** Records a request that is placed now. */
@@ -54,6 +83,7 @@
         ended(work.attemptId());
         work.shares().forEach(this::markLate);
         mEntries.put(work.attemptId(), new Entry(work, mTime.nanoTime()));
+        mPrefills.placed(work);
         work.shares()
                 .forEach(
                         share ->
@@ -132,7 +162,7 @@
     public synchronized EngineLoadEstimate estimateLoad(String engineId) {
         Map<String, EngineShare> shares = mByEngine.get(engineId);
         if (shares == null) {
-            return EngineLoadEstimate.IDLE;
+            return EngineLoadEstimate.IDLE.withSlowdown(mSlowdowns.factor(engineId));
         }
         long now = mTime.nanoTime();
         List<EngineLoadEstimate.DecodeRequest> decodes = new ArrayList<>();
@@ -155,7 +185,12 @@
             }
         }
         return new EngineLoadEstimate(
-                decodes, activeDecodes, contextTokens, reservedTokens, pendingPrefillMillis);
+                decodes,
+                activeDecodes,
+                contextTokens,
+                reservedTokens,
+                pendingPrefillMillis,
+                mSlowdowns.factor(engineId));
     }
 
     private static double pendingPrefillFraction(Entry entry, long now) {
@@ -184,6 +219,30 @@
         return Duration.ofMillis(Math.round(millis));
     }
 
+    /**
+     * Sums the prefill work that an engine may have done between two moments, without that of one
+     * request.
+     */
+    double prefillMillisBetween(
+            String engineId, long fromNanos, long toNanos, String withoutAttemptId) {
+        return mPrefills.millisBetween(engineId, fromNanos, toNanos, withoutAttemptId);
+    }
+
+    /**
+     * Records the slowdown that an instance observed at an engine, unless prefill work that is
+     * known here explains it: the instance may not know the work that others placed there.
+     */
+    void recordSlowdown(WorkUpdate.EngineSlow update) {
+        long now = mTime.nanoTime();
+        double prefillMillis =
+                mPrefills.millisBetween(
+                        update.engineId(), now - EXPLAINED_TIME.toNanos(), now, update.attemptId());
+        double excessMillis = EXPLAINED_TIME.toMillis() * (1 - 1 / Math.max(1, update.factor()));
+        if (update.factor() <= 1 || prefillMillis < EXPLAINED_FRACTION * excessMillis) {
+            mSlowdowns.record(update.engineId(), update.factor());
+        }
+    }
+
     /** Number of tracked requests. */
     public synchronized int size() {
         return mEntries.size();
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/WorkUpdate.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/WorkUpdate.java
@@ -30,4 +30,14 @@
      * @param weight weight of the failure in the health of the engine
      */
     record EngineFailed(String attemptId, String engineId, double weight) implements WorkUpdate {}
+
+    /**
+     * An engine was slower than its declared figures predict, or is no longer.
+     *
+     * @param attemptId attempt id of the request whose events show it
+     * @param engineId id of the engine
+     * @param factor duration of passes compared with the prediction; 1 if the engine is as fast as
+     *     predicted
+     */
+    record EngineSlow(String attemptId, String engineId, double factor) implements WorkUpdate {}
 }
