Estimate the slowdown of engines from the events that callers get

No instance told the coordinators that an engine is slow. EventRelay now says when events arrive and since when they were awaited, and SlowdownObserver compares first events with the placement's prediction and gaps with the predicted pass. Three consecutive passes of a stream that agree are evidence. A pass is slow only if it would be for the fullest engine with the prefill work that is known here; events that had arrived before they were awaited, or several at once, show that this instance or its caller was late, and discard the evidence; a ratio that the other engines share is divided out. The coordinator of the engine's group is told, at most each half second, in the batches of work updates or with the next request for a placement; a changed coordinator is told with that request. Where the instance places prompts itself, or knows more than the coordinator, its own estimate counts, also for the prediction that SilencePolicy uses.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -112,9 +112,14 @@
                 () -> mSilence.beforeNextEvent(mRuns, mRelay.hasStarted()),
                 mSilence,
                 () -> mSilence.remainingPrefill(mLastBackEndId),
+                this::onArrived,
                 this::onForwarded);
     }
 
+    private void onArrived(int events, long waitStartNanos) {
+        mComponents.workNotifier().eventsArrived(mRequest.attemptId(), events, waitStartNanos);
+    }
+
     private void onForwarded() {
         mTrace.partForwarded();
         if (!mHasBegun) {
@@ -260,6 +265,7 @@
                             requireWorthSending();
                             mSelection.requireAccepting(placement);
                             mWritten = ClockReading.now(mComponents.time());
+                            mComponents.workNotifier().written(mRequest.attemptId());
                             mTrace.attemptSent(placement, mComponents.registry().version());
                         });
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacement.java
@@ -11,6 +11,7 @@
 import org.jboss.logging.Logger;
 import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.kernel.error.RattanportException;
+import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.EngineGroup;
 import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.PlacementDecision;
@@ -46,7 +47,11 @@
      * @param coordinator the other instance that placed it; empty if this one did
      */
     private record OpenWork(
-            EngineWork work, EngineGroup group, long placedNanos, Optional<Member> coordinator) {
+            EngineWork work,
+            BackEndService service,
+            EngineGroup group,
+            long placedNanos,
+            Optional<Member> coordinator) {
         boolean isKnownTo(Member member) {
             return coordinator.filter(each -> each.id().equals(member.id())).isPresent();
         }
@@ -63,6 +68,8 @@
     private final Consumer<PlacementDecision> mOnDecision;
     private final TimeSource mTime;
     private final Random mRandom;
+    private final EngineGroupIndex mGroups = new EngineGroupIndex();
+    private final SlowdownObserver mSlowdowns;
     private final Map<String, OpenWork> mOpen = new ConcurrentHashMap<>();
 
     public CoordinatedPlacement(
@@ -84,6 +91,7 @@
         mOnDecision = onDecision;
         mTime = time;
         mRandom = random;
+        mSlowdowns = new SlowdownObserver(tracker, time);
     }
 
     @Override
@@ -170,7 +178,7 @@
                 return placeHere(inGroup, PlacementDecision.Coordinator.SELF);
             }
             Optional<PeerMessage.PlacementReply> reply = request(coordinator, inGroup.demand());
-            Optional<Grant> grant = reply.flatMap(each -> grant(coordinator, group, each));
+            Optional<Grant> grant = reply.flatMap(each -> grant(coordinator, inGroup, each));
             if (grant.isPresent()) {
                 mOnDecision.accept(new PlacementDecision(PlacementDecision.Coordinator.PEER, true));
                 return grant;
@@ -194,6 +202,7 @@
                                                 each,
                                                 new OpenWork(
                                                         each.work().get(),
+                                                        query.service(),
                                                         query.demand().group(),
                                                         mTime.nanoTime(),
                                                         Optional.empty())));
@@ -226,7 +235,7 @@
         }
     }
 
-    /** Announces work that another coordinator placed in the group, as of now. */
+    /** Announces work and slowdowns that another coordinator of the group knows, as of now. */
     private List<WorkUpdate> handOver(EngineGroup group, Member coordinator) {
         List<WorkUpdate> updates = new ArrayList<>();
         for (OpenWork open : mOpen.values()) {
@@ -237,11 +246,13 @@
                         open,
                         new OpenWork(
                                 open.work(),
+                                open.service(),
                                 open.group(),
                                 open.placedNanos(),
                                 Optional.of(coordinator)));
             }
         }
+        updates.addAll(mSlowdowns.handOver(coordinator.id(), id -> mGroups.contains(group, id)));
         return updates;
     }
 
@@ -250,23 +261,24 @@
         double elapsed =
                 Duration.ofNanos(mTime.nanoTime() - open.placedNanos()).toNanos()
                         / (double) Duration.ofMillis(1).toNanos();
-        return new EngineWork(
-                work.attemptId(),
-                work.shares(),
-                Math.max(0, work.predictedFirstEventMillis() - elapsed),
-                work.predictedDecodeMillis(),
-                work.maxEventGapMillis(),
-                work.weight());
+        return work.withPredictedFirstEvent(
+                Math.max(0, work.predictedFirstEventMillis() - elapsed));
     }
 
     /** The placement of the reply, if this instance knows its engines and none is draining. */
     private Optional<Grant> grant(
-            Member coordinator, EngineGroup group, PeerMessage.PlacementReply reply) {
+            Member coordinator, PlacementQuery query, PeerMessage.PlacementReply reply) {
         if (reply.work().isEmpty()) {
             return Optional.empty();
         }
-        EngineWork work = reply.work().get();
-        OpenWork open = new OpenWork(work, group, mTime.nanoTime(), Optional.of(coordinator));
+        EngineWork work = withKnownSlowdowns(reply.work().get());
+        OpenWork open =
+                new OpenWork(
+                        work,
+                        query.service(),
+                        query.demand().group(),
+                        mTime.nanoTime(),
+                        Optional.of(coordinator));
         Optional<Placement> placement = Placement.of(work, reply.cost(), mRegistry::findAvailable);
         if (placement.isEmpty()) {
             sendToCoordinator(open, new WorkUpdate.Ended(work.attemptId()));
@@ -274,10 +286,55 @@
         return placement.map(each -> new Grant(each, open));
     }
 
+    /** The coordinator may not have learned yet of a slowdown that this instance has observed. */
+    private EngineWork withKnownSlowdowns(EngineWork work) {
+        double slowedPrefillMillis =
+                work.shares().stream()
+                        .filter(each -> mTracker.slowdowns().factor(each.engineId()) > 1)
+                        .mapToDouble(
+                                each ->
+                                        mTracker.slowdowns().factor(each.engineId())
+                                                * each.prefillMillis())
+                        .max()
+                        .orElse(0);
+        return work.withPredictedFirstEvent(
+                Math.max(work.predictedFirstEventMillis(), slowedPrefillMillis));
+    }
+
     private void sendToCoordinator(OpenWork open, WorkUpdate update) {
         open.coordinator().ifPresent(each -> mSender.send(each.peerAddress(), update));
     }
 
+    @Override
+    public void written(String attemptId) {
+        OpenWork open = mOpen.get(attemptId);
+        if (open != null) {
+            open.service().engineSpec().ifPresent(spec -> mSlowdowns.written(open.work(), spec));
+        }
+    }
+
+    @Override
+    public void eventsArrived(String attemptId, int events, long waitStartNanos) {
+        mSlowdowns.eventsArrived(attemptId, events, waitStartNanos).ifPresent(this::reportSlowdown);
+    }
+
+    /** Records the slowdown here and tells the instance that coordinates the group now. */
+    private void reportSlowdown(WorkUpdate.EngineSlow update) {
+        mTracker.recordSlowdown(update);
+        Optional<Member> coordinator =
+                Optional.ofNullable(mOpen.get(update.attemptId()))
+                        .flatMap(
+                                open ->
+                                        mDirectory
+                                                .candidates(open.service().name(), open.group())
+                                                .stream()
+                                                .findFirst());
+        coordinator
+                .filter(each -> !mDirectory.isSelf(each))
+                .ifPresent(each -> mSender.send(each.peerAddress(), update));
+        mSlowdowns.reported(update, coordinator.map(Member::id));
+    }
+
     /** Recorded locally only: the coordinator predicts the first event from the placement. */
     @Override
     public void decodeStarted(String attemptId) {
@@ -287,6 +344,7 @@
     @Override
     public void ended(String attemptId) {
         mTracker.ended(attemptId);
+        mSlowdowns.ended(attemptId);
         OpenWork open = mOpen.remove(attemptId);
         if (open != null) {
             sendToCoordinator(open, new WorkUpdate.Ended(attemptId));
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkNotifier.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkNotifier.java
@@ -7,6 +7,17 @@
  * later prompts are placed.
  */
 public interface WorkNotifier {
+    /** The request is written to its decode engine. */
+    void written(String attemptId);
+
+    /**
+     * Events of the request arrived.
+     *
+     * @param events number of events that were complete at once
+     * @param waitStartNanos when this instance began to wait for them
+     */
+    void eventsArrived(String attemptId, int events, long waitStartNanos);
+
     /** The first event of the request arrived. */
     void decodeStarted(String attemptId);
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/relay/EventRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/relay/EventRelay.java
@@ -27,6 +27,7 @@
 
     private final CallerExchange mCaller;
     private final TimeSource mTime;
+    private final ArrivalListener mOnArrival;
     private final Runnable mOnEvent;
     private final Supplier<SilenceTimeout> mTimeout;
     private final TakeOver mTakeOver;
@@ -42,6 +43,7 @@
             Supplier<SilenceTimeout> timeout,
             TakeOver takeOver,
             Supplier<Duration> remainingPrefill,
+            ArrivalListener onArrival,
             Runnable onEvent) {
         mCaller = caller;
         mTime = time;
@@ -49,6 +51,7 @@
         mTimeout = timeout;
         mTakeOver = takeOver;
         mRemainingPrefill = remainingPrefill;
+        mOnArrival = onArrival;
         mOnEvent = onEvent;
     }
 
@@ -71,13 +74,17 @@
     /** Waits for the next events; bytes that complete none do not extend the wait. */
     private Optional<List<Event>> awaitEvents(
             EventStreamParser parser, BackEndExchange exchange, Deadline deadline) {
-        return mTimeout.get()
-                .await(
-                        mTime,
-                        deadline,
-                        mTakeOver,
-                        mRemainingPrefill,
-                        limit -> readEvents(parser, exchange, limit));
+        long waitStartNanos = mTime.nanoTime();
+        Optional<List<Event>> events =
+                mTimeout.get()
+                        .await(
+                                mTime,
+                                deadline,
+                                mTakeOver,
+                                mRemainingPrefill,
+                                limit -> readEvents(parser, exchange, limit));
+        events.ifPresent(each -> mOnArrival.eventsArrived(each.size(), waitStartNanos));
+        return events;
     }
 
     /** Reads until the bytes complete an event; empty at the end of the response. */
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/FakeCaller.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/FakeCaller.java
@@ -17,6 +17,9 @@
     boolean mIsFinished;
     boolean mIsAborted;
 
+    /** What happens while the caller takes a chunk. */
+    Runnable mOnWrite = () -> {};
+
     @Override
     public Cancellation disconnectSignal() {
         return mDisconnect;
@@ -37,6 +40,7 @@
     private final class RecordingWriter implements ResponseWriter {
         @Override
         public void write(byte[] chunk) {
+            mOnWrite.run();
             mBody.append(new String(chunk, StandardCharsets.UTF_8));
         }
 
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
@@ -47,6 +47,9 @@
     final FakeCaller mCaller = new FakeCaller();
     int mSlack = 100;
 
+    /** Receives the progress of requests for prompts. */
+    WorkNotifier mWorkNotifier = new NoOpWorkNotifier();
+
     /** Engines that prefill parts of each request. */
     List<BackEnd> mPrefillEngines = List.of();
 
@@ -97,7 +100,7 @@
                                 mHealth,
                                 new CrashAttribution(mTime, rumor -> {}, rumor -> {}, random)),
                         loadTable,
-                        new NoOpWorkNotifier(),
+                        mWorkNotifier,
                         retryBudget,
                         mEvents,
                         mTime);
@@ -122,7 +125,13 @@
         return assertThrows(RattanportException.class, () -> serve(path, reactions));
     }
 
-    private static final class NoOpWorkNotifier implements WorkNotifier {
+    static class NoOpWorkNotifier implements WorkNotifier {
+        @Override
+        public void written(String id) {}
+
+        @Override
+        public void eventsArrived(String id, int events, long waitStartNanos) {}
+
         @Override
         public void decodeStarted(String id) {}
 
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacementTest.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.CountDownLatch;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
@@ -19,7 +18,6 @@
 import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.decisions.membership.MemberTable;
 import org.rattanport.decisions.membership.RumorQueue;
-import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineGroup;
@@ -32,7 +30,6 @@
 import org.rattanport.kernel.peer.PeerMessage;
 import org.rattanport.kernel.peer.PeerNetwork;
 import org.rattanport.kernel.time.ManualTimeSource;
-import org.rattanport.kernel.time.TimeSource;
 
 /** Several instances that place prompts at shared engines through coordinators. */
 final class CoordinatedPlacementTest {
@@ -112,28 +109,6 @@
         }
     }
 
-    /** A clock on which a sleep ends only by an interrupt. */
-    private static final class StoppedTimeSource implements TimeSource {
-        @Override
-        public long nanoTime() {
-            return 0;
-        }
-
-        @Override
-        public long wallMillis() {
-            return 0;
-        }
-
-        @Override
-        public void sleep(Duration duration) {
-            try {
-                new CountDownLatch(1).await();
-            } catch (InterruptedException e) {
-                throw RattanportException.interrupted();
-            }
-        }
-    }
-
     private static PlacementQuery query(String attemptId, int tokens) {
         return new PlacementQuery(
                 TestFleet.engineService(),
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/EngineWork.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/EngineWork.java
@@ -18,4 +18,10 @@
         double predictedFirstEventMillis,
         double predictedDecodeMillis,
         double maxEventGapMillis,
-        double weight) {}
+        double weight) {
+    /** Returns this work with another predicted time to the first event. */
+    public EngineWork withPredictedFirstEvent(double millis) {
+        return new EngineWork(
+                attemptId, shares, millis, predictedDecodeMillis, maxEventGapMillis, weight);
+    }
+}
