Lengthen the predictions of work at an engine that has become slow

The tracker predicted the remaining prefill work of an engine by the slowdown at the time of each placement. When the slowdown became known later, the work counted as done too early, and a request in its first wait could be moved to another engine shortly before its first event. The prediction is now lengthened by the slowdown that the engine has gained since, also for SilencePolicy, which asks for the remaining prefill work. Tests of the placement by slowdowns are added: PromptPlacementTest.SlowEngines and CoordinatedPlacementTest.SlowEngines.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkTracker.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkTracker.java
@@ -45,6 +45,10 @@
     private static final class Entry {
         private final EngineWork mWork;
         private final long mPlacedNanos;
+
+        /** Slowdowns of its engines when it was placed, which its prediction includes. */
+        private final Map<String, Double> mSlowdowns = new HashMap<>();
+
         private boolean mIsDecoding;
         private boolean mIsLate;
 
@@ -82,7 +86,13 @@
     public synchronized void placed(EngineWork work) {
         ended(work.attemptId());
         work.shares().forEach(this::markLate);
-        mEntries.put(work.attemptId(), new Entry(work, mTime.nanoTime()));
+        Entry placed = new Entry(work, mTime.nanoTime());
+        work.shares()
+                .forEach(
+                        each ->
+                                placed.mSlowdowns.put(
+                                        each.engineId(), mSlowdowns.factor(each.engineId())));
+        mEntries.put(work.attemptId(), placed);
         mPrefills.placed(work);
         work.shares()
                 .forEach(
@@ -106,13 +116,14 @@
         double prefillMillis = added.prefillMillis();
         for (Map.Entry<String, EngineShare> each : shares.entrySet()) {
             prefillMillis +=
-                    pendingPrefillFraction(mEntries.get(each.getKey()), now)
+                    pendingPrefillFraction(mEntries.get(each.getKey()), added.engineId(), now)
                             * each.getValue().prefillMillis();
         }
         for (Map.Entry<String, EngineShare> each : shares.entrySet()) {
             Entry entry = mEntries.get(each.getKey());
             boolean isDecoding =
-                    each.getValue().isDecodeEngine() && pendingPrefillFraction(entry, now) == 0;
+                    each.getValue().isDecodeEngine()
+                            && pendingPrefillFraction(entry, added.engineId(), now) == 0;
             entry.mIsLate |=
                     isDecoding
                             && prefillMillis
@@ -173,7 +184,7 @@
         for (Map.Entry<String, EngineShare> each : shares.entrySet()) {
             Entry entry = mEntries.get(each.getKey());
             EngineShare share = each.getValue();
-            double pendingFraction = pendingPrefillFraction(entry, now);
+            double pendingFraction = pendingPrefillFraction(entry, engineId, now);
             pendingPrefillMillis += pendingFraction * share.prefillMillis();
             reservedTokens += share.memoryTokens();
             if (share.isDecodeEngine()) {
@@ -193,11 +204,17 @@
                 mSlowdowns.factor(engineId));
     }
 
-    private static double pendingPrefillFraction(Entry entry, long now) {
+    private double pendingPrefillFraction(Entry entry, String engineId, long now) {
         if (entry.mIsDecoding || entry.mWork.predictedFirstEventMillis() <= 0) {
             return 0;
         }
-        return Math.max(0, 1 - age(entry, now) / entry.mWork.predictedFirstEventMillis());
+        return Math.max(0, 1 - age(entry, now) / predictedFirstEventMillis(entry, engineId));
+    }
+
+    /** The predicted time, lengthened if the engine has become slow since. */
+    private double predictedFirstEventMillis(Entry entry, String engineId) {
+        double lengthening = mSlowdowns.factor(engineId) / entry.mSlowdowns.get(engineId);
+        return entry.mWork.predictedFirstEventMillis() * Math.max(1, lengthening);
     }
 
     private static double age(Entry entry, long now) {
@@ -211,9 +228,9 @@
         double millis =
                 shares.keySet().stream()
                         .map(mEntries::get)
-                        .filter(each -> pendingPrefillFraction(each, now) > 0)
+                        .filter(each -> pendingPrefillFraction(each, engineId, now) > 0)
                         .mapToDouble(
-                                each -> each.mWork.predictedFirstEventMillis() - age(each, now))
+                                each -> predictedFirstEventMillis(each, engineId) - age(each, now))
                         .max()
                         .orElse(0);
         return Duration.ofMillis(Math.round(millis));
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacementTest.java
@@ -21,6 +21,7 @@
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineGroup;
+import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.PlacementDecision;
 import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.PromptSize;
@@ -199,6 +200,25 @@
         }
     }
 
+    @Nested
+    final class SlowEngines {
+        /** The instance waits for the first event by the prediction of the work. */
+        @Test
+        void shouldLengthenThePredictionOfACoordinatorThatDoesNotKnow() {
+            start(2, 1);
+            Instance coordinator = mInstances.getFirst().coordinatorOf(0);
+            Instance sender = other(coordinator);
+            EngineWork before = sender.place("before", 45_000).work().orElseThrow();
+            sender.mPlacement.ended("before");
+            sender.mTracker.slowdowns().record("engine-0", 5);
+            EngineWork after = sender.place("after", 45_000).work().orElseThrow();
+            assertThat(coordinator.mTracker.slowdowns().factor("engine-0")).isEqualTo(1);
+            assertThat(after.predictedFirstEventMillis())
+                    .isWithin(0.01)
+                    .of(5 * before.shares().getFirst().prefillMillis());
+        }
+    }
+
     @Nested
     final class SilentCoordinator {
         @Test
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/placement/PromptPlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/PromptPlacementTest.java
@@ -180,6 +180,79 @@
         }
     }
 
+    @Nested
+    final class SlowEngines {
+        @Test
+        void shouldGetNoPromptThatWouldBeLate() {
+            addDecode(4, "a");
+            mTracker.slowdowns().record("engine-4", 5);
+            assertThat(placeShort().backEnd().id()).isNotEqualTo("engine-4");
+            assertThat(usedEngines(placeLong(300_000))).doesNotContain("engine-4");
+        }
+
+        /** Passes of a quarter of a second exceed the gap limit, although the first event fits. */
+        @Test
+        void shouldGetNoPromptWhosePassesWouldExceedItsGapLimit() {
+            Duration objective = Duration.ofSeconds(3);
+            for (int other : new int[] {0, 1, 2, 3, 5}) {
+                mHealth.recordFailure("engine-" + other, 0.2);
+            }
+            String before = place(5_000, objective, Duration.ofMillis(200)).backEnd().id();
+            mTracker.slowdowns().record("engine-4", 5);
+            String after = place(5_000, objective, Duration.ofMillis(200)).backEnd().id();
+            assertThat(before).isEqualTo("engine-4");
+            assertThat(after).isNotEqualTo("engine-4");
+        }
+
+        @Test
+        void shouldStillBeUsedWhenNoOtherExists() {
+            mTracker.slowdowns().record("engine-4", 5);
+            Placement placement =
+                    placeShort("engine-0", "engine-1", "engine-2", "engine-3", "engine-5");
+            assertThat(placement.backEnd().id()).isEqualTo("engine-4");
+        }
+
+        @Test
+        void shouldLengthenThePredictionOfTheWork() {
+            String[] others = {"engine-0", "engine-1", "engine-2", "engine-3", "engine-5"};
+            EngineWork fast = placeShort(others).work().orElseThrow();
+            mTracker.slowdowns().record("engine-4", 5);
+            EngineWork slow = placeShort(others).work().orElseThrow();
+            assertThat(slow.predictedFirstEventMillis())
+                    .isWithin(0.01)
+                    .of(5 * fast.predictedFirstEventMillis());
+            assertThat(slow.predictedDecodeMillis())
+                    .isWithin(0.01)
+                    .of(5 * fast.predictedDecodeMillis());
+        }
+
+        @Test
+        void shouldChangeNothingWhenMostEnginesAreSlowAlike() {
+            addDecode(4, "a");
+            EngineWork before = placeShort().work().orElseThrow();
+            for (int engine = 0; engine < ENGINES; engine++) {
+                mTracker.slowdowns().record("engine-" + engine, 3);
+            }
+            EngineWork after = placeShort().work().orElseThrow();
+            assertThat(after.shares()).isEqualTo(before.shares());
+            assertThat(after.predictedFirstEventMillis())
+                    .isEqualTo(before.predictedFirstEventMillis());
+        }
+
+        /** A silent engine is given up only after the time that it needs as slow as it is. */
+        @Test
+        void shouldHaveMorePendingWorkWhenTheyBecomeSlow() {
+            EngineShare share = new EngineShare("engine-1", 45_000, 300, 45_000, true);
+            mTracker.placed(new EngineWork("a", List.of(share), 300, 500, 500, 1));
+            mTime.advance(Duration.ofMillis(200));
+            assertThat(mTracker.remainingPrefill("engine-1")).isEqualTo(Duration.ofMillis(100));
+            mTracker.slowdowns().record("engine-1", 5);
+            assertThat(mTracker.remainingPrefill("engine-1")).isEqualTo(Duration.ofMillis(1_300));
+            mTracker.slowdowns().record("engine-1", 1);
+            assertThat(mTracker.remainingPrefill("engine-1")).isEqualTo(Duration.ofMillis(100));
+        }
+    }
+
     @Nested
     final class WorkTracking {
         @Test
