Recognize the events of one pass of an engine that sends one for each token

An engine that sends an event for each token sends those of a pass at once. They were taken for events of several passes that had gathered while this instance was late, so such an engine was never found slow. A burst of as many events as the declared decode steps of a pass now counts as one pass, also if it arrives in several chunks. What the events of one prompt show is a class of its own now, ObservedStream; SlowdownObserver keeps the findings about engines and the reports.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/SlowdownObserver.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/SlowdownObserver.java
@@ -1,10 +1,7 @@
 package org.rattanport.decisions.gateway.placement;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
-import java.util.DoubleSummaryStatistics;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,35 +19,10 @@
  * answers: an engine becomes five times slower for some seconds, and all requests that decode there
  * are late.
  *
- * <p>Several consecutive passes of one stream are evidence, as a long prompt that this instance
- * does not know of lengthens one pass. Events that came in while nobody waited for them show that
- * this instance or its caller was late, and discard the evidence of the stream.
+ * <p>The passes of one stream are evidence ({@link ObservedStream}). What all observed engines
+ * share points to this instance or to wrong figures, and is divided out.
  */
 final class SlowdownObserver {
-    /** Consecutive passes that must agree; two long prompts in a row can lengthen two passes. */
-    private static final int EVIDENCE_PASSES = 3;
-
-    /**
-     * Duration of a pass, compared with that of the fullest engine, from which the pass is slow.
-     * This instance does not know all requests that decode in the pass.
-     */
-    private static final double SLOW_RATIO = 1.5;
-
-    /**
-     * Ratio of the slowest to the fastest of these passes. A slow engine lengthens all passes
-     * alike, prompts that arrive in succession lengthen each by another time.
-     */
-    private static final double MAX_SPREAD = 1.5;
-
-    /** Excess over the prediction that scheduling and the network cause on a healthy machine. */
-    private static final double MIN_EXCESS_MILLIS = 30;
-
-    /** Fraction of the time between two events that is spent waiting for the engine. */
-    private static final double MIN_WAIT_FRACTION = 0.75;
-
-    /** Fraction of the shortest pass below which an event had arrived before it was awaited. */
-    private static final double EARLY_FRACTION = 0.25;
-
     /**
      * Time after which a slowdown that is still seen, or is seen again, is reported again; half the
      * time for which a report counts in full.
@@ -66,74 +38,6 @@
     /** Fewest other engines that show wrong figures if all of them are slow. */
     private static final int MIN_OTHERS = 2;
 
-    private static final double NANOS_PER_MILLI = 1e6;
-
-    /**
-     * What one pass shows.
-     *
-     * @param ratio its duration compared with the prediction for the load that is known here
-     * @param isSlow whether it was also slow for the fullest engine
-     */
-    private record Pass(double ratio, boolean isSlow) {}
-
-    /** A request that waits for events of its decode engine. */
-    private static final class Stream {
-        private final EngineWork mWork;
-        private final EngineShare mShare;
-        private final ForwardPassModel mModel;
-
-        /** Slowdown that this instance assumed when the request was written. */
-        private final double mAssumedFactor;
-
-        private final Deque<Pass> mPasses = new ArrayDeque<>();
-        private long mLastNanos;
-        private boolean mHasEvents;
-
-        private Stream(
-                EngineWork work,
-                EngineShare share,
-                ForwardPassModel model,
-                double assumedFactor,
-                long writtenNanos) {
-            mWork = work;
-            mShare = share;
-            mModel = model;
-            mAssumedFactor = assumedFactor;
-            mLastNanos = writtenNanos;
-        }
-
-        private void add(Pass pass) {
-            mPasses.addLast(pass);
-            if (mPasses.size() > EVIDENCE_PASSES) {
-                mPasses.removeFirst();
-            }
-        }
-
-        /** What all passes show, by the fastest of them; empty if the passes differ. */
-        private Optional<Pass> agreement() {
-            if (mPasses.size() < EVIDENCE_PASSES) {
-                return Optional.empty();
-            }
-            DoubleSummaryStatistics ratios =
-                    mPasses.stream().mapToDouble(Pass::ratio).summaryStatistics();
-            boolean areSlow = mPasses.stream().allMatch(Pass::isSlow);
-            boolean doAgree =
-                    areSlow
-                            ? ratios.getMax() <= MAX_SPREAD * ratios.getMin()
-                            : mPasses.stream().noneMatch(Pass::isSlow);
-            return doAgree ? Optional.of(new Pass(ratios.getMin(), areSlow)) : Optional.empty();
-        }
-
-        private double shortestPassMillis() {
-            return mModel.decodePassMillis(1, 0);
-        }
-
-        private double longestPassMillis() {
-            EngineSpec spec = mModel.spec();
-            return mModel.decodePassMillis(spec.slots(), spec.memoryTokens());
-        }
-    }
-
     /**
      * What the passes of an engine showed last.
      *
@@ -161,7 +65,7 @@
 
     private final WorkTracker mTracker;
     private final TimeSource mTime;
-    private final Map<String, Stream> mStreams = new HashMap<>();
+    private final Map<String, ObservedStream> mStreams = new HashMap<>();
     private final Map<String, Finding> mFindings = new HashMap<>();
 
     SlowdownObserver(WorkTracker tracker, TimeSource time) {
@@ -181,16 +85,8 @@
         work.shares().stream()
                 .filter(EngineShare::isDecodeEngine)
                 .findFirst()
-                .ifPresent(
-                        share ->
-                                mStreams.put(
-                                        work.attemptId(),
-                                        new Stream(
-                                                work,
-                                                share,
-                                                model,
-                                                mTracker.slowdowns().factor(share.engineId()),
-                                                mTime.nanoTime())));
+                .map(share -> new ObservedStream(work, share, model, mTracker, mTime.nanoTime()))
+                .ifPresent(stream -> mStreams.put(work.attemptId(), stream));
     }
 
     synchronized void ended(String attemptId) {
@@ -206,92 +102,25 @@
      */
     synchronized Optional<WorkUpdate.EngineSlow> eventsArrived(
             String attemptId, int events, long waitStartNanos) {
-        Stream stream = mStreams.get(attemptId);
+        ObservedStream stream = mStreams.get(attemptId);
         if (stream == null) {
             return Optional.empty();
         }
         long now = mTime.nanoTime();
-        boolean isFirst = !stream.mHasEvents;
-        long startNanos = stream.mLastNanos;
-        stream.mHasEvents = true;
-        stream.mLastNanos = now;
-        if (isFirst) {
-            firstPass(stream, millis(startNanos, now)).ifPresent(stream::add);
-        } else if (isReaderLate(stream, events, startNanos, waitStartNanos, now)) {
-            stream.mPasses.clear();
-        } else {
-            pass(stream, startNanos, now).ifPresent(stream::add);
-        }
-        return stream.agreement().flatMap(pass -> find(stream, pass, now));
-    }
-
-    private static double millis(long fromNanos, long toNanos) {
-        return (toNanos - fromNanos) / NANOS_PER_MILLI;
-    }
-
-    private static boolean isReaderLate(
-            Stream stream, int events, long startNanos, long waitStartNanos, long now) {
-        double waited = millis(waitStartNanos, now);
-        return events > 1
-                || waited < MIN_WAIT_FRACTION * millis(startNanos, now)
-                || waited < EARLY_FRACTION * stream.shortestPassMillis();
-    }
-
-    /**
-     * What the first event shows. The prediction includes the slowdown that was assumed; a first
-     * event in time confirms the declared figures only if it would also be in time without it. With
-     * several prefill engines it is unknown which one was late.
-     */
-    private static Optional<Pass> firstPass(Stream stream, double elapsed) {
-        double predicted = stream.mWork.predictedFirstEventMillis();
-        if (stream.mWork.shares().size() > 1 || predicted <= 0) {
-            return Optional.empty();
-        }
-        double ratio = Math.max(1, stream.mAssumedFactor * elapsed / predicted);
-        double longestPass = stream.longestPassMillis();
-        if (isSlow(elapsed, predicted + longestPass)) {
-            return Optional.of(new Pass(ratio, true));
-        }
-        double idle = stream.mShare.prefillMillis() + longestPass;
-        boolean isInTime = stream.mAssumedFactor <= 1 || !isSlow(elapsed, idle);
-        return isInTime ? Optional.of(new Pass(ratio, false)) : Optional.empty();
-    }
-
-    /** What a pass shows; nothing if prefill work that is known here may have lengthened it. */
-    private Optional<Pass> pass(Stream stream, long startNanos, long endNanos) {
-        double elapsed = millis(startNanos, endNanos);
-        String engineId = stream.mShare.engineId();
-        EngineLoadEstimate load = mTracker.estimateLoad(engineId);
-        double predicted =
-                stream.mModel.decodePassMillis(
-                        Math.max(1, load.activeDecodes()), load.contextTokens());
-        if (!isSlow(elapsed, stream.longestPassMillis())) {
-            return Optional.of(new Pass(Math.max(1, elapsed / predicted), false));
-        }
-        double prefill =
-                mTracker.prefillMillisBetween(
-                        engineId, startNanos, endNanos, stream.mWork.attemptId());
-        return isSlow(elapsed, stream.longestPassMillis() + prefill)
-                ? Optional.of(new Pass(elapsed / (predicted + prefill), true))
-                : Optional.empty();
-    }
-
-    private static boolean isSlow(double elapsedMillis, double longestMillis) {
-        return elapsedMillis > SLOW_RATIO * longestMillis
-                && elapsedMillis > longestMillis + MIN_EXCESS_MILLIS;
+        return stream.eventsArrived(events, waitStartNanos, now)
+                .flatMap(pass -> find(attemptId, stream.engineId(), pass, now));
     }
 
-    private Optional<WorkUpdate.EngineSlow> find(Stream stream, Pass pass, long now) {
+    private Optional<WorkUpdate.EngineSlow> find(
+            String attemptId, String engineId, ObservedStream.Pass pass, long now) {
         mFindings.values().removeIf(each -> now - each.seenNanos() > COMPARED_TIME.toNanos());
-        String engineId = stream.mShare.engineId();
-        String attemptId = stream.mWork.attemptId();
         Finding before = mFindings.get(engineId);
         Report report = before == null ? Report.NONE : before.report();
         mFindings.put(engineId, new Finding(attemptId, pass.ratio(), now, report));
         double factor = pass.isSlow() ? pass.ratio() / usualRatio(engineId, now) : 1;
         boolean isDue =
                 pass.isSlow()
-                        ? factor >= SLOW_RATIO && isReportDue(report, now)
+                        ? factor >= ObservedStream.SLOW_RATIO && isReportDue(report, now)
                         : report.factor() > 1;
         return isDue
                 ? Optional.of(new WorkUpdate.EngineSlow(attemptId, engineId, bounded(factor)))
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/placement/SlowdownObserverTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/SlowdownObserverTest.java
@@ -133,6 +133,51 @@
         }
     }
 
+    /** Engines that send an event for each token send those of a pass at once. */
+    @Nested
+    final class EventsOfTokens {
+        private static final int STEPS = 46;
+
+        private Optional<Double> pass(int... chunks) {
+            long waitStartNanos = mTime.nanoTime();
+            mTime.advance(Duration.ofMillis(SLOW_PASS));
+            Optional<Double> report = Optional.empty();
+            for (int events : chunks) {
+                Optional<Double> next = arrive("a", events, waitStartNanos);
+                report = next.isPresent() ? next : report;
+                waitStartNanos = mTime.nanoTime();
+            }
+            return report;
+        }
+
+        @Test
+        void shouldBeEvidenceAsOnePass() {
+            write("a", "engine");
+            event("a", 60);
+            assertThat(pass(STEPS)).isEmpty();
+            assertThat(pass(STEPS)).isEmpty();
+            assertThat(pass(STEPS).orElseThrow()).isWithin(0.5).of(5);
+        }
+
+        @Test
+        void shouldBeEvidenceWhenTheyArriveInSeveralChunks() {
+            write("a", "engine");
+            event("a", 60);
+            assertThat(pass(20, 6, 20)).isEmpty();
+            assertThat(pass(30, 16)).isEmpty();
+            assertThat(pass(10, 36).orElseThrow()).isWithin(0.5).of(5);
+        }
+
+        @Test
+        void shouldNotBeEvidenceWhenThoseOfSeveralPassesHadGathered() {
+            write("a", "engine");
+            event("a", 60);
+            for (int i = 0; i < 6; i++) {
+                assertThat(pass(5 * STEPS)).isEmpty();
+            }
+        }
+    }
+
     @Nested
     final class LateReaders {
         @Test
@@ -143,6 +188,9 @@
             event("a", SLOW_PASS);
             assertThat(event("a", 0)).isEmpty();
             assertThat(event("a", SLOW_PASS)).isEmpty();
+            assertThat(event("a", SLOW_PASS)).isEmpty();
+            assertThat(event("a", SLOW_PASS)).isEmpty();
+            assertThat(event("a", SLOW_PASS)).isPresent();
         }
 
         @Test
