Bound the remembered prefill work, and shorten the factor in the log

1,024 requests are those of several seconds at the busiest coordinator that is planned for (248 prompts a second), and take 1.5 MB at most (worked out); 4,096 were more than an instance of 282 MB should keep for this. The factor of engine-slow has one decimal.

Measured: the 454 tests of decisions pass.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/EngineSlowdowns.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/EngineSlowdowns.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
@@ -64,7 +65,9 @@
         Report report = new Report(bounded, mTime.nanoTime(), run(engineId));
         if (mReports.put(engineId, report) == null) {
             LOGGER.info(
-                    LogLine.of("engine-slow").with("back_end", engineId).with("factor", bounded));
+                    LogLine.of("engine-slow")
+                            .with("back_end", engineId)
+                            .with("factor", String.format(Locale.ROOT, "%.1f", bounded)));
         }
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/RecentPrefills.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/RecentPrefills.java
@@ -15,8 +15,8 @@
     /** Time for which work is kept after its predicted end; passes last less. */
     private static final Duration KEPT_TIME = Duration.ofSeconds(2);
 
-    /** Bound of the remembered requests; those of two seconds at a busy coordinator. */
-    private static final int MAX_REQUESTS = 4_096;
+    /** Bound of the remembered requests; those of some seconds at a busy coordinator. */
+    private static final int MAX_REQUESTS = 1_024;
 
     /**
      * Time in which prefill work may run, as a multiple of its predicted time. It begins with a
