--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -107,7 +107,7 @@
                         time);
         BackEndRegistry registry = new BackEndRegistry(time, notices, rateLimits, evacuated);
         RetainedPrompts retained = new RememberedPrompts(time);
-        WorkTracker tracker = new WorkTracker(time, retained::recordEnded);
+        WorkTracker tracker = new WorkTracker(time, registry::findAvailable, retained::recordEnded);
         BackEndHealth health = new BackEndHealth(time);
         GatewayService service =
                 new GatewayService(
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PlacementCoordinator.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PlacementCoordinator.java
@@ -100,6 +100,7 @@
                 mHealth.recordFailure(failed.engineId(), failed.weight());
                 engineFailed(failed.engineId(), failed.weight());
             }
+            case WorkUpdate.EngineSlow slow -> mTracker.recordSlowdown(slow);
         }
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkTracker.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkTracker.java
@@ -6,9 +6,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineShare;
 import org.rattanport.kernel.gateway.EngineWork;
+import org.rattanport.kernel.gateway.WorkUpdate;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
@@ -30,9 +34,22 @@
 
     private static final double NANOS_PER_MILLI = 1e6;
 
+    /** Time over which known prefill work may explain a slowdown; at least that of the passes. */
+    private static final Duration EXPLAINED_TIME = Duration.ofSeconds(1);
+
+    /**
+     * Fraction of the excess in that time that known prefill work must take to explain it, as the
+     * slow passes took only a part of that time.
+     */
+    private static final double EXPLAINED_FRACTION = 0.4;
+
     private static final class Entry {
         private final EngineWork mWork;
         private final long mPlacedNanos;
+
+        /** Slowdowns of its engines when it was placed, which its prediction includes. */
+        private final Map<String, Double> mSlowdowns = new HashMap<>();
+
         private boolean mIsDecoding;
         private boolean mIsLate;
 
@@ -46,26 +63,46 @@
     private final Consumer<String> mOnEnded;
     private final Map<String, Entry> mEntries = new LinkedHashMap<>();
     private final Map<String, Map<String, EngineShare>> mByEngine = new HashMap<>();
+    private final EngineSlowdowns mSlowdowns;
+    private final RecentPrefills mPrefills;
 
+    /** Creates a tracker that does not tell two runs of an engine apart. */
     public WorkTracker(TimeSource time) {
-        this(time, attemptId -> {});
+        this(time, engineId -> Optional.empty(), attemptId -> {});
     }
 
     /**
      * Creates a tracker without requests.
      *
+     * @param findEngine returns the engine that runs under an id now
      * @param onEnded receives the attempt id of each request that is no longer tracked
      */
-    public WorkTracker(TimeSource time, Consumer<String> onEnded) {
+    public WorkTracker(
+            TimeSource time,
+            Function<String, Optional<BackEnd>> findEngine,
+            Consumer<String> onEnded) {
         mTime = time;
         mOnEnded = onEnded;
+        mSlowdowns = new EngineSlowdowns(time, findEngine);
+        mPrefills = new RecentPrefills(time);
+    }
+
+    EngineSlowdowns slowdowns() {
+        return mSlowdowns;
     }
 
     /** Records a request that is placed now. */
     public synchronized void placed(EngineWork work) {
         ended(work.attemptId());
         work.shares().forEach(this::markLate);
-        mEntries.put(work.attemptId(), new Entry(work, mTime.nanoTime()));
+        Entry placed = new Entry(work, mTime.nanoTime());
+        work.shares()
+                .forEach(
+                        each ->
+                                placed.mSlowdowns.put(
+                                        each.engineId(), mSlowdowns.factor(each.engineId())));
+        mEntries.put(work.attemptId(), placed);
+        mPrefills.placed(work);
         work.shares()
                 .forEach(
                         share ->
@@ -88,13 +125,14 @@
         double prefillMillis = added.prefillMillis();
         for (Map.Entry<String, EngineShare> each : shares.entrySet()) {
             prefillMillis +=
-                    pendingPrefillFraction(mEntries.get(each.getKey()), now)
+                    pendingPrefillFraction(mEntries.get(each.getKey()), added.engineId(), now)
                             * each.getValue().prefillMillis();
         }
         for (Map.Entry<String, EngineShare> each : shares.entrySet()) {
             Entry entry = mEntries.get(each.getKey());
             boolean isDecoding =
-                    each.getValue().isDecodeEngine() && pendingPrefillFraction(entry, now) == 0;
+                    each.getValue().isDecodeEngine()
+                            && pendingPrefillFraction(entry, added.engineId(), now) == 0;
             entry.mIsLate |=
                     isDecoding
                             && prefillMillis
@@ -145,7 +183,7 @@
     public synchronized EngineLoadEstimate estimateLoad(String engineId) {
         Map<String, EngineShare> shares = mByEngine.get(engineId);
         if (shares == null) {
-            return EngineLoadEstimate.IDLE;
+            return EngineLoadEstimate.IDLE.withSlowdown(mSlowdowns.factor(engineId));
         }
         long now = mTime.nanoTime();
         List<EngineLoadEstimate.DecodeRequest> decodes = new ArrayList<>();
@@ -156,7 +194,7 @@
         for (Map.Entry<String, EngineShare> each : shares.entrySet()) {
             Entry entry = mEntries.get(each.getKey());
             EngineShare share = each.getValue();
-            double pendingFraction = pendingPrefillFraction(entry, now);
+            double pendingFraction = pendingPrefillFraction(entry, engineId, now);
             pendingPrefillMillis += pendingFraction * share.prefillMillis();
             reservedTokens += share.memoryTokens();
             if (share.isDecodeEngine()) {
@@ -168,14 +206,25 @@
             }
         }
         return new EngineLoadEstimate(
-                decodes, activeDecodes, contextTokens, reservedTokens, pendingPrefillMillis);
+                decodes,
+                activeDecodes,
+                contextTokens,
+                reservedTokens,
+                pendingPrefillMillis,
+                mSlowdowns.factor(engineId));
     }
 
-    private static double pendingPrefillFraction(Entry entry, long now) {
+    private double pendingPrefillFraction(Entry entry, String engineId, long now) {
         if (entry.mIsDecoding || entry.mWork.predictedFirstEventMillis() <= 0) {
             return 0;
         }
-        return Math.max(0, 1 - age(entry, now) / entry.mWork.predictedFirstEventMillis());
+        return Math.max(0, 1 - age(entry, now) / predictedFirstEventMillis(entry, engineId));
+    }
+
+    /** The predicted time, lengthened if the engine has become slow since. */
+    private double predictedFirstEventMillis(Entry entry, String engineId) {
+        double lengthening = mSlowdowns.factor(engineId) / entry.mSlowdowns.get(engineId);
+        return entry.mWork.predictedFirstEventMillis() * Math.max(1, lengthening);
     }
 
     private static double age(Entry entry, long now) {
@@ -189,14 +238,38 @@
         double millis =
                 shares.keySet().stream()
                         .map(mEntries::get)
-                        .filter(each -> pendingPrefillFraction(each, now) > 0)
+                        .filter(each -> pendingPrefillFraction(each, engineId, now) > 0)
                         .mapToDouble(
-                                each -> each.mWork.predictedFirstEventMillis() - age(each, now))
+                                each -> predictedFirstEventMillis(each, engineId) - age(each, now))
                         .max()
                         .orElse(0);
         return Duration.ofMillis(Math.round(millis));
     }
 
+    /**
+     * Sums the prefill work that an engine may have done between two moments, without that of one
+     * request.
+     */
+    double prefillMillisBetween(
+            String engineId, long fromNanos, long toNanos, String withoutAttemptId) {
+        return mPrefills.millisBetween(engineId, fromNanos, toNanos, withoutAttemptId);
+    }
+
+    /**
+     * Records the slowdown that an instance observed at an engine, unless prefill work that is
+     * known here explains it: the instance may not know the work that others placed there.
+     */
+    void recordSlowdown(WorkUpdate.EngineSlow update) {
+        long now = mTime.nanoTime();
+        double prefillMillis =
+                mPrefills.millisBetween(
+                        update.engineId(), now - EXPLAINED_TIME.toNanos(), now, update.attemptId());
+        double excessMillis = EXPLAINED_TIME.toMillis() * (1 - 1 / Math.max(1, update.factor()));
+        if (update.factor() <= 1 || prefillMillis < EXPLAINED_FRACTION * excessMillis) {
+            mSlowdowns.record(update.engineId(), update.factor());
+        }
+    }
+
     /** Number of tracked requests. */
     public synchronized int size() {
         return mEntries.size();
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
@@ -56,6 +56,9 @@
     final List<PlacementDemand> mDemands = new ArrayList<>();
     int mSlack = 100;
 
+    /** Receives the progress of requests for prompts. */
+    WorkNotifier mWorkNotifier = new NoOpWorkNotifier();
+
     /** Engines that prefill parts of each request. */
     List<BackEnd> mPrefillEngines = List.of();
 
@@ -111,7 +114,7 @@
                                 mHealth,
                                 new CrashAttribution(mTime, rumor -> {}, rumor -> {}, random)),
                         loadTable,
-                        new NoOpWorkNotifier(),
+                        mWorkNotifier,
                         retryBudget,
                         mRegions,
                         mEvents,
@@ -137,7 +140,13 @@
         return assertThrows(RattanportException.class, () -> serve(path, reactions));
     }
 
-    private static final class NoOpWorkNotifier implements WorkNotifier {
+    static class NoOpWorkNotifier implements WorkNotifier {
+        @Override
+        public void written(String id) {}
+
+        @Override
+        public void eventsArrived(String id, int events, long waitStartNanos) {}
+
         @Override
         public void decodeStarted(String id) {}
 
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacementTest.java
@@ -8,7 +8,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.CountDownLatch;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
@@ -20,10 +19,10 @@
 import org.rattanport.decisions.gateway.discovery.BackEndRegistry;
 import org.rattanport.decisions.membership.MemberTable;
 import org.rattanport.decisions.membership.RumorQueue;
-import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.event.EventStreams;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineGroup;
+import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.PlacementDecision;
 import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.PromptSize;
@@ -33,7 +32,6 @@
 import org.rattanport.kernel.peer.PeerMessage;
 import org.rattanport.kernel.peer.PeerNetwork;
 import org.rattanport.kernel.time.ManualTimeSource;
-import org.rattanport.kernel.time.TimeSource;
 
 /** Several instances that place prompts at shared engines through coordinators. */
 final class CoordinatedPlacementTest {
@@ -113,28 +111,6 @@
         }
     }
 
-    /** A clock on which a sleep ends only by an interrupt. */
-    private static final class StoppedTimeSource implements TimeSource {
-        @Override
-        public long nanoTime() {
-            return 0;
-        }
-
-        @Override
-        public long wallMillis() {
-            return 0;
-        }
-
-        @Override
-        public void sleep(Duration duration) {
-            try {
-                new CountDownLatch(1).await();
-            } catch (InterruptedException e) {
-                throw RattanportException.interrupted();
-            }
-        }
-    }
-
     private static PlacementQuery query(String attemptId, int tokens) {
         return query(attemptId, tokens, Set.of());
     }
@@ -270,6 +246,25 @@
         }
     }
 
+    @Nested
+    final class SlowEngines {
+        /** The instance waits for the first event by the prediction of the work. */
+        @Test
+        void shouldLengthenThePredictionOfACoordinatorThatDoesNotKnow() {
+            start(2, 1);
+            Instance coordinator = mInstances.getFirst().coordinatorOf(0);
+            Instance sender = other(coordinator);
+            EngineWork before = sender.place("before", 45_000).work().orElseThrow();
+            sender.mPlacement.ended("before");
+            sender.mTracker.slowdowns().record("engine-0", 5);
+            EngineWork after = sender.place("after", 45_000).work().orElseThrow();
+            assertThat(coordinator.mTracker.slowdowns().factor("engine-0")).isEqualTo(1);
+            assertThat(after.predictedFirstEventMillis())
+                    .isWithin(0.01)
+                    .of(5 * before.shares().getFirst().prefillMillis());
+        }
+    }
+
     @Nested
     final class SilentCoordinator {
         @Test
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/placement/PrefixReuseTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/PrefixReuseTest.java
@@ -56,7 +56,7 @@
         private Fleet(EngineSpec spec, boolean remembers) {
             mSpec = spec;
             mRetained = remembers ? new RememberedPrompts(mTime) : new NoRetainedPrompts();
-            mTracker = new WorkTracker(mTime, mRetained::recordEnded);
+            mTracker = new WorkTracker(mTime, id -> Optional.empty(), mRetained::recordEnded);
             mRegistry.replace(TestFleet.engines(ENGINES));
             mCoordinator =
                     new PlacementCoordinator(
