Explain where a prompt would be placed and why

Operators could see that a prompt was late at an engine, but not what the others would have cost. PlacementExplainer answers it from the state of the instance: the placement of each group of engines, and for each engine the predicted first event, the parts of the cost and the reason why it was passed over; for a refusal the limit. It uses PromptPlacement without the random cost, sends nothing and records nothing. Gates name their reasons. CrashAttribution.findBlocked is blockedContent without its log line.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -11,6 +11,7 @@
 import org.rattanport.decisions.gateway.discovery.ReaderFollower;
 import org.rattanport.decisions.gateway.discovery.ReaderRole;
 import org.rattanport.decisions.gateway.discovery.StoreReaders;
+import org.rattanport.decisions.gateway.explain.PlacementExplainer;
 import org.rattanport.decisions.gateway.limits.BackEndNotices;
 import org.rattanport.decisions.gateway.limits.BackEndRateLimits;
 import org.rattanport.decisions.gateway.limits.MissingMembers;
@@ -87,7 +88,11 @@
     @Override
     public Set<Class<?>> provides() {
         return Set.of(
-                FleetState.class, GatewayService.class, BackEndRegistry.class, Readiness.class);
+                FleetState.class,
+                GatewayService.class,
+                BackEndRegistry.class,
+                Readiness.class,
+                PlacementExplainer.class);
     }
 
     @Override
@@ -103,17 +108,16 @@
         RetainedPrompts retained = new RememberedPrompts(time);
         WorkTracker tracker = new WorkTracker(time, retained::recordEnded);
         BackEndHealth health = new BackEndHealth(time);
-        GatewayService service =
-                new GatewayService(
-                        components(
-                                context,
-                                settings,
-                                registry,
-                                notices,
-                                rateLimits,
-                                health,
-                                placement(context, registry, health, tracker, retained)),
-                        new Random());
+        GatewayComponents components =
+                components(
+                        context,
+                        settings,
+                        registry,
+                        notices,
+                        rateLimits,
+                        health,
+                        placement(context, registry, health, tracker, retained));
+        GatewayService service = new GatewayService(components, new Random());
         Readiness readiness =
                 new Readiness(
                         routing,
@@ -135,6 +139,30 @@
         context.provide(Readiness.class, readiness);
         context.provide(BackEndRegistry.class, registry);
         context.provide(GatewayService.class, service);
+        context.provide(
+                PlacementExplainer.class,
+                explainer(context, components, health, tracker, retained));
+    }
+
+    private static PlacementExplainer explainer(
+            PluginContext context,
+            GatewayComponents components,
+            BackEndHealth health,
+            WorkTracker tracker,
+            RetainedPrompts retained) {
+        return new PlacementExplainer(
+                components.routing(),
+                components.registry(),
+                health,
+                new PromptPlacement(
+                        components.registry(),
+                        health,
+                        tracker,
+                        PlacementTuning.DEFAULTS.withoutJitter(),
+                        new Random(),
+                        retained),
+                new CoordinatorDirectory(context.require(MemberTable.class), context.time()),
+                components.outcomes()::findBlocked);
     }
 
     private BackEndRateLimits rateLimits(PluginContext context) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/OutcomeRecorder.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/OutcomeRecorder.java
@@ -35,6 +35,11 @@
         return mCrashes.blockedContent(content);
     }
 
+    /** Returns the same as {@link #blockedContent}, for a request that is not made. */
+    Optional<Fingerprint> findBlocked(RequestContent content) {
+        return mCrashes.findBlocked(content);
+    }
+
     /** Records that an engine began to answer a prompt, which clears the parts of the prompt. */
     void recordFirstEvent(RequestContent content) {
         mCrashes.recordSoundRun(content.sharedParts());
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/BackEndRegistry.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/BackEndRegistry.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -224,6 +225,22 @@
                 .collect(Collectors.toSet());
     }
 
+    /** Returns the reasons of the gates that keep requests away from the back end now. */
+    public List<String> refusalReasons(BackEnd backEnd) {
+        return mGates.stream()
+                .filter(gate -> !gate.accepts(backEnd))
+                .map(RequestGate::reason)
+                .toList();
+    }
+
+    /** Returns all registered back ends of the service, draining ones included, by id. */
+    public synchronized List<BackEnd> all(String service) {
+        return mBackEnds.values().stream()
+                .filter(each -> each.service().equals(service))
+                .sorted(Comparator.comparing(BackEnd::id))
+                .toList();
+    }
+
     private boolean isAccepting(BackEnd backEnd) {
         return mGates.stream().allMatch(gate -> gate.accepts(backEnd));
     }
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/explain/package-info.java
@@ -0,0 +1,2 @@
+/** Explains to operators where a prompt would be placed now, and why. */
+package org.rattanport.decisions.gateway.explain;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/limits/BackEndNotices.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/BackEndNotices.java
@@ -186,6 +186,11 @@
     }
 
     /** Whether the back end may get a request now. */
+    @Override
+    public String reason() {
+        return "asked for a pause or leaves";
+    }
+
     @Override
     public synchronized boolean accepts(BackEnd backEnd) {
         Notice notice = mNotices.get(backEnd.id());
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/limits/BackEndRateLimits.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/BackEndRateLimits.java
@@ -111,6 +111,11 @@
         mTable.recordRegistered(backEnd);
     }
 
+    @Override
+    public String reason() {
+        return "has reached its rate limit";
+    }
+
     @Override
     public boolean accepts(BackEnd backEnd) {
         return waitTime(backEnd).isEmpty();
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatorDirectory.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatorDirectory.java
@@ -39,7 +39,7 @@
     }
 
     /** Number of groups for a service with that many engines. */
-    static int groupCount(int engines) {
+    public static int groupCount(int engines) {
         return Math.max(1, Math.round((float) engines / ENGINES_PER_GROUP));
     }
 
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PlacementTuning.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PlacementTuning.java
@@ -33,4 +33,19 @@
     /** Default weights; see the decision record on placement. */
     public static final PlacementTuning DEFAULTS =
             new PlacementTuning(0.85, 0.75, 0.1, 0.05, 0.1, 0.2, 2.0, 0.005, 2.0, 0.005);
+
+    /** The same weights without the random cost, for comparisons that must not vary. */
+    public PlacementTuning withoutJitter() {
+        return new PlacementTuning(
+                gapSafetyFactor,
+                objectiveMidpoint,
+                objectiveSpread,
+                latencyCost,
+                firstDecodeCost,
+                slotUsageCost,
+                noCapacityCost,
+                extraEngineCost,
+                failureCost,
+                0);
+    }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
@@ -114,15 +114,7 @@
 
     @Override
     public Optional<Placement> place(PlacementQuery query) {
-        PromptSize size = query.demand().size().orElse(DEFAULT_SIZE);
-        double weight =
-                Math.max(1, Math.pow(size.promptTokens() / REFERENCE_TOKENS, WEIGHT_EXPONENT));
-        Prompt prompt =
-                new Prompt(
-                        query,
-                        new ForwardPassModel(query.service().engineSpec().orElseThrow()),
-                        size,
-                        weight);
+        Prompt prompt = prompt(query);
         mTracker.removeExpired();
         List<Candidate> candidates = candidates(prompt);
         return IntStream.rangeClosed(1, Math.min(MAX_EXTRA_PREFILL_ENGINES + 1, candidates.size()))
@@ -131,10 +123,45 @@
                 .map(plan -> placement(prompt, plan));
     }
 
+    /** Estimates the placement of the whole prompt at one engine, whether it accepts it or not. */
+    public EngineEstimate estimate(PlacementQuery query, BackEnd engine) {
+        Prompt prompt = prompt(query);
+        Candidate candidate = candidate(prompt, engine, prefixes(query));
+        EngineLoadEstimate load = candidate.load();
+        double prefillMillis = prompt.partMillis(1, candidate);
+        double firstEventMillis = prefillFinishMillis(prompt, candidate, prefillMillis);
+        return new EngineEstimate(
+                firstEventMillis,
+                prefillMillis,
+                candidate.heldTokens(),
+                slotUsage(prompt, load) <= 1,
+                !lacksMemory(prompt, load, 1),
+                latenessCost(prompt, firstEventMillis),
+                interferenceCost(prompt, candidate, prefillMillis),
+                candidate.penalty(),
+                slotCost(prompt, load),
+                noCapacityCost(prompt, load, 1),
+                firstDecodeCost(prompt, load));
+    }
+
+    private static Prompt prompt(PlacementQuery query) {
+        PromptSize size = query.demand().size().orElse(DEFAULT_SIZE);
+        double weight =
+                Math.max(1, Math.pow(size.promptTokens() / REFERENCE_TOKENS, WEIGHT_EXPONENT));
+        return new Prompt(
+                query,
+                new ForwardPassModel(query.service().engineSpec().orElseThrow()),
+                size,
+                weight);
+    }
+
+    private static List<PromptPrefix> prefixes(PlacementQuery query) {
+        return query.retainsPrompt() ? PromptPrefix.of(query.demand().parts()) : List.of();
+    }
+
     private List<Candidate> candidates(Prompt prompt) {
         PlacementQuery query = prompt.query();
-        List<PromptPrefix> prefixes =
-                query.retainsPrompt() ? PromptPrefix.of(query.demand().parts()) : List.of();
+        List<PromptPrefix> prefixes = prefixes(query);
         List<Candidate> all =
                 mRegistry.available(query.service().name()).stream()
                         .filter(each -> !query.excluded().contains(each.id()))
@@ -255,11 +282,21 @@
     /** Cost of the decode engine besides that of its prefill part. */
     private double decodeExtraCost(Prompt prompt, Candidate candidate, int parts) {
         EngineLoadEstimate load = candidate.load();
-        double slotCost = mTuning.slotUsageCost() * Math.pow(slotUsage(prompt, load), 4);
-        boolean isFirstDecode = !load.hasDecodeWithMaxGap(prompt.maxGapMillis());
-        return slotCost
-                + (isFull(prompt, load, parts) ? mTuning.noCapacityCost() : 0)
-                + (isFirstDecode ? mTuning.firstDecodeCost() : 0);
+        return slotCost(prompt, load)
+                + noCapacityCost(prompt, load, parts)
+                + firstDecodeCost(prompt, load);
+    }
+
+    private double slotCost(Prompt prompt, EngineLoadEstimate load) {
+        return mTuning.slotUsageCost() * Math.pow(slotUsage(prompt, load), 4);
+    }
+
+    private double noCapacityCost(Prompt prompt, EngineLoadEstimate load, int parts) {
+        return isFull(prompt, load, parts) ? mTuning.noCapacityCost() : 0;
+    }
+
+    private double firstDecodeCost(Prompt prompt, EngineLoadEstimate load) {
+        return load.hasDecodeWithMaxGap(prompt.maxGapMillis()) ? 0 : mTuning.firstDecodeCost();
     }
 
     private static double slotUsage(Prompt prompt, EngineLoadEstimate load) {
--- a/decisions/src/main/java/org/rattanport/decisions/poison/CrashAttribution.java
+++ b/decisions/src/main/java/org/rattanport/decisions/poison/CrashAttribution.java
@@ -100,17 +100,21 @@
 
     /** Returns the content for which no engine may run the request, if there is one. */
     public synchronized Optional<Fingerprint> blockedContent(RequestContent content) {
+        Optional<Fingerprint> blocked = findBlocked(content);
+        blocked.ifPresent(this::logFirstBlock);
+        return blocked;
+    }
+
+    /** Returns the same as {@link #blockedContent}, for a request that is not made. */
+    public synchronized Optional<Fingerprint> findBlocked(RequestContent content) {
         if (mSuspects.isEmpty()) {
             return Optional.empty();
         }
-        Optional<Fingerprint> blocked =
-                isAtFault(content.request(), content, Duration.ZERO)
-                        ? Optional.of(content.request())
-                        : content.sharedParts().stream()
-                                .filter(part -> isAtFault(part, content, SETTLE_TIME))
-                                .findFirst();
-        blocked.ifPresent(this::logFirstBlock);
-        return blocked;
+        return isAtFault(content.request(), content, Duration.ZERO)
+                ? Optional.of(content.request())
+                : content.sharedParts().stream()
+                        .filter(part -> isAtFault(part, content, SETTLE_TIME))
+                        .findFirst();
     }
 
     /** Records that an engine crashed before it answered these contents. */
