Answer explain at the metrics address of a gateway

With a request id the command does what it did. The entry edition's command moves to a class of its own, because one name now has two questions.

--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
@@ -8,6 +8,7 @@
 import org.rattanport.connectors.http.HttpServer;
 import org.rattanport.connectors.http.HttpTransport;
 import org.rattanport.decisions.gateway.discovery.FleetState;
+import org.rattanport.decisions.gateway.explain.PlacementExplainer;
 import org.rattanport.decisions.lifecycle.InFlightRequests;
 import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.BackEndNotice;
@@ -24,7 +25,10 @@
 import org.rattanport.kernel.plugin.PluginContext;
 import org.rattanport.kernel.time.Deadline;
 
-/** Serves the metrics of a gateway instance if the settings have an address for them. */
+/**
+ * Serves the metrics of a gateway instance, and explanations of placements, if the settings have an
+ * address for them.
+ */
 public final class GatewayMetricsPlugin implements Plugin {
     private static final String PATH = "/metrics";
 
@@ -47,7 +51,8 @@
                 HttpTransport.class,
                 FleetState.class,
                 InFlightRequests.class,
-                Membership.class);
+                Membership.class,
+                PlacementExplainer.class);
     }
 
     @Override
@@ -74,10 +79,14 @@
                 context.events().stream(StoreChange.class).subscribe(metrics::observeStoreChange));
         mSubscriptions.add(
                 context.events().stream(RateLimitEvent.class).subscribe(metrics::countRateLimit));
+        ExplainEndpoint explain = new ExplainEndpoint(context.require(PlacementExplainer.class));
         new HttpServer(
                 context.require(HttpTransport.class),
                 address.get(),
-                routes -> routes.get(PATH, exchange -> sendMetrics(exchange, metrics, context)),
+                routes -> {
+                    routes.get(PATH, exchange -> sendMetrics(exchange, metrics, context));
+                    routes.get(ExplainEndpoint.PATH, explain::handle);
+                },
                 HttpServer::sendErrorAsText);
     }
 
--- a/daemon/src/main/java/org/rattanport/daemon/command/OperatorReadCommand.java
+++ b/daemon/src/main/java/org/rattanport/daemon/command/OperatorReadCommand.java
@@ -1,7 +1,5 @@
 package org.rattanport.daemon.command;
 
-import com.beust.jcommander.Parameter;
-
 /** Prints the state of an instance, read with one request. */
 public abstract class OperatorReadCommand implements Command {
     private final ClientOptions mOptions;
@@ -109,38 +107,4 @@
             return "/operator/audit";
         }
     }
-
-    /** Prints the explanation of one request. */
-    public static final class Explain extends OperatorReadCommand {
-        private static final class Options extends ClientOptions {
-            @Parameter(description = "REQUEST-ID", required = true)
-            private String mRequestId = "";
-        }
-
-        private final Options mOptions;
-
-        public Explain() {
-            this(new Options());
-        }
-
-        private Explain(Options options) {
-            super(options);
-            mOptions = options;
-        }
-
-        @Override
-        public String name() {
-            return "explain";
-        }
-
-        @Override
-        public String summary() {
-            return "show the recorded steps of one request";
-        }
-
-        @Override
-        String path() {
-            return "/operator/requests/" + mOptions.mRequestId;
-        }
-    }
 }
--- a/daemon/src/main/resources/META-INF/services/org.rattanport.daemon.command.Command
+++ b/daemon/src/main/resources/META-INF/services/org.rattanport.daemon.command.Command
@@ -9,7 +9,7 @@
 org.rattanport.daemon.command.HashKeyCommand
 org.rattanport.daemon.command.OperatorReadCommand$Addresses
 org.rattanport.daemon.command.OperatorReadCommand$Audit
-org.rattanport.daemon.command.OperatorReadCommand$Explain
+org.rattanport.daemon.command.ExplainCommand
 org.rattanport.daemon.command.OperatorReadCommand$Members
 org.rattanport.daemon.command.OperatorReadCommand$Targets
 org.rattanport.daemon.command.PromptCommand
