Check that a question about blocked content has the same answer as a request

CrashAttribution.findBlocked answers explain, blockedContent requests. Each case of the test now compares both. Measured: CrashAttributionTest and PlacementExplainerTest pass.

--- a/decisions/src/test/java/org/rattanport/decisions/poison/CrashAttributionTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/poison/CrashAttributionTest.java
@@ -8,6 +8,7 @@
 import java.util.Arrays;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
@@ -65,7 +66,9 @@
     }
 
     private boolean isBlocked(Instance instance, RequestContent request) {
-        return instance.mAttribution.blockedContent(request).isPresent();
+        Optional<Fingerprint> found = instance.mAttribution.findBlocked(request);
+        assertThat(instance.mAttribution.blockedContent(request)).isEqualTo(found);
+        return found.isPresent();
     }
 
     private void deliverRumors() {
