Predict the wait for a slot, and let late prompts give way

Placement predicted a first event from an engine's prefill work alone.

The predicted first event now contains the wait for the next free slot. A request that is late by that gets the lowest urgency, so that engines admit those first that can be on time, and does not count against their slots while it waits. Coordinators are told the first event of deferred prompts and of those predicted after 200 ms or more, and take an engine for busy until then; before, an engine that was behind looked idle and got more.

--- a/connectors/src/main/java/org/rattanport/connectors/peer/WorkUpdateCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/WorkUpdateCodec.java
@@ -54,6 +54,7 @@
                 .setAnswerMillis((float) work.predictedDecodeMillis())
                 .setPauseMillis((float) work.maxEventGapMillis())
                 .setWeight((float) work.weight())
+                .setIsDeferred(work.isDeferred())
                 .build();
     }
 
@@ -106,7 +107,8 @@
                 notice.getFirstEventMillis(),
                 notice.getAnswerMillis(),
                 notice.getPauseMillis(),
-                notice.getWeight());
+                notice.getWeight(),
+                notice.getIsDeferred());
     }
 
     private static EngineShare decodeShare(WorkShare share) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
@@ -99,7 +99,7 @@
         if (!mComponents.notices().accepts(placement.backEnd())) {
             throw ForwardingErrors.wantsNoRequests();
         }
-        int urgency = Urgency.of(mRoute.latencyObjective());
+        int urgency = Urgency.of(mRoute.latencyObjective(), placement.isDeferred());
         Optional<BackEnd> held =
                 placement
                         .engines()
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -243,7 +243,7 @@
                         placement.backEnd(),
                         mDeadline.remaining(mComponents.time()),
                         mAccount.map(GatewayAccount::name),
-                        Urgency.of(mRoute.latencyObjective()),
+                        Urgency.of(mRoute.latencyObjective(), placement.isDeferred()),
                         placement.prefillEngines().stream()
                                 .map(
                                         each ->
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacement.java
@@ -44,9 +44,18 @@
      * A prompt that was placed for this instance and that has not ended.
      *
      * @param coordinator the other instance that placed it; empty if this one did
+     * @param isDecoding whether its first event has arrived
      */
     private record OpenWork(
-            EngineWork work, EngineGroup group, long placedNanos, Optional<Member> coordinator) {
+            EngineWork work,
+            EngineGroup group,
+            long placedNanos,
+            Optional<Member> coordinator,
+            boolean isDecoding) {
+        OpenWork decoding() {
+            return new OpenWork(work, group, placedNanos, coordinator, true);
+        }
+
         boolean isKnownTo(Member member) {
             return coordinator.filter(each -> each.id().equals(member.id())).isPresent();
         }
@@ -196,7 +205,8 @@
                                                         each.work().get(),
                                                         query.demand().group(),
                                                         mTime.nanoTime(),
-                                                        Optional.empty())));
+                                                        Optional.empty(),
+                                                        false)));
         mOnDecision.accept(new PlacementDecision(coordinator, grant.isPresent()));
         return grant;
     }
@@ -239,7 +249,8 @@
                                 open.work(),
                                 open.group(),
                                 open.placedNanos(),
-                                Optional.of(coordinator)));
+                                Optional.of(coordinator),
+                                open.isDecoding()));
             }
         }
         return updates;
@@ -256,7 +267,8 @@
                 Math.max(0, work.predictedFirstEventMillis() - elapsed),
                 work.predictedDecodeMillis(),
                 work.maxEventGapMillis(),
-                work.weight());
+                work.weight(),
+                work.isDeferred());
     }
 
     /** The placement of the reply, if this instance knows its engines and none is draining. */
@@ -266,7 +278,8 @@
             return Optional.empty();
         }
         EngineWork work = reply.work().get();
-        OpenWork open = new OpenWork(work, group, mTime.nanoTime(), Optional.of(coordinator));
+        OpenWork open =
+                new OpenWork(work, group, mTime.nanoTime(), Optional.of(coordinator), false);
         Optional<Placement> placement = Placement.of(work, reply.cost(), mRegistry::findAvailable);
         if (placement.isEmpty()) {
             sendToCoordinator(open, new WorkUpdate.Ended(work.attemptId()));
@@ -278,10 +291,15 @@
         open.coordinator().ifPresent(each -> mSender.send(each.peerAddress(), update));
     }
 
-    /** Recorded locally only: the coordinator predicts the first event from the placement. */
+    /** Mostly recorded locally only: the coordinator predicts the first event of short prompts. */
     @Override
     public void decodeStarted(String attemptId) {
         mTracker.decodeStarted(attemptId);
+        OpenWork open = mOpen.get(attemptId);
+        if (open != null && !open.isDecoding() && WorkTracker.isConfirmed(open.work())) {
+            mOpen.computeIfPresent(attemptId, (id, work) -> work.decoding());
+            sendToCoordinator(open, new WorkUpdate.Decoding(attemptId));
+        }
     }
 
     @Override
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/EngineLoadEstimate.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/EngineLoadEstimate.java
@@ -18,10 +18,15 @@
         long reservedTokens,
         double pendingPrefillMillis) {
     /**
-     * A decode request: the longest gap between events that is on time, and the cost of a late
-     * event.
+     * A decode request.
+     *
+     * @param maxGapMillis longest gap between events that is on time
+     * @param weight cost of a late event
+     * @param remainingMillis predicted time until it ends and leaves its slot
+     * @param isWaiting whether the engine admits requests that are on time before it
      */
-    public record DecodeRequest(double maxGapMillis, double weight) {}
+    public record DecodeRequest(
+            double maxGapMillis, double weight, double remainingMillis, boolean isWaiting) {}
 
     /** The estimate of an engine without requests. */
     public static final EngineLoadEstimate IDLE = new EngineLoadEstimate(List.of(), 0, 0, 0, 0);
@@ -42,6 +47,22 @@
         return currentPassRemainder + passMillis(model, partMillis);
     }
 
+    /**
+     * Predicts how long a new request waits for a slot of the engine.
+     *
+     * @param isDeferred whether the request waits behind all others, or only behind those that are
+     *     not deferred
+     */
+    public double slotWaitMillis(int slots, boolean isDeferred) {
+        double[] remaining =
+                decodes.stream()
+                        .filter(decode -> isDeferred || !decode.isWaiting())
+                        .mapToDouble(DecodeRequest::remainingMillis)
+                        .sorted()
+                        .toArray();
+        return remaining.length < slots ? 0 : remaining[remaining.length - slots];
+    }
+
     /** Sum of the weights of the decode requests whose gap limit is shorter than the pass. */
     public double interferenceCost(double passMillis) {
         double cost = 0;
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/Placement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/Placement.java
@@ -69,6 +69,11 @@
                 .findFirst();
     }
 
+    /** Whether engines admit the request after others. */
+    public boolean isDeferred() {
+        return work.filter(EngineWork::isDeferred).isPresent();
+    }
+
     /** All back ends of this placement. */
     public Stream<BackEnd> engines() {
         return Stream.concat(Stream.of(backEnd), prefillEngines.stream());
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
@@ -35,6 +35,11 @@
 
     private static final double WEIGHT_EXPONENT = 0.75;
 
+    /**
+     * Predicted first event, as a multiple of the objective, from which on a prompt is deferred.
+     */
+    private static final double DEFERRAL_FACTOR = 1.25;
+
     /** Fraction of an engine's memory that placement uses; the rest covers unknown requests. */
     private static final double USABLE_MEMORY_FRACTION = 0.92;
 
@@ -42,7 +47,20 @@
 
     /** The prompt to place with values derived from it. */
     private record Prompt(
-            PlacementQuery query, ForwardPassModel model, PromptSize size, double weight) {
+            PlacementQuery query,
+            ForwardPassModel model,
+            PromptSize size,
+            double weight,
+            boolean isDeferred) {
+        Prompt deferred() {
+            return new Prompt(query, model, size, weight, true);
+        }
+
+        boolean isLate(Plan plan) {
+            return plan.firstEventMillis()
+                    > DEFERRAL_FACTOR * query.demand().objective().toMillis();
+        }
+
         double maxGapMillis() {
             return query.demand().maxEventGap().toMillis();
         }
@@ -99,13 +117,23 @@
                         query,
                         new ForwardPassModel(query.service().engineSpec().orElseThrow()),
                         size,
-                        weight);
+                        weight,
+                        false);
         mTracker.removeExpired();
         List<Candidate> candidates = candidates(query);
+        return bestPlan(prompt, candidates)
+                .flatMap(
+                        plan ->
+                                prompt.isLate(plan)
+                                        ? bestPlan(prompt.deferred(), candidates)
+                                                .map(each -> placement(prompt.deferred(), each))
+                                        : Optional.of(placement(prompt, plan)));
+    }
+
+    private Optional<Plan> bestPlan(Prompt prompt, List<Candidate> candidates) {
         return IntStream.rangeClosed(1, Math.min(MAX_EXTRA_PREFILL_ENGINES + 1, candidates.size()))
                 .mapToObj(parts -> plan(prompt, candidates, parts))
-                .min(Comparator.comparingDouble(Plan::cost))
-                .map(plan -> placement(prompt, plan));
+                .min(Comparator.comparingDouble(Plan::cost));
     }
 
     private List<Candidate> candidates(PlacementQuery query) {
@@ -145,9 +173,11 @@
                                 each ->
                                         new RatedCandidate(
                                                 each.candidate(),
-                                                each.cost()
-                                                        + decodeExtraCost(
-                                                                prompt, each.candidate(), parts)))
+                                                decodeCost(
+                                                        prompt,
+                                                        each.candidate(),
+                                                        partMillis,
+                                                        parts)))
                         .min(Comparator.comparingDouble(RatedCandidate::cost))
                         .orElseThrow();
         Candidate decodeEngine = decode.candidate();
@@ -160,7 +190,9 @@
                                 .limit(parts - 1L)
                                 .map(RatedCandidate::candidate)
                                 .toList();
-        double firstEventMillis = prefillFinishMillis(prompt, decodeEngine, partMillis);
+        double firstEventMillis =
+                slotWaitMillis(prompt, decodeEngine)
+                        + prefillFinishMillis(prompt, decodeEngine, partMillis);
         double cost = decode.cost() - latenessCost(prompt, firstEventMillis);
         for (Candidate prefillEngine : prefillEngines) {
             firstEventMillis =
@@ -206,6 +238,20 @@
                 + candidate.penalty();
     }
 
+    private static double slotWaitMillis(Prompt prompt, Candidate candidate) {
+        return candidate.load().slotWaitMillis(prompt.model().spec().slots(), prompt.isDeferred());
+    }
+
+    private double decodeCost(Prompt prompt, Candidate candidate, double partMillis, int parts) {
+        double firstEventMillis =
+                slotWaitMillis(prompt, candidate)
+                        + prefillFinishMillis(prompt, candidate, partMillis);
+        return interferenceCost(prompt, candidate, partMillis)
+                + latenessCost(prompt, firstEventMillis)
+                + candidate.penalty()
+                + decodeExtraCost(prompt, candidate, parts);
+    }
+
     /** Cost of the decode engine besides that of its prefill part. */
     private double decodeExtraCost(Prompt prompt, Candidate candidate, int parts) {
         EngineLoadEstimate load = candidate.load();
@@ -269,7 +315,8 @@
                         plan.firstEventMillis(),
                         decodeMillis(prompt, plan.decodeEngine(), decodeEngineTokens),
                         prompt.maxGapMillis(),
-                        prompt.weight());
+                        prompt.weight(),
+                        prompt.isDeferred());
         Map<String, BackEnd> engines =
                 Stream.concat(Stream.of(plan.decodeEngine()), plan.prefillEngines().stream())
                         .map(Candidate::backEnd)
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkTracker.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkTracker.java
@@ -27,12 +27,28 @@
     /** Fraction of its weight that an already late answer still loses by another long gap. */
     private static final double LATE_WEIGHT_FACTOR = 0.15;
 
+    /**
+     * Predicted time of a first event from which on the instance that forwards the request confirms
+     * it, as a wrong prediction misleads later placements for long.
+     */
+    private static final double MIN_CONFIRMED_MILLIS = 200;
+
+    /** Fraction of its prefill that a request still has while its first event is overdue. */
+    private static final double OVERDUE_FRACTION = 0.3;
+
+    /** Multiple of its predicted time up to which an overdue first event is expected. */
+    private static final double MAX_OVERDUE_FACTOR = 4;
+
+    /** Shortest time until a request that is about to end leaves its slot. */
+    private static final double MIN_REMAINING_MILLIS = 30;
+
     private static final double NANOS_PER_MILLI = 1e6;
 
     private static final class Entry {
         private final EngineWork mWork;
         private final long mPlacedNanos;
         private boolean mIsDecoding;
+        private long mDecodingNanos;
         private boolean mIsLate;
 
         private Entry(EngineWork work, long placedNanos) {
@@ -93,11 +109,17 @@
     /** Records that the first event of the request arrived. */
     public synchronized void decodeStarted(String attemptId) {
         Entry entry = mEntries.get(attemptId);
-        if (entry != null) {
+        if (entry != null && !entry.mIsDecoding) {
             entry.mIsDecoding = true;
+            entry.mDecodingNanos = mTime.nanoTime();
         }
     }
 
+    /** Whether the first event of the work is reported to the coordinator. */
+    static boolean isConfirmed(EngineWork work) {
+        return work.isDeferred() || work.predictedFirstEventMillis() >= MIN_CONFIRMED_MILLIS;
+    }
+
     /** Removes a request that has ended. */
     public synchronized void ended(String attemptId) {
         Entry entry = mEntries.remove(attemptId);
@@ -149,7 +171,12 @@
             if (share.isDecodeEngine()) {
                 EngineWork work = entry.mWork;
                 double weight = work.weight() * (entry.mIsLate ? LATE_WEIGHT_FACTOR : 1);
-                decodes.add(new EngineLoadEstimate.DecodeRequest(work.maxEventGapMillis(), weight));
+                decodes.add(
+                        new EngineLoadEstimate.DecodeRequest(
+                                work.maxEventGapMillis(),
+                                weight,
+                                remainingMillis(entry, now),
+                                work.isDeferred() && !entry.mIsDecoding));
                 activeDecodes += pendingFraction > 0 ? 0 : 1;
                 contextTokens += pendingFraction > 0 ? 0 : share.memoryTokens();
             }
@@ -162,7 +189,21 @@
         if (entry.mIsDecoding || entry.mWork.predictedFirstEventMillis() <= 0) {
             return 0;
         }
-        return Math.max(0, 1 - age(entry, now) / entry.mWork.predictedFirstEventMillis());
+        double elapsed = age(entry, now) / entry.mWork.predictedFirstEventMillis();
+        boolean isOverdue = isConfirmed(entry.mWork) && elapsed < MAX_OVERDUE_FACTOR;
+        return Math.max(isOverdue ? OVERDUE_FRACTION : 0, 1 - elapsed);
+    }
+
+    private static double remainingMillis(Entry entry, long now) {
+        EngineWork work = entry.mWork;
+        double remaining =
+                entry.mIsDecoding
+                        ? work.predictedDecodeMillis()
+                                - (now - entry.mDecodingNanos) / NANOS_PER_MILLI
+                        : work.predictedFirstEventMillis()
+                                + work.predictedDecodeMillis()
+                                - age(entry, now);
+        return Math.max(MIN_REMAINING_MILLIS, remaining);
     }
 
     private static double age(Entry entry, long now) {
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/EngineWork.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/EngineWork.java
@@ -11,6 +11,7 @@
  * @param predictedDecodeMillis predicted decode time after the first event
  * @param maxEventGapMillis maximum gap between two events that is on time
  * @param weight cost of a late answer, relative to that of a short prompt
+ * @param isDeferred whether engines admit the request after others, because it is late already
  */
 public record EngineWork(
         String attemptId,
@@ -18,4 +19,23 @@
         double predictedFirstEventMillis,
         double predictedDecodeMillis,
         double maxEventGapMillis,
-        double weight) {}
+        double weight,
+        boolean isDeferred) {
+    /** Creates the work of a request that is not deferred. */
+    public EngineWork(
+            String attemptId,
+            List<EngineShare> shares,
+            double predictedFirstEventMillis,
+            double predictedDecodeMillis,
+            double maxEventGapMillis,
+            double weight) {
+        this(
+                attemptId,
+                shares,
+                predictedFirstEventMillis,
+                predictedDecodeMillis,
+                maxEventGapMillis,
+                weight,
+                false);
+    }
+}
