Postpone long prompts that would be late, and lease only memory that is free

A long prompt that would be late is placed again after 100 to 500 ms, until the engines have room or just enough time is left. Parts are planned only for engines with room for them, and a plan that lacks memory costs as much as a late answer. A request whose first event is predicted long after its deadline is refused at once, as not run, with the excess as Retry-After.

--- a/connectors/src/main/java/org/rattanport/connectors/peer/PlacementCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/PlacementCodec.java
@@ -25,6 +25,8 @@
                         .setObjectiveMillis((int) demand.objective().toMillis())
                         .setMaxEventGapMillis((int) demand.maxEventGap().toMillis())
                         .addAllExcluded(demand.excluded())
+                        .setWaitedMillis((int) demand.waited().toMillis())
+                        .setMayWait(demand.mayWait())
                         .addAllNotices(WorkUpdateCodec.encodeUpdates(request.updates()));
         demand.size()
                 .ifPresent(
@@ -48,13 +50,17 @@
                                 : Optional.empty(),
                         Duration.ofMillis(request.getObjectiveMillis()),
                         Duration.ofMillis(request.getMaxEventGapMillis()),
-                        Set.copyOf(request.getExcludedList())),
+                        Set.copyOf(request.getExcludedList()),
+                        Duration.ofMillis(request.getWaitedMillis()),
+                        request.getMayWait()),
                 WorkUpdateCodec.decodeUpdates(request.getNoticesList()));
     }
 
     static PlacementReply encode(PeerMessage.PlacementReply reply) {
         PlacementReply.Builder builder = PlacementReply.newBuilder().setCost((float) reply.cost());
         reply.work().map(WorkUpdateCodec::encodeWork).ifPresent(builder::setWork);
+        reply.postponement()
+                .ifPresent(delay -> builder.setPostponementMillis((int) delay.toMillis()));
         return builder.build();
     }
 
@@ -63,6 +69,9 @@
                 reply.hasWork()
                         ? Optional.of(WorkUpdateCodec.decodeWork(reply.getWork()))
                         : Optional.empty(),
-                reply.getCost());
+                reply.getCost(),
+                reply.hasPostponementMillis()
+                        ? Optional.of(Duration.ofMillis(reply.getPostponementMillis()))
+                        : Optional.empty());
     }
 }
--- a/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
@@ -173,6 +173,13 @@
                                     demand(Optional.of(new PromptSize(5_000, 300))),
                                     List.of(new WorkUpdate.Ended("attempt-0"))),
                             new PeerMessage.PlacementRequest(demand(Optional.empty()), List.of()),
+                            new PeerMessage.PlacementRequest(
+                                    demand(Optional.empty()).waiting(Duration.ofMillis(250)),
+                                    List.of()),
+                            new PeerMessage.WorkUpdates(
+                                    List.of(new WorkUpdate.Placed(deferredWork()))),
+                            new PeerMessage.PlacementReply(
+                                    Optional.of(work()), 2, Optional.of(Duration.ofMillis(300))),
                             new PeerMessage.PlacementReply(Optional.of(work()), 0.5),
                             new PeerMessage.PlacementReply(Optional.empty(), 0),
                             new PeerMessage.PendingPrefillRequest("engine"),
@@ -244,6 +251,10 @@
                 1);
     }
 
+    private static EngineWork deferredWork() {
+        return new EngineWork("attempt-2", work().shares(), 60, 900, 200, 1, true);
+    }
+
     @Nested
     final class RoutingDocuments {
         @Test
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
@@ -1,5 +1,6 @@
 package org.rattanport.decisions.gateway;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
@@ -42,8 +43,12 @@
         mService = service;
     }
 
-    /** Places the next attempt; empty if no back end takes it. */
-    Optional<Placement> place() {
+    /**
+     * Places the next attempt; empty if no back end takes it.
+     *
+     * @param waited how long the request has waited for its placement, if it may wait on
+     */
+    Optional<Placement> place(Optional<Duration> waited) {
         BackEndPlacement policy =
                 mService.engineSpec().isPresent()
                         ? mComponents.promptPlacement()
@@ -62,7 +67,8 @@
                         mRoute.latencyObjective(),
                         mRoute.maxEventGap(),
                         Set.copyOf(excluded));
-        return policy.place(new PlacementQuery(mService, demand));
+        return policy.place(
+                new PlacementQuery(mService, waited.map(demand::waiting).orElse(demand)));
     }
 
     /** Whether a back end that has not been tried takes requests. */
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -18,6 +18,7 @@
 import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.CallerExchange;
 import org.rattanport.kernel.gateway.CallerRequest;
+import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.GatewayAccount;
 import org.rattanport.kernel.gateway.RequestContent;
 import org.rattanport.kernel.gateway.RequestOutcome;
@@ -159,7 +160,7 @@
             if (mHasReachedBackEnd && !mSilence.takeRetry()) {
                 break;
             }
-            Optional<Placement> placement = mSelection.place();
+            Optional<Placement> placement = placeInTime();
             if (placement.isEmpty()) {
                 mComponents
                         .registry()
@@ -181,6 +182,45 @@
         endWithoutResponse();
     }
 
+    /** Places the next attempt; a first attempt that would be late waits while it may. */
+    private Optional<Placement> placeInTime() {
+        long startNanos = mComponents.time().nanoTime();
+        Duration waited = Duration.ZERO;
+        boolean isFirst = mRuns == 0 && !mRelay.hasStarted();
+        Optional<Placement> placement = mSelection.place(mayWait(isFirst, waited));
+        while (placement.flatMap(Placement::postponement).isPresent()) {
+            mTrace.placementPostponed(placement.get());
+            mComponents.time().sleep(placement.get().postponement().get());
+            requireWorthSending();
+            waited = Duration.ofNanos(mComponents.time().nanoTime() - startNanos);
+            placement = mSelection.place(mayWait(isFirst, waited));
+        }
+        if (isFirst) {
+            placement.ifPresent(this::requirePromising);
+        }
+        return placement;
+    }
+
+    /** Refuses a request at once whose first event is predicted long after its deadline. */
+    private void requirePromising(Placement placement) {
+        double predictedMillis =
+                placement.work().map(EngineWork::predictedFirstEventMillis).orElse(0.0);
+        Duration remaining = mDeadline.remaining(mComponents.time());
+        if (PlacementWait.isHopeless(predictedMillis, remaining)) {
+            mComponents.workNotifier().ended(mRequest.attemptId());
+            throw ForwardingErrors.cannotBeServedInTime(
+                    Duration.ofMillis(Math.round(predictedMillis)).minus(remaining));
+        }
+    }
+
+    /** Returns how long the request has waited; empty if it may not wait on. */
+    private Optional<Duration> mayWait(boolean isFirst, Duration waited) {
+        Duration remaining = mDeadline.remaining(mComponents.time());
+        return isFirst && PlacementWait.isAllowed(mRoute, waited, remaining)
+                ? Optional.of(waited)
+                : Optional.empty();
+    }
+
     private boolean hasTimeForAttempt() {
         return mDeadline.remaining(mComponents.time()).compareTo(MIN_ATTEMPT_TIME) >= 0;
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ForwardingErrors.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ForwardingErrors.java
@@ -46,15 +46,26 @@
     }
 
     /** Callers return at different times after the wait, so that they do not come as a herd. */
-    static RattanportException noneAccepts(Duration wait) {
+    private static RattanportException refused(String reason, Duration wait) {
         double spread = 1 + WAIT_SPREAD * ThreadLocalRandom.current().nextDouble();
-        return RattanportException.builder(
-                        ErrorCode.TARGET_REFUSED,
-                        "every back end asked for a pause or has reached its rate limit")
+        return RattanportException.builder(ErrorCode.TARGET_REFUSED, reason)
                 .retryAfter(Duration.ofMillis(Math.round(wait.toMillis() * spread)))
                 .build();
     }
 
+    static RattanportException noneAccepts(Duration wait) {
+        return refused("every back end asked for a pause or has reached its rate limit", wait);
+    }
+
+    /**
+     * A refusal of a request that engines cannot begin before its deadline.
+     *
+     * @param excess time by which the predicted first event exceeds the deadline
+     */
+    static RattanportException cannotBeServedInTime(Duration excess) {
+        return refused("the engines have more work than they can do before the deadline", excess);
+    }
+
     static RattanportException wantsNoRequests() {
         return new RattanportException(
                 ErrorCode.TARGET_REFUSED, "the back end wants no requests now");
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -37,6 +37,7 @@
 import org.rattanport.kernel.gateway.EngineMemoryClient;
 import org.rattanport.kernel.gateway.FleetSource;
 import org.rattanport.kernel.gateway.GatewaySettings;
+import org.rattanport.kernel.gateway.PlacementPostponed;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.UnansweredExchange;
 import org.rattanport.kernel.peer.MemberState;
@@ -128,6 +129,8 @@
                 context.events().stream(AttemptFailure.class).subscribe(log::logFailure));
         mSubscriptions.add(
                 context.events().stream(UnansweredExchange.class).subscribe(log::logUnanswered));
+        mSubscriptions.add(
+                context.events().stream(PlacementPostponed.class).subscribe(log::logPostponement));
         context.provide(FleetState.class, state);
         context.provide(Readiness.class, readiness);
         context.provide(BackEndRegistry.class, registry);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RequestLog.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RequestLog.java
@@ -3,6 +3,7 @@
 import org.jboss.logging.Logger;
 import org.rattanport.kernel.event.LogLine;
 import org.rattanport.kernel.gateway.AttemptFailure;
+import org.rattanport.kernel.gateway.PlacementPostponed;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.UnansweredExchange;
 import org.rattanport.kernel.time.TimeSource;
@@ -54,6 +55,15 @@
         }
     }
 
+    /** Logs that a prompt waits for its placement; each one does so at most ten times a second. */
+    public void logPostponement(PlacementPostponed postponed) {
+        LOGGER.info(
+                LogLine.of("placement-postponed")
+                        .with("request", postponed.attemptId())
+                        .with("predicted_first_event_millis", postponed.predictedFirstEventMillis())
+                        .with("for_millis", postponed.delayMillis()));
+    }
+
     /** Logs an exchange that ended without a whole response. */
     public void logUnanswered(UnansweredExchange exchange) {
         LOGGER.info(
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/RequestTrace.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/RequestTrace.java
@@ -10,6 +10,7 @@
 import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineWork;
+import org.rattanport.kernel.gateway.PlacementPostponed;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.ResponseTiming;
 import org.rattanport.kernel.gateway.Route;
@@ -58,6 +59,19 @@
         mStatus = 0;
     }
 
+    /** Records that the placement waits for room at the engines. */
+    void placementPostponed(Placement placement) {
+        mEvents.publish(
+                new PlacementPostponed(
+                        mInfo.attemptId(),
+                        Math.round(
+                                placement
+                                        .work()
+                                        .map(EngineWork::predictedFirstEventMillis)
+                                        .orElse(0.0)),
+                        placement.postponement().orElse(Duration.ZERO).toMillis()));
+    }
+
     void responseReceived(int status) {
         mStatus = status;
     }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacement.java
@@ -61,7 +61,11 @@
         }
     }
 
-    private record Grant(Placement placement, OpenWork open) {}
+    private record Grant(Placement placement, OpenWork open) {
+        boolean isPostponed() {
+            return placement.postponement().isPresent();
+        }
+    }
 
     private final BackEndRegistry mRegistry;
     private final PlacementCoordinator mLocal;
@@ -107,7 +111,7 @@
                 break;
             }
         }
-        best.ifPresent(this::record);
+        best.filter(grant -> !grant.isPostponed()).ifPresent(this::record);
         return best.map(Grant::placement);
     }
 
@@ -129,14 +133,17 @@
         if (one.isEmpty() || other.isEmpty()) {
             return one.isPresent() ? one : other;
         }
-        boolean isFirstBetter = one.get().placement().cost() <= other.get().placement().cost();
+        boolean isFirstBetter =
+                one.get().isPostponed() == other.get().isPostponed()
+                        ? one.get().placement().cost() <= other.get().placement().cost()
+                        : other.get().isPostponed();
         if (isFirstBetter) {
-            withdraw(other.get().open());
-            announceAgain(one.get().open(), other.get().open());
+            withdraw(other.get());
+            announceAgain(one.get(), other.get());
             return one;
         }
         if (!isSameCoordinator(one.get().open(), other.get().open())) {
-            withdraw(one.get().open());
+            withdraw(one.get());
         }
         return other;
     }
@@ -145,7 +152,11 @@
         return one.coordinator().map(Member::id).equals(other.coordinator().map(Member::id));
     }
 
-    private void withdraw(OpenWork open) {
+    private void withdraw(Grant grant) {
+        if (grant.isPostponed()) {
+            return;
+        }
+        OpenWork open = grant.open();
         if (open.coordinator().isEmpty()) {
             mTracker.ended(open.work().attemptId());
         }
@@ -153,8 +164,13 @@
     }
 
     /** A coordinator of both groups has replaced its record of the first placement. */
-    private void announceAgain(OpenWork chosen, OpenWork withdrawn) {
-        if (!isSameCoordinator(chosen, withdrawn)) {
+    private void announceAgain(Grant chosenGrant, Grant withdrawnGrant) {
+        OpenWork chosen = chosenGrant.open();
+        boolean wasReplaced =
+                isSameCoordinator(chosen, withdrawnGrant.open())
+                        && !chosenGrant.isPostponed()
+                        && !withdrawnGrant.isPostponed();
+        if (!wasReplaced) {
             return;
         }
         if (chosen.coordinator().isEmpty()) {
@@ -280,8 +296,10 @@
         EngineWork work = reply.work().get();
         OpenWork open =
                 new OpenWork(work, group, mTime.nanoTime(), Optional.of(coordinator), false);
-        Optional<Placement> placement = Placement.of(work, reply.cost(), mRegistry::findAvailable);
-        if (placement.isEmpty()) {
+        Optional<Placement> placement =
+                Placement.of(work, reply.cost(), mRegistry::findAvailable)
+                        .map(each -> reply.postponement().map(each::postponed).orElse(each));
+        if (placement.isEmpty() && reply.postponement().isEmpty()) {
             sendToCoordinator(open, new WorkUpdate.Ended(work.attemptId()));
         }
         return placement.map(each -> new Grant(each, open));
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/Placement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/Placement.java
@@ -1,5 +1,6 @@
 package org.rattanport.decisions.gateway.placement;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -19,13 +20,26 @@
  *     needed
  * @param work the share of each engine; empty for plain services
  * @param cost predicted cost in units of the weight of the work
+ * @param postponement time after which the request is to be placed again, because it would be late
+ *     and others would be late for it; empty if it is sent now
  */
 public record Placement(
         BackEnd backEnd,
         List<BackEnd> prefillEngines,
         List<Reservation> reservations,
         Optional<EngineWork> work,
-        double cost) {
+        double cost,
+        Optional<Duration> postponement) {
+    /** Creates the placement of a request that is sent now. */
+    public Placement(
+            BackEnd backEnd,
+            List<BackEnd> prefillEngines,
+            List<Reservation> reservations,
+            Optional<EngineWork> work,
+            double cost) {
+        this(backEnd, prefillEngines, reservations, work, cost, Optional.empty());
+    }
+
     /**
      * Returns the placement of the work; empty if one of its engines is unknown.
      *
@@ -61,6 +75,11 @@
                 each -> new Placement(each, prefillEngines, reservations, Optional.of(work), cost));
     }
 
+    /** Returns the same placement for a later time. */
+    Placement postponed(Duration delay) {
+        return new Placement(backEnd, prefillEngines, reservations, work, cost, Optional.of(delay));
+    }
+
     /** The lease id of a prefill engine, if it leases memory. */
     public Optional<String> leaseId(BackEnd prefillEngine) {
         return reservations.stream()
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PlacementCoordinator.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PlacementCoordinator.java
@@ -49,7 +49,10 @@
     /** Places the prompt and records its work. */
     synchronized Optional<Placement> place(PlacementQuery query) {
         Optional<Placement> placement = mPlacement.place(query);
-        placement.flatMap(Placement::work).ifPresent(mTracker::placed);
+        placement
+                .filter(each -> each.postponement().isEmpty())
+                .flatMap(Placement::work)
+                .ifPresent(mTracker::placed);
         return placement;
     }
 
@@ -66,7 +69,8 @@
         Optional<Placement> placement = place(new PlacementQuery(service.get(), demand));
         return new PeerMessage.PlacementReply(
                 placement.flatMap(Placement::work),
-                placement.map(Placement::cost).orElse(Double.MAX_VALUE));
+                placement.map(Placement::cost).orElse(Double.MAX_VALUE),
+                placement.flatMap(Placement::postponement));
     }
 
     private void apply(WorkUpdate update) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
@@ -1,5 +1,6 @@
 package org.rattanport.decisions.gateway.placement;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -40,6 +41,17 @@
      */
     private static final double DEFERRAL_FACTOR = 1.25;
 
+    /** Prefill time on one engine from which on a late prompt is postponed. */
+    private static final double MIN_POSTPONED_MILLIS = 250;
+
+    /** Part of the objective in which a late prompt must be answered to be sent at all. */
+    private static final double LATE_START_FRACTION = 0.5;
+
+    /** Shortest and longest time until a late prompt is placed again. */
+    private static final double MIN_POSTPONEMENT_MILLIS = 100;
+
+    private static final double MAX_POSTPONEMENT_MILLIS = 500;
+
     /** Fraction of an engine's memory that placement uses; the rest covers unknown requests. */
     private static final double USABLE_MEMORY_FRACTION = 0.92;
 
@@ -57,8 +69,30 @@
         }
 
         boolean isLate(Plan plan) {
+            double objective = query.demand().objective().toMillis();
             return plan.firstEventMillis()
-                    > DEFERRAL_FACTOR * query.demand().objective().toMillis();
+                    > DEFERRAL_FACTOR * (objective - query.demand().waited().toMillis());
+        }
+
+        /** Whether the prompt is so long that its prefill is what delays others. */
+        boolean isLong() {
+            return partMillis(1) >= MIN_POSTPONED_MILLIS;
+        }
+
+        /** When to place a late prompt again; empty if the engines have room for it. */
+        Optional<Duration> postponement(Plan plan) {
+            double objective = query.demand().objective().toMillis();
+            double excess = plan.firstEventMillis() - LATE_START_FRACTION * objective;
+            boolean hasRoom = excess <= 0 && !plan.lacksMemory();
+            return query.demand().mayWait() && isLong() && !hasRoom
+                    ? Optional.of(
+                            Duration.ofMillis(
+                                    Math.round(
+                                            Math.clamp(
+                                                    excess / 2,
+                                                    MIN_POSTPONEMENT_MILLIS,
+                                                    MAX_POSTPONEMENT_MILLIS))))
+                    : Optional.empty();
         }
 
         double maxGapMillis() {
@@ -81,7 +115,8 @@
             Candidate decodeEngine,
             List<Candidate> prefillEngines,
             double firstEventMillis,
-            double cost) {
+            double cost,
+            boolean lacksMemory) {
         int parts() {
             return prefillEngines.size() + 1;
         }
@@ -124,12 +159,23 @@
         return bestPlan(prompt, candidates)
                 .flatMap(
                         plan ->
-                                prompt.isLate(plan)
-                                        ? bestPlan(prompt.deferred(), candidates)
-                                                .map(each -> placement(prompt.deferred(), each))
+                                prompt.isLate(plan) || plan.lacksMemory()
+                                        ? placeLate(prompt.deferred(), candidates)
                                         : Optional.of(placement(prompt, plan)));
     }
 
+    /** A late prompt gives way to others, and is postponed while it would make them late too. */
+    private Optional<Placement> placeLate(Prompt prompt, List<Candidate> candidates) {
+        return bestPlan(prompt, candidates)
+                .map(
+                        plan -> {
+                            Placement placement = placement(prompt, plan);
+                            return prompt.postponement(plan)
+                                    .map(placement::postponed)
+                                    .orElse(placement);
+                        });
+    }
+
     private Optional<Plan> bestPlan(Prompt prompt, List<Candidate> candidates) {
         return IntStream.rangeClosed(1, Math.min(MAX_EXTRA_PREFILL_ENGINES + 1, candidates.size()))
                 .mapToObj(parts -> plan(prompt, candidates, parts))
@@ -160,36 +206,34 @@
 
     private Plan plan(Prompt prompt, List<Candidate> candidates, int parts) {
         double partMillis = prompt.partMillis(parts);
-        List<RatedCandidate> rated =
-                candidates.stream()
-                        .map(
-                                each ->
-                                        new RatedCandidate(
-                                                each, prefillCost(prompt, each, partMillis)))
-                        .toList();
         RatedCandidate decode =
-                rated.stream()
+                candidates.stream()
                         .map(
                                 each ->
                                         new RatedCandidate(
-                                                each.candidate(),
-                                                decodeCost(
-                                                        prompt,
-                                                        each.candidate(),
-                                                        partMillis,
-                                                        parts)))
+                                                each, decodeCost(prompt, each, partMillis, parts)))
                         .min(Comparator.comparingDouble(RatedCandidate::cost))
                         .orElseThrow();
         Candidate decodeEngine = decode.candidate();
+        boolean isLeased = isLeased(prompt, decodeEngine, parts);
         List<Candidate> prefillEngines =
                 parts == 1
                         ? List.of()
-                        : rated.stream()
-                                .filter(each -> each.candidate() != decodeEngine)
+                        : candidates.stream()
+                                .filter(each -> each != decodeEngine)
+                                .filter(each -> !isLeased || fitsPart(prompt, each, parts))
+                                .map(
+                                        each ->
+                                                new RatedCandidate(
+                                                        each,
+                                                        prefillCost(prompt, each, partMillis)))
                                 .sorted(Comparator.comparingDouble(RatedCandidate::cost))
                                 .limit(parts - 1L)
                                 .map(RatedCandidate::candidate)
                                 .toList();
+        boolean lacksMemory =
+                prefillEngines.size() < parts - 1
+                        || lacksMemory(prompt, decodeEngine.load(), parts);
         double firstEventMillis =
                 slotWaitMillis(prompt, decodeEngine)
                         + prefillFinishMillis(prompt, decodeEngine, partMillis);
@@ -208,7 +252,20 @@
                 decodeEngine,
                 prefillEngines,
                 firstEventMillis,
-                cost + latenessCost(prompt, firstEventMillis));
+                cost
+                        + latenessCost(prompt, firstEventMillis)
+                        + (lacksMemory ? prompt.weight() * mTuning.noCapacityCost() : 0),
+                lacksMemory);
+    }
+
+    /** Whether the prefill engines keep their parts, as the decode engine cannot hold them all. */
+    private static boolean isLeased(Prompt prompt, Candidate decodeEngine, int parts) {
+        return parts > 1 && prompt.neededTokens() > freeMemoryTokens(prompt, decodeEngine.load());
+    }
+
+    private static boolean fitsPart(Prompt prompt, Candidate candidate, int parts) {
+        return Math.ceilDiv(prompt.size().promptTokens(), parts)
+                <= freeMemoryTokens(prompt, candidate.load());
     }
 
     private static double prefillFinishMillis(
@@ -285,10 +342,7 @@
         int parts = plan.parts();
         int partTokens = Math.ceilDiv(prompt.size().promptTokens(), parts);
         double partMillis = prompt.partMillis(parts);
-        boolean isLeased =
-                parts > 1
-                        && prompt.neededTokens()
-                                > freeMemoryTokens(prompt, plan.decodeEngine().load());
+        boolean isLeased = isLeased(prompt, plan.decodeEngine(), parts);
         int leasedTokens = isLeased ? partTokens : 0;
         int decodeEngineTokens = (int) prompt.neededTokens() - leasedTokens * (parts - 1);
         List<EngineShare> shares = new ArrayList<>();
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkTracker.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkTracker.java
@@ -200,7 +200,7 @@
                 entry.mIsDecoding
                         ? work.predictedDecodeMillis()
                                 - (now - entry.mDecodingNanos) / NANOS_PER_MILLI
-                        : work.predictedFirstEventMillis()
+                        : entry.mWork.predictedFirstEventMillis()
                                 + work.predictedDecodeMillis()
                                 - age(entry, now);
         return Math.max(MIN_REMAINING_MILLIS, remaining);
@@ -219,7 +219,9 @@
                         .map(mEntries::get)
                         .filter(each -> pendingPrefillFraction(each, now) > 0)
                         .mapToDouble(
-                                each -> each.mWork.predictedFirstEventMillis() - age(each, now))
+                                each ->
+                                        pendingPrefillFraction(each, now)
+                                                * each.mWork.predictedFirstEventMillis())
                         .max()
                         .orElse(0);
         return Duration.ofMillis(Math.round(millis));
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/relay/SilenceTimeout.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/relay/SilenceTimeout.java
@@ -89,13 +89,16 @@
     }
 
     private static Duration maxOf(Route route) {
-        Duration callerTimeout =
+        return callerTimeout(route).minus(FAILOVER_TIME);
+    }
+
+    /** Silence of a stream after which its caller disconnects. */
+    public static Duration callerTimeout(Route route) {
+        return longer(
+                MIN_CALLER_TIMEOUT,
                 longer(
-                        MIN_CALLER_TIMEOUT,
-                        longer(
-                                route.latencyObjective().multipliedBy(CALLER_OBJECTIVE_FACTOR),
-                                route.maxEventGap().multipliedBy(CALLER_GAP_FACTOR)));
-        return callerTimeout.minus(FAILOVER_TIME);
+                        route.latencyObjective().multipliedBy(CALLER_OBJECTIVE_FACTOR),
+                        route.maxEventGap().multipliedBy(CALLER_GAP_FACTOR)));
     }
 
     /**
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
@@ -3,8 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
 import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.rattanport.decisions.gateway.ScriptedBackEnds.Reaction;
@@ -19,6 +22,7 @@
 import org.rattanport.decisions.gateway.placement.LoadTable;
 import org.rattanport.decisions.gateway.placement.MemoryLeases;
 import org.rattanport.decisions.gateway.placement.Placement;
+import org.rattanport.decisions.gateway.placement.PlacementQuery;
 import org.rattanport.decisions.gateway.placement.WorkNotifier;
 import org.rattanport.decisions.poison.CrashAttribution;
 import org.rattanport.kernel.error.RattanportException;
@@ -26,6 +30,8 @@
 import org.rattanport.kernel.gateway.Attempt;
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.EngineMemoryClient;
+import org.rattanport.kernel.gateway.EngineShare;
+import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.RequestOutcome;
 import org.rattanport.kernel.gateway.RouteKind;
 import org.rattanport.kernel.time.Deadline;
@@ -50,6 +56,14 @@
     /** Engines that prefill parts of each request. */
     List<BackEnd> mPrefillEngines = List.of();
 
+    /** Times for which the next placements are postponed, and the predicted first event of all. */
+    final Deque<Duration> mPostponements = new ArrayDeque<>();
+
+    double mPredictedFirstEventMillis;
+
+    /** Queries of the placements. */
+    final List<PlacementQuery> mQueries = new ArrayList<>();
+
     /** What happens while a back end is chosen. */
     Runnable mDuringPlacement = () -> {};
 
@@ -77,6 +91,7 @@
                 new LeastLoadedPlacement("zone", mRegistry, mHealth, loadTable, random);
         BackEndPlacement delayedCalls =
                 query -> {
+                    mQueries.add(query);
                     mDuringPlacement.run();
                     return calls.place(query).map(this::withPrefillEngines);
                 };
@@ -109,8 +124,18 @@
                 placement.backEnd(),
                 mPrefillEngines,
                 placement.reservations(),
-                placement.work(),
-                placement.cost());
+                work(placement.backEnd()),
+                placement.cost(),
+                Optional.ofNullable(mPostponements.poll()));
+    }
+
+    private Optional<EngineWork> work(BackEnd engine) {
+        if (mPredictedFirstEventMillis == 0) {
+            return Optional.empty();
+        }
+        EngineShare share = new EngineShare(engine.id(), 0, 0, 0, true);
+        return Optional.of(
+                new EngineWork("work", List.of(share), mPredictedFirstEventMillis, 0, 200, 1));
     }
 
     void serve(String path, Reaction... reactions) {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/placement/ReferencePlacement.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/ReferencePlacement.java
@@ -26,6 +26,9 @@
 
     private static final double WEIGHT_EXPONENT = 0.75;
 
+    /** Multiple of the objective from which on a first event is late. */
+    private static final double DEFERRAL_FACTOR = 1.25;
+
     /** Fraction of an engine's memory that placement uses; the rest covers unknown requests. */
     private static final double USABLE_MEMORY_FRACTION = 0.92;
 
@@ -33,7 +36,15 @@
 
     /** The prompt to place with values derived from it. */
     private record Prompt(
-            PlacementQuery query, ForwardPassModel model, PromptSize size, double weight) {
+            PlacementQuery query,
+            ForwardPassModel model,
+            PromptSize size,
+            double weight,
+            boolean isDeferred) {
+        Prompt deferred() {
+            return new Prompt(query, model, size, weight, true);
+        }
+
         double maxGapMillis() {
             return query.demand().maxEventGap().toMillis();
         }
@@ -51,7 +62,8 @@
             Candidate decodeEngine,
             List<Candidate> prefillEngines,
             double firstEventMillis,
-            double cost) {}
+            double cost,
+            boolean lacksMemory) {}
 
     private final BackEndRegistry mRegistry;
     private final BackEndHealth mHealth;
@@ -82,14 +94,21 @@
                         query,
                         new ForwardPassModel(query.service().engineSpec().orElseThrow()),
                         size,
-                        weight);
+                        weight,
+                        false);
         mTracker.removeExpired();
         List<Candidate> candidates = candidates(query);
+        Plan plan = bestPlan(prompt, candidates);
+        double latest = DEFERRAL_FACTOR * query.demand().objective().toMillis();
+        boolean isLate = plan.firstEventMillis() > latest || plan.lacksMemory();
+        return engineIds(isLate ? bestPlan(prompt.deferred(), candidates) : plan);
+    }
+
+    private Plan bestPlan(Prompt prompt, List<Candidate> candidates) {
         return IntStream.rangeClosed(1, Math.min(MAX_EXTRA_PREFILL_ENGINES + 1, candidates.size()))
                 .mapToObj(parts -> plan(prompt, candidates, parts))
                 .min(Comparator.comparingDouble(Plan::cost))
-                .map(ReferencePlacement::engineIds)
-                .orElse(List.of());
+                .orElseThrow();
     }
 
     private List<Candidate> candidates(PlacementQuery query) {
@@ -121,15 +140,28 @@
                                 Comparator.comparingDouble(
                                         each -> decodeCost(prompt, each, parts, partMillis)))
                         .orElseThrow();
+        boolean isLeased =
+                parts > 1 && prompt.neededTokens() > freeMemoryTokens(prompt, decodeEngine.load());
+        double partTokens = Math.ceil((double) prompt.size().promptTokens() / parts);
         List<Candidate> prefillEngines =
                 candidates.stream()
                         .filter(each -> each != decodeEngine)
+                        .filter(
+                                each ->
+                                        !isLeased
+                                                || partTokens
+                                                        <= freeMemoryTokens(prompt, each.load()))
                         .sorted(
                                 Comparator.comparingDouble(
                                         each -> prefillCost(prompt, each, partMillis)))
                         .limit(parts - 1L)
                         .toList();
-        double firstEventMillis = prefillFinishMillis(prompt, decodeEngine, partMillis);
+        boolean lacksMemory =
+                prefillEngines.size() < parts - 1
+                        || lacksMemory(prompt, decodeEngine.load(), parts);
+        double firstEventMillis =
+                slotWaitMillis(prompt, decodeEngine)
+                        + prefillFinishMillis(prompt, decodeEngine, partMillis);
         double cost =
                 decodeCost(prompt, decodeEngine, parts, partMillis)
                         - latenessCost(prompt, firstEventMillis);
@@ -147,7 +179,14 @@
                 decodeEngine,
                 prefillEngines,
                 firstEventMillis,
-                cost + latenessCost(prompt, firstEventMillis));
+                cost
+                        + latenessCost(prompt, firstEventMillis)
+                        + (lacksMemory ? prompt.weight() * mTuning.noCapacityCost() : 0),
+                lacksMemory);
+    }
+
+    private static double slotWaitMillis(Prompt prompt, Candidate candidate) {
+        return candidate.load().slotWaitMillis(prompt.model().spec().slots(), prompt.isDeferred());
     }
 
     private static double prefillFinishMillis(
@@ -184,7 +223,12 @@
         double slotCost = mTuning.slotUsageCost() * Math.pow(slotUsage, 4);
         boolean isFull = slotUsage > 1 || lacksMemory(prompt, load, parts);
         boolean isFirstDecode = !load.hasDecodeWithMaxGap(prompt.maxGapMillis());
-        return prefillCost(prompt, candidate, partMillis)
+        double firstEventMillis =
+                slotWaitMillis(prompt, candidate)
+                        + prefillFinishMillis(prompt, candidate, partMillis);
+        return interferenceCost(prompt, candidate, partMillis)
+                + latenessCost(prompt, firstEventMillis)
+                + candidate.penalty()
                 + slotCost
                 + (isFull ? mTuning.noCapacityCost() : 0)
                 + (isFirstDecode ? mTuning.firstDecodeCost() : 0);
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/PlacementDemand.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/PlacementDemand.java
@@ -14,6 +14,8 @@
  * @param objective time within which the first event is on time
  * @param maxEventGap longest gap between events that is on time
  * @param excluded ids of engines that may not be used, because they failed or refused the request
+ * @param waited time that the request has waited for its placement
+ * @param mayWait whether it may wait on
  */
 public record PlacementDemand(
         String attemptId,
@@ -22,10 +24,47 @@
         Optional<PromptSize> size,
         Duration objective,
         Duration maxEventGap,
-        Set<String> excluded) {
+        Set<String> excluded,
+        Duration waited,
+        boolean mayWait) {
+    /** Creates the demand of a request that is placed at once. */
+    public PlacementDemand(
+            String attemptId,
+            String service,
+            EngineGroup group,
+            Optional<PromptSize> size,
+            Duration objective,
+            Duration maxEventGap,
+            Set<String> excluded) {
+        this(
+                attemptId,
+                service,
+                group,
+                size,
+                objective,
+                maxEventGap,
+                excluded,
+                Duration.ZERO,
+                false);
+    }
+
     /** Returns the same demand for the engines of a group. */
     public PlacementDemand inGroup(EngineGroup newGroup) {
         return new PlacementDemand(
-                attemptId, service, newGroup, size, objective, maxEventGap, excluded);
+                attemptId,
+                service,
+                newGroup,
+                size,
+                objective,
+                maxEventGap,
+                excluded,
+                waited,
+                mayWait);
+    }
+
+    /** Returns the same demand of a request that may wait on. */
+    public PlacementDemand waiting(Duration newWaited) {
+        return new PlacementDemand(
+                attemptId, service, group, size, objective, maxEventGap, excluded, newWaited, true);
     }
 }
--- a/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
+++ b/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.rattanport.kernel.peer;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.rattanport.kernel.environment.DocumentVersion;
@@ -76,8 +77,16 @@
      *
      * @param work the work on each engine, the decode engine first
      * @param cost predicted cost in units of the weight of the work
+     * @param postponement time after which to ask again, if the work is not placed because it would
+     *     be late
      */
-    record PlacementReply(Optional<EngineWork> work, double cost) implements GatewayMessage {}
+    record PlacementReply(Optional<EngineWork> work, double cost, Optional<Duration> postponement)
+            implements GatewayMessage {
+        /** Creates the reply for work that is placed, or for none. */
+        public PlacementReply(Optional<EngineWork> work, double cost) {
+            this(work, cost, Optional.empty());
+        }
+    }
 
     /** Requests the predicted duration of the prefill work that is pending at an engine. */
     record PendingPrefillRequest(String engineId) implements GatewayMessage {}
