--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
@@ -1,5 +1,6 @@
 package org.rattanport.decisions.gateway;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -50,8 +51,12 @@
         mRegions = regions;
     }
 
-    /** Places the next attempt; empty if no back end takes it. */
-    Optional<Placement> place() {
+    /**
+     * Places the next attempt; empty if no back end takes it.
+     *
+     * @param waited how long the request has waited for its placement, if it may wait on
+     */
+    Optional<Placement> place(Optional<Duration> waited) {
         BackEndPlacement policy =
                 mService.engineSpec().isPresent()
                         ? mComponents.promptPlacement()
@@ -74,7 +79,8 @@
                         mRoute.maxEventGap(),
                         retainedParts(),
                         Set.copyOf(excluded));
-        return policy.place(new PlacementQuery(mService, demand));
+        return policy.place(
+                new PlacementQuery(mService, waited.map(demand::waiting).orElse(demand)));
     }
 
     /** The parts of the prompt if the engines of the service retain prompts; none otherwise. */
@@ -148,7 +154,7 @@
         if (!mComponents.notices().accepts(placement.backEnd())) {
             throw ForwardingErrors.wantsNoRequests();
         }
-        int urgency = Urgency.of(mRoute.latencyObjective());
+        int urgency = Urgency.of(mRoute.latencyObjective(), placement.isDeferred());
         Optional<BackEnd> held =
                 placement
                         .engines()
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/CoordinatedPlacement.java
@@ -48,19 +48,29 @@
      * A prompt that was placed for this instance and that has not ended.
      *
      * @param coordinator the other instance that placed it; empty if this one did
+     * @param isDecoding whether its first event has arrived
      */
     private record OpenWork(
             EngineWork work,
             BackEndService service,
             EngineGroup group,
             long placedNanos,
-            Optional<Member> coordinator) {
+            Optional<Member> coordinator,
+            boolean isDecoding) {
+        OpenWork decoding() {
+            return new OpenWork(work, service, group, placedNanos, coordinator, true);
+        }
+
         boolean isKnownTo(Member member) {
             return coordinator.filter(each -> each.id().equals(member.id())).isPresent();
         }
     }
 
-    private record Grant(Placement placement, OpenWork open) {}
+    private record Grant(Placement placement, OpenWork open) {
+        boolean isPostponed() {
+            return placement.postponement().isPresent();
+        }
+    }
 
     private final BackEndRegistry mRegistry;
     private final PlacementCoordinator mLocal;
@@ -107,7 +117,7 @@
                 break;
             }
         }
-        best.ifPresent(this::record);
+        best.filter(grant -> !grant.isPostponed()).ifPresent(this::record);
         return best.map(Grant::placement);
     }
 
@@ -145,14 +155,17 @@
         if (one.isEmpty() || other.isEmpty()) {
             return one.isPresent() ? one : other;
         }
-        boolean isFirstBetter = one.get().placement().cost() <= other.get().placement().cost();
+        boolean isFirstBetter =
+                one.get().isPostponed() == other.get().isPostponed()
+                        ? one.get().placement().cost() <= other.get().placement().cost()
+                        : other.get().isPostponed();
         if (isFirstBetter) {
-            withdraw(other.get().open());
-            announceAgain(one.get().open(), other.get().open());
+            withdraw(other.get());
+            announceAgain(one.get(), other.get());
             return one;
         }
         if (!isSameCoordinator(one.get().open(), other.get().open())) {
-            withdraw(one.get().open());
+            withdraw(one.get());
         }
         return other;
     }
@@ -161,7 +174,11 @@
         return one.coordinator().map(Member::id).equals(other.coordinator().map(Member::id));
     }
 
-    private void withdraw(OpenWork open) {
+    private void withdraw(Grant grant) {
+        if (grant.isPostponed()) {
+            return;
+        }
+        OpenWork open = grant.open();
         if (open.coordinator().isEmpty()) {
             mTracker.ended(open.work().attemptId());
         }
@@ -169,8 +186,13 @@
     }
 
     /** A coordinator of both groups has replaced its record of the first placement. */
-    private void announceAgain(OpenWork chosen, OpenWork withdrawn) {
-        if (!isSameCoordinator(chosen, withdrawn)) {
+    private void announceAgain(Grant chosenGrant, Grant withdrawnGrant) {
+        OpenWork chosen = chosenGrant.open();
+        boolean wasReplaced =
+                isSameCoordinator(chosen, withdrawnGrant.open())
+                        && !chosenGrant.isPostponed()
+                        && !withdrawnGrant.isPostponed();
+        if (!wasReplaced) {
             return;
         }
         if (chosen.coordinator().isEmpty()) {
@@ -222,7 +244,8 @@
                                                         query.service(),
                                                         query.demand().group(),
                                                         mTime.nanoTime(),
-                                                        Optional.empty())));
+                                                        Optional.empty(),
+                                                        false)));
         mOnDecision.accept(new PlacementDecision(coordinator, grant.isPresent()));
         return grant;
     }
@@ -266,7 +289,8 @@
                                 open.service(),
                                 open.group(),
                                 open.placedNanos(),
-                                Optional.of(coordinator)));
+                                Optional.of(coordinator),
+                                open.isDecoding()));
             }
         }
         updates.addAll(mSlowdowns.handOver(coordinator.id(), id -> mGroups.contains(group, id)));
@@ -295,9 +319,12 @@
                         query.service(),
                         query.demand().group(),
                         mTime.nanoTime(),
-                        Optional.of(coordinator));
-        Optional<Placement> placement = Placement.of(work, reply.cost(), mRegistry::findAvailable);
-        if (placement.isEmpty()) {
+                        Optional.of(coordinator),
+                        false);
+        Optional<Placement> placement =
+                Placement.of(work, reply.cost(), mRegistry::findAvailable)
+                        .map(each -> reply.postponement().map(each::postponed).orElse(each));
+        if (placement.isEmpty() && reply.postponement().isEmpty()) {
             sendToCoordinator(open, new WorkUpdate.Ended(work.attemptId()));
         }
         return placement.map(each -> new Grant(each, open));
@@ -352,10 +379,15 @@
         mSlowdowns.reported(update, coordinator.map(Member::id));
     }
 
-    /** Recorded locally only: the coordinator predicts the first event from the placement. */
+    /** Mostly recorded locally only: the coordinator predicts the first event of short prompts. */
     @Override
     public void decodeStarted(String attemptId) {
         mTracker.decodeStarted(attemptId);
+        OpenWork open = mOpen.get(attemptId);
+        if (open != null && !open.isDecoding() && WorkTracker.isConfirmed(open.work())) {
+            mOpen.computeIfPresent(attemptId, (id, work) -> work.decoding());
+            sendToCoordinator(open, new WorkUpdate.Decoding(attemptId));
+        }
     }
 
     @Override
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PlacementCoordinator.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PlacementCoordinator.java
@@ -1,6 +1,5 @@
 package org.rattanport.decisions.gateway.placement;
 
-import java.util.List;
 import java.util.Optional;
 import org.rattanport.decisions.gateway.discovery.ActiveRouting;
 import org.rattanport.kernel.gateway.BackEndService;
@@ -62,12 +61,17 @@
     /** Places the prompt and records its work. */
     synchronized Optional<Placement> place(PlacementQuery query) {
         Optional<Placement> placement = mPlacement.place(query);
-        placement.flatMap(Placement::work).ifPresent(mTracker::placed);
+        placement
+                .filter(each -> each.postponement().isEmpty())
+                .ifPresent(each -> record(each, query));
+        return placement;
+    }
+
+    private void record(Placement placement, PlacementQuery query) {
+        placement.work().ifPresent(mTracker::placed);
         if (query.retainsPrompt()) {
-            List<PromptPrefix> prefixes = PromptPrefix.of(query.demand().parts());
-            placement.ifPresent(each -> mRetained.recordPlaced(each, prefixes));
+            mRetained.recordPlaced(placement, PromptPrefix.of(query.demand().parts()));
         }
-        return placement;
     }
 
     /** Records that an engine failed a request that was placed here. */
@@ -88,7 +92,8 @@
         Optional<Placement> placement = place(new PlacementQuery(service.get(), demand));
         return new PeerMessage.PlacementReply(
                 placement.flatMap(Placement::work),
-                placement.map(Placement::cost).orElse(Double.MAX_VALUE));
+                placement.map(Placement::cost).orElse(Double.MAX_VALUE),
+                placement.flatMap(Placement::postponement));
     }
 
     private void apply(WorkUpdate update) {
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
@@ -1,5 +1,6 @@
 package org.rattanport.decisions.gateway.placement;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -34,6 +35,22 @@
 
     private static final double WEIGHT_EXPONENT = 0.75;
 
+    /**
+     * Predicted first event, as a multiple of the objective, from which on a prompt is deferred.
+     */
+    private static final double DEFERRAL_FACTOR = 1.25;
+
+    /** Prefill time on one engine from which on a late prompt is postponed. */
+    private static final double MIN_POSTPONED_MILLIS = 250;
+
+    /** Part of the objective in which a late prompt must be answered to be sent at all. */
+    private static final double LATE_START_FRACTION = 0.5;
+
+    /** Shortest and longest time until a late prompt is placed again. */
+    private static final double MIN_POSTPONEMENT_MILLIS = 100;
+
+    private static final double MAX_POSTPONEMENT_MILLIS = 500;
+
     /** Fraction of an engine's memory that placement uses; the rest covers unknown requests. */
     private static final double USABLE_MEMORY_FRACTION = 0.92;
 
@@ -48,7 +65,42 @@
 
     /** The prompt to place with values derived from it. */
     private record Prompt(
-            PlacementQuery query, ForwardPassModel model, PromptSize size, double weight) {
+            PlacementQuery query,
+            ForwardPassModel model,
+            PromptSize size,
+            double weight,
+            boolean isDeferred) {
+        Prompt deferred() {
+            return new Prompt(query, model, size, weight, true);
+        }
+
+        boolean isLate(Plan plan) {
+            double objective = query.demand().objective().toMillis();
+            return plan.firstEventMillis()
+                    > DEFERRAL_FACTOR * (objective - query.demand().waited().toMillis());
+        }
+
+        /** Whether the prompt is so long that its prefill is what delays others. */
+        boolean isLong() {
+            return model.prefillMillis(size.promptTokens(), 1) >= MIN_POSTPONED_MILLIS;
+        }
+
+        /** When to place a late prompt again; empty if the engines have room for it. */
+        Optional<Duration> postponement(Plan plan) {
+            double objective = query.demand().objective().toMillis();
+            double excess = plan.firstEventMillis() - LATE_START_FRACTION * objective;
+            boolean hasRoom = excess <= 0 && !plan.lacksMemory();
+            return query.demand().mayWait() && isLong() && !hasRoom
+                    ? Optional.of(
+                            Duration.ofMillis(
+                                    Math.round(
+                                            Math.clamp(
+                                                    excess / 2,
+                                                    MIN_POSTPONEMENT_MILLIS,
+                                                    MAX_POSTPONEMENT_MILLIS))))
+                    : Optional.empty();
+        }
+
         double maxGapMillis() {
             return query.demand().maxEventGap().toMillis();
         }
@@ -78,7 +130,8 @@
             Candidate decodeEngine,
             List<Candidate> prefillEngines,
             double firstEventMillis,
-            double cost) {
+            double cost,
+            boolean lacksMemory) {
         int parts() {
             return prefillEngines.size() + 1;
         }
@@ -122,10 +175,30 @@
         Prompt prompt = prompt(query);
         mTracker.removeExpired();
         List<Candidate> candidates = candidates(prompt);
+        return bestPlan(prompt, candidates)
+                .flatMap(
+                        plan ->
+                                prompt.isLate(plan) || plan.lacksMemory()
+                                        ? placeLate(prompt.deferred(), candidates)
+                                        : Optional.of(placement(prompt, plan)));
+    }
+
+    /** A late prompt gives way to others, and is postponed while it would make them late too. */
+    private Optional<Placement> placeLate(Prompt prompt, List<Candidate> candidates) {
+        return bestPlan(prompt, candidates)
+                .map(
+                        plan -> {
+                            Placement placement = placement(prompt, plan);
+                            return prompt.postponement(plan)
+                                    .map(placement::postponed)
+                                    .orElse(placement);
+                        });
+    }
+
+    private Optional<Plan> bestPlan(Prompt prompt, List<Candidate> candidates) {
         return IntStream.rangeClosed(1, Math.min(MAX_EXTRA_PREFILL_ENGINES + 1, candidates.size()))
                 .mapToObj(parts -> plan(prompt, candidates, parts))
-                .min(Comparator.comparingDouble(Plan::cost))
-                .map(plan -> placement(prompt, plan));
+                .min(Comparator.comparingDouble(Plan::cost));
     }
 
     /** Estimates the placement of the whole prompt at one engine, whether it accepts it or not. */
@@ -134,7 +207,9 @@
         Candidate candidate = candidate(prompt, engine, prefixes(query));
         EngineLoadEstimate load = candidate.load();
         double prefillMillis = prompt.partMillis(1, candidate);
-        double firstEventMillis = prefillFinishMillis(prompt, candidate, prefillMillis);
+        double firstEventMillis =
+                slotWaitMillis(prompt, candidate)
+                        + prefillFinishMillis(prompt, candidate, prefillMillis);
         return new EngineEstimate(
                 firstEventMillis,
                 prefillMillis,
@@ -157,7 +232,8 @@
                 query,
                 new ForwardPassModel(query.service().engineSpec().orElseThrow()),
                 size,
-                weight);
+                weight,
+                false);
     }
 
     private static List<PromptPrefix> prefixes(PlacementQuery query) {
@@ -219,40 +295,38 @@
     }
 
     private Plan plan(Prompt prompt, List<Candidate> candidates, int parts) {
-        List<RatedCandidate> rated =
-                candidates.stream()
-                        .map(
-                                each ->
-                                        new RatedCandidate(
-                                                each,
-                                                prefillCost(
-                                                        prompt,
-                                                        each,
-                                                        prompt.partMillis(parts, each))))
-                        .toList();
         RatedCandidate decode =
-                rated.stream()
-                        .map(
-                                each ->
-                                        new RatedCandidate(
-                                                each.candidate(),
-                                                each.cost()
-                                                        + decodeExtraCost(
-                                                                prompt, each.candidate(), parts)))
+                candidates.stream()
+                        .map(each -> new RatedCandidate(each, decodeCost(prompt, each, parts)))
                         .min(Comparator.comparingDouble(RatedCandidate::cost))
                         .orElseThrow();
         Candidate decodeEngine = decode.candidate();
+        boolean isLeased = isLeased(prompt, decodeEngine, parts);
         List<Candidate> prefillEngines =
                 parts == 1
                         ? List.of()
-                        : rated.stream()
-                                .filter(each -> each.candidate() != decodeEngine)
+                        : candidates.stream()
+                                .filter(each -> each != decodeEngine)
+                                .filter(each -> !isLeased || fitsPart(prompt, each, parts))
+                                .map(
+                                        each ->
+                                                new RatedCandidate(
+                                                        each,
+                                                        prefillCost(
+                                                                prompt,
+                                                                each,
+                                                                prompt.partMillis(parts, each))))
                                 .sorted(Comparator.comparingDouble(RatedCandidate::cost))
                                 .limit(parts - 1L)
                                 .map(RatedCandidate::candidate)
                                 .toList();
         double partMillis = prompt.partMillis(parts, decodeEngine);
-        double firstEventMillis = prefillFinishMillis(prompt, decodeEngine, partMillis);
+        boolean lacksMemory =
+                prefillEngines.size() < parts - 1
+                        || lacksMemory(prompt, decodeEngine.load(), parts);
+        double firstEventMillis =
+                slotWaitMillis(prompt, decodeEngine)
+                        + prefillFinishMillis(prompt, decodeEngine, partMillis);
         double cost = decode.cost() - latenessCost(prompt, firstEventMillis);
         for (Candidate prefillEngine : prefillEngines) {
             firstEventMillis =
@@ -268,7 +342,20 @@
                 decodeEngine,
                 prefillEngines,
                 firstEventMillis,
-                cost + latenessCost(prompt, firstEventMillis));
+                cost
+                        + latenessCost(prompt, firstEventMillis)
+                        + (lacksMemory ? prompt.weight() * mTuning.noCapacityCost() : 0),
+                lacksMemory);
+    }
+
+    /** Whether the prefill engines keep their parts, as the decode engine cannot hold them all. */
+    private static boolean isLeased(Prompt prompt, Candidate decodeEngine, int parts) {
+        return parts > 1 && prompt.neededTokens() > freeMemoryTokens(prompt, decodeEngine.load());
+    }
+
+    private static boolean fitsPart(Prompt prompt, Candidate candidate, int parts) {
+        return Math.ceilDiv(prompt.size().promptTokens(), parts)
+                <= freeMemoryTokens(prompt, candidate.load());
     }
 
     private static double prefillFinishMillis(
@@ -298,6 +385,21 @@
                 + candidate.penalty();
     }
 
+    private static double slotWaitMillis(Prompt prompt, Candidate candidate) {
+        return candidate.load().slotWaitMillis(prompt.model().spec().slots(), prompt.isDeferred());
+    }
+
+    private double decodeCost(Prompt prompt, Candidate candidate, int parts) {
+        double partMillis = prompt.partMillis(parts, candidate);
+        double firstEventMillis =
+                slotWaitMillis(prompt, candidate)
+                        + prefillFinishMillis(prompt, candidate, partMillis);
+        return interferenceCost(prompt, candidate, partMillis)
+                + latenessCost(prompt, firstEventMillis)
+                + candidate.penalty()
+                + decodeExtraCost(prompt, candidate, parts);
+    }
+
     /** Cost of the decode engine besides that of its prefill part. */
     private double decodeExtraCost(Prompt prompt, Candidate candidate, int parts) {
         EngineLoadEstimate load = candidate.load();
@@ -361,10 +463,7 @@
         int parts = plan.parts();
         int partTokens = prompt.partTokens(parts, plan.decodeEngine());
         double partMillis = prompt.partMillis(parts, plan.decodeEngine());
-        boolean isLeased =
-                parts > 1
-                        && prompt.neededTokens()
-                                > freeMemoryTokens(prompt, plan.decodeEngine().load());
+        boolean isLeased = isLeased(prompt, plan.decodeEngine(), parts);
         int leasedTokens = isLeased ? partTokens : 0;
         int decodeEngineTokens = (int) prompt.neededTokens() - leasedTokens * (parts - 1);
         List<EngineShare> shares = new ArrayList<>();
@@ -391,7 +490,8 @@
                         plan.firstEventMillis(),
                         decodeMillis(prompt, plan.decodeEngine(), decodeEngineTokens),
                         prompt.maxGapMillis(),
-                        prompt.weight());
+                        prompt.weight(),
+                        prompt.isDeferred());
         Map<String, BackEnd> engines =
                 Stream.concat(Stream.of(plan.decodeEngine()), plan.prefillEngines().stream())
                         .map(Candidate::backEnd)
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkTracker.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/WorkTracker.java
@@ -32,6 +32,21 @@
     /** Fraction of its weight that an already late answer still loses by another long gap. */
     private static final double LATE_WEIGHT_FACTOR = 0.15;
 
+    /**
+     * Predicted time of a first event from which on the instance that forwards the request confirms
+     * it, as a wrong prediction misleads later placements for long.
+     */
+    private static final double MIN_CONFIRMED_MILLIS = 200;
+
+    /** Fraction of its prefill that a request still has while its first event is overdue. */
+    private static final double OVERDUE_FRACTION = 0.3;
+
+    /** Multiple of its predicted time up to which an overdue first event is expected. */
+    private static final double MAX_OVERDUE_FACTOR = 4;
+
+    /** Shortest time until a request that is about to end leaves its slot. */
+    private static final double MIN_REMAINING_MILLIS = 30;
+
     private static final double NANOS_PER_MILLI = 1e6;
 
     /** Time over which known prefill work may explain a slowdown; at least that of the passes. */
@@ -51,6 +66,7 @@
         private final Map<String, Double> mSlowdowns = new HashMap<>();
 
         private boolean mIsDecoding;
+        private long mDecodingNanos;
         private boolean mIsLate;
 
         private Entry(EngineWork work, long placedNanos) {
@@ -143,11 +159,17 @@
     /** Records that the first event of the request arrived. */
     public synchronized void decodeStarted(String attemptId) {
         Entry entry = mEntries.get(attemptId);
-        if (entry != null) {
+        if (entry != null && !entry.mIsDecoding) {
             entry.mIsDecoding = true;
+            entry.mDecodingNanos = mTime.nanoTime();
         }
     }
 
+    /** Whether the first event of the work is reported to the coordinator. */
+    static boolean isConfirmed(EngineWork work) {
+        return work.isDeferred() || work.predictedFirstEventMillis() >= MIN_CONFIRMED_MILLIS;
+    }
+
     /** Removes a request that has ended. */
     public synchronized void ended(String attemptId) {
         Entry entry = mEntries.remove(attemptId);
@@ -200,7 +222,12 @@
             if (share.isDecodeEngine()) {
                 EngineWork work = entry.mWork;
                 double weight = work.weight() * (entry.mIsLate ? LATE_WEIGHT_FACTOR : 1);
-                decodes.add(new EngineLoadEstimate.DecodeRequest(work.maxEventGapMillis(), weight));
+                decodes.add(
+                        new EngineLoadEstimate.DecodeRequest(
+                                work.maxEventGapMillis(),
+                                weight,
+                                remainingMillis(entry, engineId, now),
+                                work.isDeferred() && !entry.mIsDecoding));
                 activeDecodes += pendingFraction > 0 ? 0 : 1;
                 contextTokens += pendingFraction > 0 ? 0 : share.memoryTokens();
             }
@@ -218,7 +245,9 @@
         if (entry.mIsDecoding || entry.mWork.predictedFirstEventMillis() <= 0) {
             return 0;
         }
-        return Math.max(0, 1 - age(entry, now) / predictedFirstEventMillis(entry, engineId));
+        double elapsed = age(entry, now) / predictedFirstEventMillis(entry, engineId);
+        boolean isOverdue = isConfirmed(entry.mWork) && elapsed < MAX_OVERDUE_FACTOR;
+        return Math.max(isOverdue ? OVERDUE_FRACTION : 0, 1 - elapsed);
     }
 
     /** The predicted time, lengthened if the engine has become slow since. */
@@ -227,6 +256,18 @@
         return entry.mWork.predictedFirstEventMillis() * Math.max(1, lengthening);
     }
 
+    private double remainingMillis(Entry entry, String engineId, long now) {
+        EngineWork work = entry.mWork;
+        double remaining =
+                entry.mIsDecoding
+                        ? work.predictedDecodeMillis()
+                                - (now - entry.mDecodingNanos) / NANOS_PER_MILLI
+                        : predictedFirstEventMillis(entry, engineId)
+                                + work.predictedDecodeMillis()
+                                - age(entry, now);
+        return Math.max(MIN_REMAINING_MILLIS, remaining);
+    }
+
     private static double age(Entry entry, long now) {
         return (now - entry.mPlacedNanos) / NANOS_PER_MILLI;
     }
@@ -240,7 +281,9 @@
                         .map(mEntries::get)
                         .filter(each -> pendingPrefillFraction(each, engineId, now) > 0)
                         .mapToDouble(
-                                each -> predictedFirstEventMillis(each, engineId) - age(each, now))
+                                each ->
+                                        pendingPrefillFraction(each, engineId, now)
+                                                * predictedFirstEventMillis(each, engineId))
                         .max()
                         .orElse(0);
         return Duration.ofMillis(Math.round(millis));
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
@@ -3,7 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -22,6 +24,7 @@
 import org.rattanport.decisions.gateway.placement.LoadTable;
 import org.rattanport.decisions.gateway.placement.MemoryLeases;
 import org.rattanport.decisions.gateway.placement.Placement;
+import org.rattanport.decisions.gateway.placement.PlacementQuery;
 import org.rattanport.decisions.gateway.placement.WorkNotifier;
 import org.rattanport.decisions.poison.CrashAttribution;
 import org.rattanport.kernel.error.RattanportException;
@@ -30,6 +33,7 @@
 import org.rattanport.kernel.gateway.BackEnd;
 import org.rattanport.kernel.gateway.DataCentreRegions;
 import org.rattanport.kernel.gateway.EngineMemoryClient;
+import org.rattanport.kernel.gateway.EngineShare;
 import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.PlacementDemand;
 import org.rattanport.kernel.gateway.RequestOutcome;
@@ -65,6 +69,14 @@
     /** The predicted work of each request. */
     Optional<EngineWork> mWork = Optional.empty();
 
+    /** Times for which the next placements are postponed, and the predicted first event of all. */
+    final Deque<Duration> mPostponements = new ArrayDeque<>();
+
+    double mPredictedFirstEventMillis;
+
+    /** Queries of the placements. */
+    final List<PlacementQuery> mQueries = new ArrayList<>();
+
     /** What happens while a back end is chosen. */
     Runnable mDuringPlacement = () -> {};
 
@@ -92,6 +104,7 @@
                 new LeastLoadedPlacement("zone", mRegistry, mHealth, loadTable, random);
         BackEndPlacement delayedCalls =
                 query -> {
+                    mQueries.add(query);
                     mDuringPlacement.run();
                     mDemands.add(query.demand());
                     return calls.place(query).map(this::withPrefillEngines);
@@ -127,8 +140,18 @@
                 placement.backEnd(),
                 mPrefillEngines,
                 placement.reservations(),
-                mWork.or(placement::work),
-                placement.cost());
+                mWork.or(() -> work(placement.backEnd())),
+                placement.cost(),
+                Optional.ofNullable(mPostponements.poll()));
+    }
+
+    private Optional<EngineWork> work(BackEnd engine) {
+        if (mPredictedFirstEventMillis == 0) {
+            return Optional.empty();
+        }
+        EngineShare share = new EngineShare(engine.id(), 0, 0, 0, true);
+        return Optional.of(
+                new EngineWork("work", List.of(share), mPredictedFirstEventMillis, 0, 200, 1));
     }
 
     void serve(String path, Reaction... reactions) {
