Read how long a back end stays cold, and pass it on

Registry entries, documents and settings state how long a back end is slow after its start and how many requests it takes meanwhile; none of these fields was read. They are now, and an entry that is passed on to another instance carries the time that is left when it is sent. An entry that differs only in that time no longer logs the back end as known again.

The new tests and those of the classes that changed pass.

--- a/connectors/src/main/java/org/rattanport/connectors/peer/FleetCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/FleetCodec.java
@@ -1,5 +1,6 @@
 package org.rattanport.connectors.peer;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import org.rattanport.connectors.peer.protocol.BackEndEntry;
@@ -91,6 +92,7 @@
                 .setDataCentre(backEnd.dataCentre())
                 .setSlots(backEnd.slots())
                 .setIsDraining(backEnd.isDraining())
+                .setColdLeftMillis(RateLimitCodec.millis(backEnd.coldLeft()))
                 .build();
     }
 
@@ -102,6 +104,7 @@
                 entry.getAddress(),
                 entry.getDataCentre(),
                 entry.getSlots(),
-                entry.getIsDraining());
+                entry.getIsDraining(),
+                Duration.ofMillis(Integer.toUnsignedLong(entry.getColdLeftMillis())));
     }
 }
--- a/connectors/src/main/java/org/rattanport/connectors/peer/RateLimitCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/RateLimitCodec.java
@@ -5,6 +5,7 @@
 import org.rattanport.connectors.peer.protocol.RateLimitReply;
 import org.rattanport.connectors.peer.protocol.RateLimitRequest;
 import org.rattanport.connectors.peer.protocol.RateLimitUpdate;
+import org.rattanport.kernel.gateway.ColdLimit;
 import org.rattanport.kernel.gateway.RateLimit;
 import org.rattanport.kernel.model.InstanceId;
 import org.rattanport.kernel.peer.PeerMessage;
@@ -14,13 +15,19 @@
     private RateLimitCodec() {}
 
     static RateLimitRequest encode(PeerMessage.RateLimitRequest request) {
-        return RateLimitRequest.newBuilder()
-                .setKnown(encode(request.known()))
-                .setSenderName(request.sender().name())
-                .setSenderIncarnation(request.sender().incarnation())
-                .setUrgency(request.urgency())
-                .setIsForwarded(request.isForwarded())
-                .build();
+        RateLimitRequest.Builder builder =
+                RateLimitRequest.newBuilder()
+                        .setKnown(encode(request.known()))
+                        .setSenderName(request.sender().name())
+                        .setSenderIncarnation(request.sender().incarnation())
+                        .setUrgency(request.urgency())
+                        .setIsForwarded(request.isForwarded());
+        request.cold()
+                .ifPresent(
+                        cold ->
+                                builder.setColdRequestsPerSecond(cold.requestsPerSecond())
+                                        .setColdLeftMillis(millis(cold.left())));
+        return builder.build();
     }
 
     static PeerMessage.RateLimitRequest decode(RateLimitRequest request) {
@@ -28,7 +35,20 @@
                 decode(request.getKnown()),
                 new InstanceId(request.getSenderName(), request.getSenderIncarnation()),
                 request.getUrgency(),
-                request.getIsForwarded());
+                request.getIsForwarded(),
+                request.hasColdRequestsPerSecond() && request.getColdRequestsPerSecond() > 0
+                        ? Optional.of(
+                                new ColdLimit(
+                                        request.getColdRequestsPerSecond(),
+                                        Duration.ofMillis(
+                                                Integer.toUnsignedLong(
+                                                        request.getColdLeftMillis()))))
+                        : Optional.empty());
+    }
+
+    /** Returns the time in milliseconds as far as its field can hold it. */
+    static int millis(Duration duration) {
+        return (int) Math.clamp(duration.toMillis(), 0, Integer.MAX_VALUE);
     }
 
     static RateLimitReply encode(PeerMessage.RateLimitReply reply) {
--- a/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/peer/PeerNetworkTest.java
@@ -25,6 +25,7 @@
 import org.rattanport.kernel.error.ErrorCode;
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.ColdLimit;
 import org.rattanport.kernel.gateway.EngineGroup;
 import org.rattanport.kernel.gateway.EngineShare;
 import org.rattanport.kernel.gateway.EngineWork;
@@ -198,6 +199,12 @@
                                     new InstanceId("a", 7),
                                     4,
                                     true),
+                            new PeerMessage.RateLimitRequest(
+                                    rateLimit(Optional.empty()),
+                                    new InstanceId("a", 7),
+                                    4,
+                                    false,
+                                    Optional.of(new ColdLimit(26, Duration.ofMillis(1_200)))),
                             new PeerMessage.RateLimitReply(
                                     rateLimit(Optional.of(new RateLimit(0))), true, 120),
                             new PeerMessage.RateLimitReport(rateLimit(Optional.empty())))
@@ -227,7 +234,8 @@
     private static final FleetUpdate.Ages AGES = new FleetUpdate.Ages(70, 80, 90);
 
     private static FleetUpdate.RegistryUpdate registry() {
-        BackEnd backEnd = new BackEnd("e", 9, "service", "10.0.0.1:80", "dc", 8, true);
+        BackEnd backEnd =
+                new BackEnd("e", 9, "service", "10.0.0.1:80", "dc", 8, true, Duration.ofMillis(70));
         return new FleetUpdate.RegistryUpdate(
                 new RegistryChange(new StorePosition(3, 12), List.of(backEnd), List.of("gone")),
                 true,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/BackEndRegistry.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/BackEndRegistry.java
@@ -124,7 +124,7 @@
         recordRegistered(backEnd);
         mRemovalNanos.remove(backEnd.id());
         BackEnd previous = mBackEnds.put(backEnd.id(), backEnd);
-        if (previous == null || !previous.equals(backEnd)) {
+        if (previous == null || !isAlike(previous, backEnd)) {
             LOGGER.info(
                     LogLine.of("back-end-known")
                             .with("back_end", backEnd.id())
@@ -134,6 +134,11 @@
         }
     }
 
+    /** Whether the entries differ at most in the time that changes with each entry. */
+    private static boolean isAlike(BackEnd one, BackEnd other) {
+        return one.equals(other.withColdLeft(one.coldLeft()));
+    }
+
     /** A run that has begun to leave does not come back, whatever an old entry says. */
     private boolean isKnownToLeave(BackEnd entry) {
         BackEnd known = mBackEnds.get(entry.id());
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/FleetState.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/FleetState.java
@@ -51,6 +51,10 @@
     private final Consumer<StoreChange> mOnChange;
     private final TimeSource mTime;
     private final Map<String, BackEnd> mEntries = new HashMap<>();
+
+    /** When the entry of each back end arrived, as entries hold times as of their arrival. */
+    private final Map<String, Long> mArrivalNanos = new HashMap<>();
+
     private final Deque<Change> mChanges = new ArrayDeque<>();
     private final Map<StorePart, Boolean> mIsAvailable = new EnumMap<>(StorePart.class);
 
@@ -147,10 +151,8 @@
         RegistryChange difference = difference(read);
         setPosition(read.position());
         mRegistry.applyRestored(difference.present(), difference.removed());
-        difference
-                .present()
-                .forEach(each -> mEntries.put(each.id(), mRegistry.find(each.id()).orElse(each)));
-        difference.removed().forEach(mEntries::remove);
+        difference.present().forEach(each -> keep(mRegistry.find(each.id()).orElse(each)));
+        difference.removed().forEach(this::forget);
         mChanges.clear();
         mFirstKept = read.position();
         recordOrigin(StorePart.REGISTRY, read.position().version(), origin);
@@ -160,7 +162,7 @@
     private void recordFirstRead(RegistryChange read, Origin origin) {
         setPosition(read.position());
         mFirstKept = read.position();
-        read.present().forEach(each -> mEntries.put(each.id(), each));
+        read.present().forEach(this::keep);
         mRegistry.replace(read.present());
         recordOrigin(StorePart.REGISTRY, read.position().version(), origin);
         notifyAll();
@@ -187,8 +189,8 @@
         if (change.present().isEmpty() && change.removed().isEmpty()) {
             return;
         }
-        change.present().forEach(each -> mEntries.put(each.id(), each));
-        change.removed().forEach(mEntries::remove);
+        change.present().forEach(this::keep);
+        change.removed().forEach(this::forget);
         mRegistry.apply(change.present(), change.removed());
         recordOrigin(StorePart.REGISTRY, change.position().version(), origin);
         mChanges.addLast(new Change(change, followsOutage));
@@ -198,6 +200,23 @@
         notifyAll();
     }
 
+    private void keep(BackEnd entry) {
+        mEntries.put(entry.id(), entry);
+        mArrivalNanos.put(entry.id(), mTime.nanoTime());
+    }
+
+    private void forget(String id) {
+        mEntries.remove(id);
+        mArrivalNanos.remove(id);
+    }
+
+    /** Returns the entry with the time for which the back end stays cold from now on. */
+    private BackEnd asOfNow(BackEnd entry) {
+        long age = mTime.nanoTime() - mArrivalNanos.getOrDefault(entry.id(), mTime.nanoTime());
+        Duration left = entry.coldLeft().minusNanos(age);
+        return entry.withColdLeft(left.isNegative() ? Duration.ZERO : left);
+    }
+
     /** Applies what another instance has read. */
     public synchronized void recordPeerUpdate(RegistryUpdate update, Origin origin) {
         if (update.isFull()) {
@@ -331,7 +350,9 @@
             return Optional.of(
                     new RegistryUpdate(
                             new RegistryChange(
-                                    mPosition, List.copyOf(mEntries.values()), List.of()),
+                                    mPosition,
+                                    mEntries.values().stream().map(this::asOfNow).toList(),
+                                    List.of()),
                             true,
                             mChanges.stream().anyMatch(Change::followsOutage)));
         }
@@ -351,7 +372,9 @@
     private RegistryChange merge(List<Change> changes) {
         Map<String, Optional<BackEnd>> last = new LinkedHashMap<>();
         for (Change each : changes) {
-            each.change().present().forEach(entry -> last.put(entry.id(), Optional.of(entry)));
+            each.change()
+                    .present()
+                    .forEach(entry -> last.put(entry.id(), Optional.of(asOfNow(entry))));
             each.change().removed().forEach(id -> last.put(id, Optional.empty()));
         }
         return RegistryChange.of(mPosition, last);
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/discovery/FleetStateTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/discovery/FleetStateTest.java
@@ -181,6 +181,49 @@
         }
     }
 
+    /** Entries hold the time that is left as of their arrival, not as of their passing on. */
+    @Nested
+    final class ColdBackEnds {
+        private final BackEnd mCold = mOne.withColdLeft(Duration.ofSeconds(5));
+
+        private Duration passedOnTo(Node other) {
+            return mReader.updateFor(other).registry().orElseThrow().change().present().stream()
+                    .filter(each -> each.id().equals("one"))
+                    .findFirst()
+                    .orElseThrow()
+                    .coldLeft();
+        }
+
+        @Test
+        void shouldBePassedOnWithTheTimeThatIsLeft() {
+            mReader.mState.recordChange(change(12, List.of(mCold)), false);
+            mTime.advance(Duration.ofSeconds(2));
+            assertThat(passedOnTo(mFollower)).isEqualTo(Duration.ofSeconds(3));
+            assertThat(passedOnTo(new Node())).isEqualTo(Duration.ofSeconds(3));
+            mTime.advance(Duration.ofSeconds(4));
+            assertThat(passedOnTo(mFollower)).isEqualTo(Duration.ZERO);
+            assertThat(passedOnTo(new Node())).isEqualTo(Duration.ZERO);
+        }
+
+        @Test
+        void shouldBePassedOnAsOfTheNewestEntry() {
+            mReader.mState.recordChange(change(12, List.of(mCold)), false);
+            mTime.advance(Duration.ofSeconds(2));
+            mReader.mState.recordChange(
+                    change(13, List.of(mOne.withColdLeft(Duration.ofSeconds(1)))), false);
+            assertThat(passedOnTo(mFollower)).isEqualTo(Duration.ofSeconds(1));
+        }
+
+        /** A full read must not begin the time of an entry anew that was read before. */
+        @Test
+        void shouldKeepTheTimeOfAnEntryThatIsReadAgain() {
+            mReader.mState.recordChange(change(12, List.of(mCold, mTwo)), false);
+            mTime.advance(Duration.ofSeconds(2));
+            mReader.mState.recordFullRead(change(13, List.of(mCold, mTwo)), false);
+            assertThat(passedOnTo(new Node())).isEqualTo(Duration.ofSeconds(3));
+        }
+    }
+
     @Nested
     final class Ages {
         @Test
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/BackEnd.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/BackEnd.java
@@ -1,5 +1,7 @@
 package org.rattanport.kernel.gateway;
 
+import java.time.Duration;
+
 /**
  * Registry entry of one running back end.
  *
@@ -10,6 +12,7 @@
  * @param dataCentre data centre where it runs
  * @param slots number of requests that it processes concurrently
  * @param isDraining whether it is draining: it accepts no new requests
+ * @param coldLeft time for which it stays cold, as of the arrival of the entry
  */
 public record BackEnd(
         String id,
@@ -18,10 +21,30 @@
         String address,
         String dataCentre,
         int slots,
-        boolean isDraining) {
+        boolean isDraining,
+        Duration coldLeft) {
+    /** Creates the entry of a back end that is not cold. */
+    public BackEnd(
+            String id,
+            long startWallMillis,
+            String service,
+            String address,
+            String dataCentre,
+            int slots,
+            boolean isDraining) {
+        this(id, startWallMillis, service, address, dataCentre, slots, isDraining, Duration.ZERO);
+    }
+
     /** Returns the entry of this run while it drains. */
     public BackEnd draining() {
-        return new BackEnd(id, startWallMillis, service, address, dataCentre, slots, true);
+        return new BackEnd(
+                id, startWallMillis, service, address, dataCentre, slots, true, coldLeft);
+    }
+
+    /** Returns the entry with another time for which the back end stays cold. */
+    public BackEnd withColdLeft(Duration left) {
+        return new BackEnd(
+                id, startWallMillis, service, address, dataCentre, slots, isDraining, left);
     }
 
     /** Whether the entry says when the run started; without that, runs look alike. */
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/GatewaySettings.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/GatewaySettings.java
@@ -18,6 +18,7 @@
  * @param retryBudgetWindow length of the window in which the retry budget counts attempts
  * @param capacityMillicores processor capacity of the machine, in thousandths of a core
  * @param isFirstStart whether the whole system starts for the first time
+ * @param coldBound requests that a cold back end may get within any second
  */
 public record GatewaySettings(
         String discoveryAddress,
@@ -28,4 +29,5 @@
         int retryBudgetSlack,
         Duration retryBudgetWindow,
         int capacityMillicores,
-        boolean isFirstStart) {}
+        boolean isFirstStart,
+        ColdBound coldBound) {}
--- a/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
+++ b/kernel/src/main/java/org/rattanport/kernel/peer/PeerMessage.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import org.rattanport.kernel.environment.DocumentVersion;
 import org.rattanport.kernel.environment.Stage;
+import org.rattanport.kernel.gateway.ColdLimit;
 import org.rattanport.kernel.gateway.EngineWork;
 import org.rattanport.kernel.gateway.FleetUpdate;
 import org.rattanport.kernel.gateway.PlacementDemand;
@@ -105,10 +106,21 @@
      * @param sender instance that wants to write the request
      * @param urgency urgency of the request, 0 for the most urgent
      * @param isForwarded whether another instance than the sender passed the request on
+     * @param cold the limit of the back end while it is cold, if the sender knows it to be cold
      */
     record RateLimitRequest(
-            RateLimitUpdate known, InstanceId sender, int urgency, boolean isForwarded)
-            implements GatewayMessage {}
+            RateLimitUpdate known,
+            InstanceId sender,
+            int urgency,
+            boolean isForwarded,
+            Optional<ColdLimit> cold)
+            implements GatewayMessage {
+        /** Creates a request for a token of a back end that is not cold. */
+        public RateLimitRequest(
+                RateLimitUpdate known, InstanceId sender, int urgency, boolean isForwarded) {
+            this(known, sender, urgency, isForwarded, Optional.empty());
+        }
+    }
 
     /**
      * The decision of the owner.
