--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetrics.java
@@ -13,6 +13,7 @@
 import org.rattanport.kernel.error.RattanportException;
 import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.BackEndNotice;
+import org.rattanport.kernel.gateway.ColdBackEndEvent;
 import org.rattanport.kernel.gateway.PlacementDecision;
 import org.rattanport.kernel.gateway.RateLimitEvent;
 import org.rattanport.kernel.gateway.RequestOutcome;
@@ -66,8 +67,15 @@
             Counter.builder()
                     .name("rattanport_gateway_rate_limits")
                     .help(
-                            "Events about the rate limits that back ends named: named, ended, and"
-                                    + " requests granted, held_back or unanswered by the owner")
+                            "Events about the rate limits of back ends: named, ended, and requests"
+                                    + " granted, held_back or unanswered by the owner, or sent as"
+                                    + " fallback to a cold one")
+                    .labelNames("kind")
+                    .register(mRegistry);
+    private final Counter mColdBackEnds =
+            Counter.builder()
+                    .name("rattanport_gateway_cold_back_ends")
+                    .help("Back ends that this instance learned to be cold, or no longer cold")
                     .labelNames("kind")
                     .register(mRegistry);
     private final Histogram mDurations =
@@ -130,6 +138,10 @@
         mRateLimits.labelValues(event.kind().wireName()).inc();
     }
 
+    void countColdBackEnd(ColdBackEndEvent event) {
+        mColdBackEnds.labelValues(event.kind().wireName()).inc();
+    }
+
     void observeStoreChange(StoreChange change) {
         mStoreChanges
                 .labelValues(change.part().wireName())
--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
@@ -11,6 +11,7 @@
 import org.rattanport.decisions.lifecycle.InFlightRequests;
 import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.BackEndNotice;
+import org.rattanport.kernel.gateway.ColdBackEndEvent;
 import org.rattanport.kernel.gateway.GatewaySettings;
 import org.rattanport.kernel.gateway.PlacementDecision;
 import org.rattanport.kernel.gateway.RateLimitEvent;
@@ -74,6 +75,9 @@
                 context.events().stream(StoreChange.class).subscribe(metrics::observeStoreChange));
         mSubscriptions.add(
                 context.events().stream(RateLimitEvent.class).subscribe(metrics::countRateLimit));
+        mSubscriptions.add(
+                context.events().stream(ColdBackEndEvent.class)
+                        .subscribe(metrics::countColdBackEnd));
         new HttpServer(
                 context.require(HttpTransport.class),
                 address.get(),
