Ask the owner of a back end's tokens for requests to a cold one

A cold back end crashes when all instances together send it more than cold_per_s, and nothing bounded that. Each request to one now needs a token of the owner that also grants those of named limits; the smaller rate counts, and the request tells the owner what the asking instance knows. Parts of the fleet share one full bucket, parts below a quarter grant nothing, and an instance that reaches no owner sends single requests at random times once no warm back end is left. While warm back ends take requests, cold ones get no larger part of them than their part of the back ends. Services without the bound are served as before.

The owner's lock is not held while the member table is read, as the member table calls the owner under its own lock.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
@@ -53,6 +53,18 @@
         if (mHeldBack >= MAX_HELD_BACK) {
             excluded.addAll(avoidableLimited());
         }
+        // Cold back ends look idle; without their part of the requests they would get them all.
+        Set<String> cold = mComponents.rateLimits().avoidableCold(untried().toList());
+        Optional<Placement> warm = Optional.empty();
+        if (!cold.isEmpty()) {
+            Set<String> excludedOrCold = new HashSet<>(excluded);
+            excludedOrCold.addAll(cold);
+            warm = policy.place(query(excludedOrCold));
+        }
+        return warm.or(() -> policy.place(query(excluded)));
+    }
+
+    private PlacementQuery query(Set<String> excluded) {
         PlacementDemand demand =
                 new PlacementDemand(
                         mRequest.attemptId(),
@@ -62,7 +74,7 @@
                         mRoute.latencyObjective(),
                         mRoute.maxEventGap(),
                         Set.copyOf(excluded));
-        return policy.place(new PlacementQuery(mService, demand));
+        return new PlacementQuery(mService, demand);
     }
 
     /** Whether a back end that has not been tried takes requests. */
@@ -103,7 +115,11 @@
         Optional<BackEnd> held =
                 placement
                         .engines()
-                        .filter(each -> !mComponents.rateLimits().tryUse(each, urgency))
+                        .filter(
+                                each ->
+                                        !mComponents
+                                                .rateLimits()
+                                                .tryUse(each, urgency, this::isNoneWarm))
                         .findFirst();
         if (held.isPresent()) {
             mHeldBack = Math.min(MAX_HELD_BACK, mHeldBack + 1);
@@ -114,6 +130,10 @@
         }
     }
 
+    private boolean isNoneWarm() {
+        return untried().allMatch(mComponents.rateLimits()::isCold);
+    }
+
     private void rejectLeft(BackEnd backEnd) {
         exclude(backEnd);
         throw ForwardingErrors.hasLeft(backEnd);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -13,6 +13,9 @@
 import org.rattanport.decisions.gateway.discovery.StoreReaders;
 import org.rattanport.decisions.gateway.limits.BackEndNotices;
 import org.rattanport.decisions.gateway.limits.BackEndRateLimits;
+import org.rattanport.decisions.gateway.limits.ColdBackEnds;
+import org.rattanport.decisions.gateway.limits.ColdRules;
+import org.rattanport.decisions.gateway.limits.FleetView;
 import org.rattanport.decisions.gateway.limits.MissingMembers;
 import org.rattanport.decisions.gateway.limits.RateLimitOwner;
 import org.rattanport.decisions.gateway.limits.RateLimitPeers;
@@ -34,6 +37,7 @@
 import org.rattanport.decisions.poison.CrashAttribution;
 import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.BackEndClient;
+import org.rattanport.kernel.gateway.BackEndService;
 import org.rattanport.kernel.gateway.EngineMemoryClient;
 import org.rattanport.kernel.gateway.FleetSource;
 import org.rattanport.kernel.gateway.GatewaySettings;
@@ -137,13 +141,19 @@
     private BackEndRateLimits rateLimits(PluginContext context) {
         TimeSource time = context.time();
         PeerNetwork peers = context.require(PeerNetwork.class);
+        GatewaySettings settings = context.require(GatewaySettings.class);
         CoordinatorDirectory directory =
                 new CoordinatorDirectory(context.require(MemberTable.class), time);
         MissingMembers missing = new MissingMembers(time);
         RateLimitTable table = new RateLimitTable(time, context.events()::publish);
         RateLimitPeers owners = new RateLimitPeers(peers, directory, table, time);
+        ColdRules cold =
+                new ColdRules(
+                        coldBackEnds(context),
+                        settings.coldBound(),
+                        new FleetView(directory, missing, settings.memberSeeds()));
         RateLimitOwner owner =
-                new RateLimitOwner(table, directory, missing, owners, time, new Random());
+                new RateLimitOwner(table, directory, owners, cold, time, new Random());
         owner.registerHandlers(peers);
         Membership membership = context.require(Membership.class);
         mSubscriptions.add(
@@ -161,12 +171,25 @@
                 owner,
                 directory,
                 owners,
+                cold,
                 report -> Tasks.start("report-rate-limit", report),
                 context.events()::publish,
                 time,
                 new Random());
     }
 
+    private static ColdBackEnds coldBackEnds(PluginContext context) {
+        ActiveRouting routing = context.require(ActiveRouting.class);
+        return new ColdBackEnds(
+                context.time(),
+                service ->
+                        routing.current()
+                                .flatMap(table -> table.service(service))
+                                .map(BackEndService::coldRequestsPerSecond)
+                                .orElse(0.0),
+                context.events()::publish);
+    }
+
     private CoordinatedPlacement placement(
             PluginContext context,
             BackEndRegistry registry,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/limits/BackEndRateLimits.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/BackEndRateLimits.java
@@ -1,18 +1,22 @@
 package org.rattanport.decisions.gateway.limits;
 
 import java.time.Duration;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.rattanport.decisions.gateway.discovery.RequestGate;
 import org.rattanport.decisions.gateway.placement.CoordinatorDirectory;
 import org.rattanport.kernel.gateway.BackEnd;
-import org.rattanport.kernel.gateway.RateLimit;
+import org.rattanport.kernel.gateway.ColdLimit;
 import org.rattanport.kernel.gateway.RateLimitEvent;
 import org.rattanport.kernel.gateway.RateLimitUpdate;
 import org.rattanport.kernel.gateway.ResponseHead;
@@ -22,8 +26,9 @@
 import org.rattanport.kernel.time.TimeSource;
 
 /**
- * Keeps the rate limits that back ends name in their responses. Each request to a limited back end
- * needs a token of the owner of the limit; without a response of an owner no request is written.
+ * Keeps the rate limits that back ends name in their responses, and those of cold back ends. Each
+ * request to a limited back end needs a token of the owner of the limit; without a response of an
+ * owner no request is written, except for a few to cold back ends while no warm one is left.
  */
 public final class BackEndRateLimits implements RequestGate {
     /** Timeout of an owner, which may pass the request on to another one. */
@@ -41,12 +46,28 @@
     private static final int MAX_HOLDS = 1_000;
 
     /** Keeps requests away from a back end while its limit stays the same. */
-    private record Hold(long startWallMillis, Optional<RateLimit> limit, long untilNanos) {}
+    private record Hold(Limits limits, long untilNanos) {
+        boolean isFor(Limits current) {
+            return limits.known().limit().equals(current.known().limit())
+                    && limits.known().startWallMillis() == current.known().startWallMillis()
+                    && limits.cold().isPresent() == current.cold().isPresent();
+        }
+    }
+
+    /**
+     * Why requests to a back end need tokens.
+     *
+     * @param known what is known of the limit that it named
+     * @param cold its limit while it is cold
+     */
+    private record Limits(RateLimitUpdate known, Optional<ColdLimit> cold) {}
 
     private final RateLimitTable mTable;
     private final RateLimitOwner mOwner;
     private final CoordinatorDirectory mDirectory;
     private final RateLimitPeers mPeers;
+    private final ColdRules mCold;
+    private final ColdFallback mFallback;
     private final Executor mBackground;
     private final Consumer<RateLimitEvent> mOnEvent;
     private final TimeSource mTime;
@@ -59,6 +80,7 @@
             RateLimitOwner owner,
             CoordinatorDirectory directory,
             RateLimitPeers peers,
+            ColdRules cold,
             Executor background,
             Consumer<RateLimitEvent> onEvent,
             TimeSource time,
@@ -67,6 +89,8 @@
         mOwner = owner;
         mDirectory = directory;
         mPeers = peers;
+        mCold = cold;
+        mFallback = new ColdFallback(cold.bound(), time, random);
         mBackground = background;
         mOnEvent = onEvent;
         mTime = time;
@@ -109,6 +133,8 @@
     @Override
     public void recordRegistered(BackEnd backEnd) {
         mTable.recordRegistered(backEnd);
+        mCold.backEnds().recordRegistered(backEnd);
+        mOwner.prepare(backEnd);
     }
 
     @Override
@@ -123,12 +149,7 @@
             return Optional.empty();
         }
         long remaining = hold.untilNanos() - mTime.nanoTime();
-        boolean isInForce =
-                remaining > 0
-                        && mTable.limited(backEnd)
-                                .filter(known -> known.limit().equals(hold.limit()))
-                                .filter(known -> known.startWallMillis() == hold.startWallMillis())
-                                .isPresent();
+        boolean isInForce = remaining > 0 && limits(backEnd).filter(hold::isFor).isPresent();
         if (!isInForce) {
             mHolds.remove(backEnd.id(), hold);
             return Optional.empty();
@@ -138,7 +159,39 @@
 
     /** Whether requests to the back end need tokens. */
     public boolean isLimited(BackEnd backEnd) {
-        return mTable.limited(backEnd).isPresent();
+        return limits(backEnd).isPresent();
+    }
+
+    private Optional<Limits> limits(BackEnd backEnd) {
+        Optional<RateLimitUpdate> named = mTable.limited(backEnd);
+        Optional<ColdLimit> cold = mCold.backEnds().limit(backEnd);
+        if (named.isEmpty() && cold.isEmpty()) {
+            return Optional.empty();
+        }
+        long start = backEnd.startWallMillis();
+        RateLimitUpdate known =
+                named.or(() -> mTable.known(backEnd.id()).filter(e -> e.startWallMillis() >= start))
+                        .orElseGet(() -> RateLimitUpdate.nothingKnown(backEnd.id(), start));
+        return Optional.of(new Limits(known, cold));
+    }
+
+    /** Whether the back end is cold, and its service has a bound for that. */
+    public boolean isCold(BackEnd backEnd) {
+        return mCold.backEnds().limit(backEnd).isPresent();
+    }
+
+    /**
+     * Returns the cold back ends that a request should avoid while a warm one takes it: all of them
+     * or none, so that cold back ends, which look idle, together get no larger part of the requests
+     * than their part of the back ends.
+     */
+    public Set<String> avoidableCold(Collection<BackEnd> candidates) {
+        Set<String> cold =
+                candidates.stream()
+                        .filter(this::isCold)
+                        .map(BackEnd::id)
+                        .collect(Collectors.toSet());
+        return cold.isEmpty() || mRandom.nextInt(candidates.size()) < cold.size() ? Set.of() : cold;
     }
 
     /**
@@ -148,23 +201,39 @@
      * @param urgency urgency of the request, 0 for the most urgent
      */
     public boolean tryUse(BackEnd backEnd, int urgency) {
-        Optional<RateLimitUpdate> limited = mTable.limited(backEnd);
+        return tryUse(backEnd, urgency, () -> false);
+    }
+
+    /**
+     * Whether a request may be written to the back end at this moment.
+     *
+     * @param isNoneWarm whether no warm back end is left for the request; then it may be written to
+     *     a cold one although no owner responds
+     */
+    public boolean tryUse(BackEnd backEnd, int urgency, BooleanSupplier isNoneWarm) {
+        Optional<Limits> limited = limits(backEnd);
         if (limited.isEmpty()) {
             return true;
         }
-        boolean isGranted = accepts(backEnd) && takeToken(backEnd, limited.get(), urgency);
+        boolean isGranted =
+                accepts(backEnd) && takeToken(backEnd, limited.get(), urgency, isNoneWarm);
         publish(backEnd, isGranted ? RateLimitEvent.Kind.GRANTED : RateLimitEvent.Kind.HELD_BACK);
         return isGranted;
     }
 
-    private boolean takeToken(BackEnd backEnd, RateLimitUpdate known, int urgency) {
+    private boolean takeToken(
+            BackEnd backEnd, Limits limits, int urgency, BooleanSupplier isNoneWarm) {
         ClockReading asked = ClockReading.now(mTime);
         RateLimitRequest request =
-                new RateLimitRequest(known, mDirectory.self().id(), urgency, false);
+                new RateLimitRequest(
+                        limits.known(), mDirectory.self().id(), urgency, false, limits.cold());
         Optional<RateLimitReply> reply =
-                isAlone(backEnd) ? Optional.of(mOwner.decide(request)) : askOwner(backEnd, request);
+                isInTooSmallPart(limits) ? Optional.empty() : decide(backEnd, request);
         if (reply.isEmpty()) {
             publish(backEnd, RateLimitEvent.Kind.UNANSWERED);
+            if (mayFallBack(limits) && isNoneWarm.getAsBoolean()) {
+                return tryFallback(backEnd, limits.cold().orElseThrow());
+            }
             hold(backEnd, UNANSWERED_WAIT);
             return false;
         }
@@ -175,6 +244,30 @@
         return asked.age(mTime).compareTo(TOKEN_LIFETIME) <= 0;
     }
 
+    private Optional<RateLimitReply> decide(BackEnd backEnd, RateLimitRequest request) {
+        return isAlone(backEnd) ? Optional.of(mOwner.decide(request)) : askOwner(backEnd, request);
+    }
+
+    /** Whether no member that this instance sees may grant tokens of a cold back end. */
+    private boolean isInTooSmallPart(Limits limits) {
+        return limits.cold().isPresent() && !mCold.fleet().isColdOwnerPossible();
+    }
+
+    /** Without an owner, only a named limit forbids every request. */
+    private static boolean mayFallBack(Limits limits) {
+        return limits.cold().isPresent() && !RateLimitTable.isEnforced(limits.known());
+    }
+
+    private boolean tryFallback(BackEnd backEnd, ColdLimit cold) {
+        boolean isTaken = mFallback.tryTake(backEnd.id(), cold, mCold.fleet().size());
+        if (isTaken) {
+            publish(backEnd, RateLimitEvent.Kind.FALLBACK);
+        } else {
+            hold(backEnd, UNANSWERED_WAIT);
+        }
+        return isTaken;
+    }
+
     /** Asks the owner, or while that is silent another member, which may reach it. */
     private Optional<RateLimitReply> askOwner(BackEnd backEnd, RateLimitRequest request) {
         List<Member> members = mDirectory.order(RateLimitOwner.key(backEnd.id()));
@@ -212,15 +305,8 @@
             // Those of back ends that have ended are not looked at any more.
             mHolds.values().removeIf(each -> each.untilNanos() - mTime.nanoTime() <= 0);
         }
-        mTable.limited(backEnd)
-                .ifPresent(
-                        known ->
-                                mHolds.put(
-                                        backEnd.id(),
-                                        new Hold(
-                                                known.startWallMillis(),
-                                                known.limit(),
-                                                mTime.nanoTime() + duration.toNanos())));
+        long untilNanos = mTime.nanoTime() + duration.toNanos();
+        limits(backEnd).ifPresent(limits -> mHolds.put(backEnd.id(), new Hold(limits, untilNanos)));
     }
 
     private void publish(BackEnd backEnd, RateLimitEvent.Kind kind) {
--- /dev/null
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/FleetView.java
@@ -0,0 +1,53 @@
+package org.rattanport.decisions.gateway.limits;
+
+import java.util.List;
+import org.rattanport.decisions.gateway.placement.CoordinatorDirectory;
+
+/** How much of the fleet this instance sees. */
+public final class FleetView {
+    /**
+     * Share of the fleet below which a part of it grants no tokens of cold back ends: each part may
+     * spend a full bucket within the same second, and the bound leaves room for four of them.
+     */
+    private static final double MIN_COLD_SHARE = 0.25;
+
+    private final CoordinatorDirectory mDirectory;
+    private final MissingMembers mMissing;
+    private final List<String> mSeeds;
+
+    /**
+     * Creates the view.
+     *
+     * @param seeds peer addresses of instances through which this instance joins the cluster
+     */
+    public FleetView(CoordinatorDirectory directory, MissingMembers missing, List<String> seeds) {
+        mDirectory = directory;
+        mMissing = missing;
+        mSeeds = seeds;
+    }
+
+    private int alive() {
+        return Math.max(1, mDirectory.order("").size());
+    }
+
+    /** Members that are alive, or fell silent without leaving. */
+    int size() {
+        return alive() + mMissing.count();
+    }
+
+    /** The share of the fleet that is alive as far as this instance knows. */
+    double share() {
+        return (double) alive() / size();
+    }
+
+    /** Whether this part of the fleet is large enough to grant tokens of cold back ends. */
+    boolean isColdOwnerPossible() {
+        return share() >= MIN_COLD_SHARE && !hasMetNobody();
+    }
+
+    /** Whether there are other members by the settings, of which this instance has seen none. */
+    private boolean hasMetNobody() {
+        return size() == 1
+                && mSeeds.stream().anyMatch(each -> !each.equals(mDirectory.self().peerAddress()));
+    }
+}
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitOwner.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitOwner.java
@@ -6,10 +6,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.Stream;
 import org.jboss.logging.Logger;
 import org.rattanport.decisions.gateway.placement.CoordinatorDirectory;
 import org.rattanport.decisions.quota.TokenBucket;
 import org.rattanport.kernel.event.LogLine;
+import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.ColdLimit;
 import org.rattanport.kernel.gateway.RateLimit;
 import org.rattanport.kernel.gateway.RateLimitUpdate;
 import org.rattanport.kernel.peer.Member;
@@ -33,11 +36,6 @@
 public final class RateLimitOwner {
     private static final Logger LOGGER = Logger.getLogger(RateLimitOwner.class);
 
-    /** Tokens that a bucket holds: a number of requests and the tokens of a time. */
-    private static final double BURST_REQUESTS = 2;
-
-    private static final double BURST_SECONDS = 0.1;
-
     /** A new owner grants nothing for so long, while members still ask the one before. */
     private static final Duration HANDOVER_TIME = Duration.ofSeconds(1);
 
@@ -66,6 +64,30 @@
     /** An instance that asked for a token, and the urgency of a request that got none. */
     private record Demand(long askedNanos, Optional<Integer> refusedUrgency) {}
 
+    /** The limit of a cold back end that an instance told with its request. */
+    private record AskersCold(double requestsPerSecond, long untilNanos) {}
+
+    /** The rate at which a bucket gets tokens, and how many it holds. */
+    private record BucketRate(double tokensPerSecond, double capacity) {
+        static BucketRate ofNamed(double rate) {
+            return new BucketRate(
+                    rate, ColdPacing.BURST_REQUESTS + rate * ColdPacing.BURST_SECONDS);
+        }
+
+        /** Returns the rate of a part of the fleet; all parts together hold one full bucket. */
+        static BucketRate ofCold(double fleetRate, double share) {
+            double rate = fleetRate * share;
+            double burst = ColdPacing.BURST_REQUESTS * share + rate * ColdPacing.BURST_SECONDS;
+            return new BucketRate(rate, Math.max(1, burst));
+        }
+
+        BucketRate smaller(BucketRate other) {
+            return new BucketRate(
+                    Math.min(tokensPerSecond, other.tokensPerSecond),
+                    Math.min(capacity, other.capacity));
+        }
+    }
+
     /** The tokens of one back end's limit and the instances that want them. */
     private static final class Allocation {
         private final long mStartWallMillis;
@@ -73,9 +95,13 @@
         private final Map<String, Demand> mDemands = new HashMap<>();
         private long mAskedNanos;
 
-        private Allocation(long startWallMillis, TokenBucket bucket) {
+        /** What the last instance that asked knew of the back end being cold. */
+        private Optional<AskersCold> mAskersCold = Optional.empty();
+
+        private Allocation(long startWallMillis, TokenBucket bucket, long now) {
             mStartWallMillis = startWallMillis;
             mBucket = bucket;
+            mAskedNanos = now;
         }
 
         private boolean isIdle(long now) {
@@ -85,7 +111,8 @@
 
     private final RateLimitTable mTable;
     private final CoordinatorDirectory mDirectory;
-    private final MissingMembers mMissing;
+    private final ColdRules mCold;
+    private final ColdPacing mPacing;
     private final RateLimitPeers mPeers;
     private final TimeSource mTime;
     private final Random mRandom;
@@ -94,13 +121,14 @@
     public RateLimitOwner(
             RateLimitTable table,
             CoordinatorDirectory directory,
-            MissingMembers missing,
             RateLimitPeers peers,
+            ColdRules cold,
             TimeSource time,
             Random random) {
         mTable = table;
         mDirectory = directory;
-        mMissing = missing;
+        mCold = cold;
+        mPacing = new ColdPacing(cold.bound());
         mPeers = peers;
         mTime = time;
         mRandom = random;
@@ -140,7 +168,8 @@
 
     private RateLimitReply forward(Member owner, RateLimitRequest request) {
         RateLimitRequest forwarded =
-                new RateLimitRequest(request.known(), request.sender(), request.urgency(), true);
+                new RateLimitRequest(
+                        request.known(), request.sender(), request.urgency(), true, request.cold());
         return mPeers.ask(owner, forwarded, FORWARD_TIMEOUT)
                 .orElseGet(() -> refusal(request.known(), NO_OWNER_WAIT_MILLIS));
     }
@@ -154,22 +183,94 @@
         if (known.startWallMillis() != request.known().startWallMillis()) {
             return refusal(known, NO_OWNER_WAIT_MILLIS);
         }
-        if (!RateLimitTable.isEnforced(known)) {
+        Optional<Double> cold = coldRequestsPerSecond(request, known);
+        if (cold.isEmpty() && !RateLimitTable.isEnforced(known)) {
             drop(known.backEndId(), "the limit has ended");
             return new RateLimitReply(known, true, 0);
         }
-        int alive = Math.max(1, mDirectory.order(key(known.backEndId())).size());
-        int fleetSize = alive + mMissing.count();
+        if (cold.isPresent() && !mCold.fleet().isColdOwnerPossible()) {
+            return refusal(known, NO_OWNER_WAIT_MILLIS);
+        }
+        // Not under the lock, as the member table calls this class under its own.
+        BucketRate rate = bucketRate(known, cold);
         synchronized (this) {
             long now = mTime.nanoTime();
             Allocation allocation = allocation(known, now);
             allocation.mAskedNanos = now;
+            request.cold().ifPresent(each -> allocation.mAskersCold = Optional.of(heard(each)));
             allocation.mDemands.values().removeIf(each -> hasLapsed(each, now));
-            double rate = effectiveRate(known) * alive / fleetSize;
             return take(request, known, allocation, rate, now);
         }
     }
 
+    private AskersCold heard(ColdLimit cold) {
+        return new AskersCold(cold.requestsPerSecond(), mTime.nanoTime() + cold.left().toNanos());
+    }
+
+    /**
+     * Returns the requests a second that the back end takes while it is cold, if this instance or
+     * one that asks knows it to be cold. The smaller number counts while they differ.
+     */
+    private Optional<Double> coldRequestsPerSecond(
+            RateLimitRequest request, RateLimitUpdate known) {
+        Optional<Double> own =
+                mCold.backEnds()
+                        .limit(known.backEndId(), known.startWallMillis())
+                        .map(ColdLimit::requestsPerSecond);
+        Optional<Double> asker =
+                request.cold()
+                        .map(ColdLimit::requestsPerSecond)
+                        .or(() -> lastHeard(known))
+                        .filter(each -> each > 0);
+        return Stream.of(own, asker).flatMap(Optional::stream).min(Double::compare);
+    }
+
+    private synchronized Optional<Double> lastHeard(RateLimitUpdate known) {
+        return Optional.ofNullable(mAllocations.get(known.backEndId()))
+                .filter(each -> each.mStartWallMillis == known.startWallMillis())
+                .flatMap(each -> each.mAskersCold)
+                .filter(each -> mTime.nanoTime() - each.untilNanos() < 0)
+                .map(AskersCold::requestsPerSecond);
+    }
+
+    /** The rate of this part of the fleet. */
+    private BucketRate bucketRate(RateLimitUpdate known, Optional<Double> cold) {
+        double share = mCold.fleet().share();
+        Optional<BucketRate> coldRate =
+                cold.map(each -> BucketRate.ofCold(mPacing.ownerRate(each), share));
+        if (!RateLimitTable.isEnforced(known)) {
+            return coldRate.orElseThrow();
+        }
+        BucketRate named = BucketRate.ofNamed(effectiveRate(known) * share);
+        return coldRate.map(named::smaller).orElse(named);
+    }
+
+    /**
+     * Begins to own the tokens of a cold back end before they are asked for, if this instance is
+     * their owner, so that the time of a handover passes early.
+     */
+    void prepare(BackEnd backEnd) {
+        if (mCold.backEnds().limit(backEnd).isPresent() && isOwner(backEnd)) {
+            RateLimitUpdate known =
+                    mTable.known(backEnd.id())
+                            .filter(each -> each.startWallMillis() == backEnd.startWallMillis())
+                            .orElseGet(
+                                    () ->
+                                            RateLimitUpdate.nothingKnown(
+                                                    backEnd.id(), backEnd.startWallMillis()));
+            synchronized (this) {
+                allocation(known, mTime.nanoTime());
+            }
+        }
+    }
+
+    private boolean isOwner(BackEnd backEnd) {
+        return mDirectory.order(key(backEnd.id())).stream()
+                .findFirst()
+                .filter(mDirectory::isSelf)
+                .isPresent();
+    }
+
     private static boolean hasLapsed(Demand demand, long now) {
         return now - demand.askedNanos() > DEMAND_LIFETIME.toNanos();
     }
@@ -187,7 +288,9 @@
         mAllocations.values().removeIf(each -> each.isIdle(now));
         Allocation created =
                 new Allocation(
-                        known.startWallMillis(), new TokenBucket(0, now + HANDOVER_TIME.toNanos()));
+                        known.startWallMillis(),
+                        new TokenBucket(0, now + HANDOVER_TIME.toNanos()),
+                        now);
         mAllocations.put(known.backEndId(), created);
         LOGGER.info(
                 LogLine.of("rate-limit-owned")
@@ -202,10 +305,11 @@
             RateLimitRequest request,
             RateLimitUpdate known,
             Allocation allocation,
-            double rate,
+            BucketRate bucketRate,
             long now) {
         TokenBucket bucket = allocation.mBucket;
-        bucket.refill(rate, BURST_REQUESTS + rate * BURST_SECONDS, now);
+        double rate = bucketRate.tokensPerSecond();
+        bucket.refill(rate, bucketRate.capacity(), now);
         double needed = isMoreUrgentWaiting(allocation, request.urgency(), now) ? 2 : 1;
         boolean isGranted = bucket.tokens() >= needed;
         allocation.mDemands.put(
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitInstance.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitInstance.java
@@ -7,6 +7,8 @@
 import org.rattanport.decisions.membership.MemberTable;
 import org.rattanport.decisions.membership.RumorQueue;
 import org.rattanport.kernel.event.EventStreams;
+import org.rattanport.kernel.gateway.ColdBackEndEvent;
+import org.rattanport.kernel.gateway.ColdBound;
 import org.rattanport.kernel.gateway.RateLimitEvent;
 import org.rattanport.kernel.peer.Member;
 import org.rattanport.kernel.peer.PeerNetwork;
@@ -19,15 +21,27 @@
     private final RateLimitOwner mOwner;
     private final BackEndRateLimits mLimits;
     private final List<RateLimitEvent> mPublished = new ArrayList<>();
+    private final List<ColdBackEndEvent> mColdEvents = new ArrayList<>();
+    private double mColdPerSecond;
 
     public RateLimitInstance(PeerNetwork peers, Member self, TimeSource time, long seed) {
+        this(peers, self, time, seed, List.of());
+    }
+
+    RateLimitInstance(
+            PeerNetwork peers, Member self, TimeSource time, long seed, List<String> seeds) {
         mMembers = new MemberTable(self, new RumorQueue(), mEvents);
         CoordinatorDirectory directory = new CoordinatorDirectory(mMembers, time);
         MissingMembers missing = new MissingMembers(time);
         mMembers.memberChanges().subscribe(missing::recordChange);
         RateLimitTable table = new RateLimitTable(time, mPublished::add);
         RateLimitPeers owners = new RateLimitPeers(peers, directory, table, time);
-        mOwner = new RateLimitOwner(table, directory, missing, owners, time, new Random(seed));
+        ColdRules cold =
+                new ColdRules(
+                        new ColdBackEnds(time, service -> mColdPerSecond, mColdEvents::add),
+                        ColdBound.DEFAULT,
+                        new FleetView(directory, missing, seeds));
+        mOwner = new RateLimitOwner(table, directory, owners, cold, time, new Random(seed));
         mOwner.registerHandlers(peers);
         mLimits =
                 new BackEndRateLimits(
@@ -35,6 +49,7 @@
                         mOwner,
                         directory,
                         owners,
+                        cold,
                         Runnable::run,
                         mPublished::add,
                         time,
@@ -62,6 +77,16 @@
         return mPublished;
     }
 
+    /** The events about cold back ends, in order. */
+    List<ColdBackEndEvent> coldEvents() {
+        return mColdEvents;
+    }
+
+    /** A document with this bound for cold back ends takes effect; 0 for none. */
+    public void setColdPerSecond(double requestsPerSecond) {
+        mColdPerSecond = requestsPerSecond;
+    }
+
     /** Learns the state of a member, and gives up the limits that it no longer owns. */
     void learn(Member member) {
         mMembers.merge(member);
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/RateLimitEvent.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/RateLimitEvent.java
@@ -15,7 +15,9 @@
         /** A request was not sent to the back end, because there was no token for it. */
         HELD_BACK,
         /** The owner of the limit did not respond. */
-        UNANSWERED;
+        UNANSWERED,
+        /** A request was sent to a cold back end without a token, as no owner was reached. */
+        FALLBACK;
 
         /** Returns the form of the kind in metrics. */
         public String wireName() {
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/RateLimitUpdate.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/RateLimitUpdate.java
@@ -20,4 +20,13 @@
         Optional<RateLimit> limit,
         String source,
         long number,
-        Duration age) {}
+        Duration age) {
+    /** Age of an update that says nothing; any response is newer. */
+    private static final Duration AGE_OF_NOTHING = Duration.ofHours(1);
+
+    /** Returns an update for a run of which no response is known. */
+    public static RateLimitUpdate nothingKnown(String backEndId, long startWallMillis) {
+        return new RateLimitUpdate(
+                backEndId, startWallMillis, Optional.empty(), "-", 0, AGE_OF_NOTHING);
+    }
+}
