Take the events and disruptions out of the simulation of rate limits

The simulation of cold back ends needs the same fleet, with several back ends. What an instance does with a request is now an interface, and the queue of events and the random disruptions are classes of their own. The histories of each seed stay as they were, as the random numbers are drawn in the same order.

BackEndRateLimitsTest passes with 40 seeds.

--- a/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitHistory.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitHistory.java
@@ -1,12 +1,8 @@
 package org.rattanport.decisions.gateway.limits;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collections;
-import java.util.List;
 import java.util.Optional;
 import java.util.Random;
-import org.rattanport.decisions.gateway.limits.RateLimitSimulation.Node;
 
 /** A random history of a fleet and of the limits that a back end names, replayed by its seed. */
 final class RateLimitHistory {
@@ -24,7 +20,7 @@
     private final long mSeed;
     private final Random mRandom;
     private final RateLimitSimulation mFleet;
-    private final List<String> mSteps = new ArrayList<>();
+    private final FleetDisruptions mDisruptions;
     private double mLimit;
 
     RateLimitHistory(long seed) {
@@ -32,6 +28,7 @@
         mRandom = new Random(seed);
         int instances = MIN_INSTANCES + mRandom.nextInt(MAX_INSTANCES - MIN_INSTANCES + 1);
         mFleet = new RateLimitSimulation(seed, instances, DEMAND_PER_SECOND / instances);
+        mDisruptions = new FleetDisruptions(mFleet, mRandom);
     }
 
     /** Plays the history; returns what was wrong, if anything. */
@@ -46,7 +43,7 @@
         long from = mFleet.now();
         mFleet.run(QUIET_TIME);
         double used = mFleet.arrivalsSince(from) / (mLimit * QUIET_TIME.toSeconds());
-        String story = " seed " + mSeed + " " + mSteps;
+        String story = " seed " + mSeed + " " + mDisruptions.steps();
         Optional<RateLimitRule.Excess> excess = mFleet.worstExcess();
         if (excess.isPresent()) {
             return Optional.of(excess.get() + story);
@@ -59,68 +56,15 @@
     private void nameLimit() {
         mLimit = LIMITS[mRandom.nextInt(LIMITS.length)];
         mFleet.name(Optional.of(mLimit));
-        record("limit " + mLimit);
+        mDisruptions.record("limit " + mLimit);
     }
 
     private void disturb() {
-        switch (mRandom.nextInt(9)) {
-            case 0 -> nameLimit();
-            case 1 -> kill(mFleet.owner());
-            case 2 -> kill(anyNode());
-            case 3 -> freeze(mFleet.owner());
-            case 4 -> freeze(anyNode());
-            case 5 -> cut(mFleet.owner(), anyOther(mFleet.owner()));
-            case 6 -> cut(anyOther(mFleet.owner()), mFleet.owner());
-            case 7 -> {
-                record("join");
-                mFleet.join();
-            }
-            default -> part();
+        int kind = mRandom.nextInt(1 + FleetDisruptions.KINDS);
+        if (kind == 0) {
+            nameLimit();
+        } else {
+            mDisruptions.cause(kind - 1, RateLimitSimulation.BACK_END);
         }
     }
-
-    private Node anyNode() {
-        return mFleet.nodes().get(mRandom.nextInt(mFleet.nodes().size()));
-    }
-
-    private Node anyOther(Node node) {
-        List<Node> others = mFleet.nodes().stream().filter(each -> each != node).toList();
-        return others.get(mRandom.nextInt(others.size()));
-    }
-
-    private Duration someTime() {
-        return Duration.ofMillis(50 + mRandom.nextInt(8_000));
-    }
-
-    private void kill(Node node) {
-        Duration downTime = someTime();
-        record("kill " + node.name() + " " + downTime);
-        mFleet.kill(node, downTime);
-    }
-
-    private void freeze(Node node) {
-        Duration duration = someTime();
-        boolean stopsClock = mRandom.nextBoolean();
-        record("freeze " + node.name() + " " + duration + " " + stopsClock);
-        mFleet.freeze(node, stopsClock, duration);
-    }
-
-    private void cut(Node from, Node to) {
-        Duration duration = someTime();
-        record("cut " + from.name() + " " + to.name() + " " + duration);
-        mFleet.cut(from, to, duration);
-    }
-
-    private void part() {
-        List<Node> nodes = new ArrayList<>(mFleet.nodes());
-        Collections.shuffle(nodes, mRandom);
-        List<Node> side = nodes.subList(0, 1 + mRandom.nextInt(nodes.size() - 1));
-        Duration duration = someTime();
-        record("part " + side.stream().map(Node::name).toList() + " " + duration);
-        mFleet.part(side, duration);
-    }
-
-    private void record(String step) {
-        mSteps.add(mFleet.now() / 1_000_000 + " " + step);
-    }
 }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitSimulation.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitSimulation.java
@@ -2,13 +2,11 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -26,7 +24,6 @@
 import org.rattanport.kernel.peer.PeerMessage;
 import org.rattanport.kernel.peer.PeerNetwork;
 import org.rattanport.kernel.time.Deadline;
-import org.rattanport.kernel.time.ManualTimeSource;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
@@ -44,7 +41,10 @@
     private static final int MAX_RESPONSE_MILLIS = 400;
     private static final long MILLI = 1_000_000;
 
-    private record Event(long nanos, long order, Runnable action) {}
+    /** What an instance does when a caller sends it a request. */
+    interface Demand {
+        void request(Node node);
+    }
 
     /**
      * An instance with a clock of its own; a machine that is frozen may have a clock that stops.
@@ -86,16 +86,16 @@
                     0);
         }
 
-        private TimeSource clock() {
+        TimeSource clock() {
             return new TimeSource() {
                 @Override
                 public long nanoTime() {
-                    return mClockOffset + (long) ((mTime.nanoTime() - mStoppedNanos) * mClockRate);
+                    return mClockOffset + (long) ((mEvents.now() - mStoppedNanos) * mClockRate);
                 }
 
                 @Override
                 public long wallMillis() {
-                    return (mClockOffset + mTime.nanoTime()) / MILLI;
+                    return (mClockOffset + mEvents.now()) / MILLI;
                 }
 
                 @Override
@@ -135,14 +135,17 @@
             return mInstance;
         }
 
-        private boolean isRunning() {
+        boolean isRunning() {
             return !mIsFrozen && !mIsDown;
         }
 
         private void request() {
-            if (!isRunning()) {
-                return;
+            if (isRunning()) {
+                mDemand.request(this);
             }
+        }
+
+        private void requestLimited() {
             BackEnd backEnd = mBackEnd;
             BackEndRateLimits limits = mInstance.limits();
             if (!limits.accepts(backEnd) || !limits.tryUse(backEnd, 1)) {
@@ -150,7 +153,7 @@
             }
             ClockReading written = ClockReading.now(clock());
             long incarnation = mIncarnation;
-            long now = mTime.nanoTime();
+            long now = mEvents.now();
             boolean isBound =
                     mToldNanos.filter(told -> now - told >= TOLD_DELAY.toNanos()).isPresent()
                             && now >= mExcusedUntilNanos;
@@ -183,25 +186,22 @@
             }
             ResponseHead head = ResponseHead.builder(200).signed(true).rateLimit(limit).build();
             if (limit.isPresent() && mToldNanos.isEmpty()) {
-                mToldNanos = Optional.of(mTime.nanoTime());
+                mToldNanos = Optional.of(mEvents.now());
             }
             mInstance.limits().recordResponse(backEnd, head, written);
         }
     }
 
-    private final ManualTimeSource mTime = new ManualTimeSource();
+    private final VirtualEvents mEvents = new VirtualEvents();
     private final Random mRandom;
-    private final PriorityQueue<Event> mEvents =
-            new PriorityQueue<>(
-                    Comparator.comparingLong(Event::nanos).thenComparingLong(Event::order));
     private final Map<String, Node> mNodes = new HashMap<>();
     private final List<Node> mOrder = new ArrayList<>();
     private final Set<String> mCuts = new HashSet<>();
     private final Map<String, List<Runnable>> mWhenAwake = new HashMap<>();
     private final RateLimitRule mRule = new RateLimitRule();
+    private final Demand mDemand;
     private final double mRequestsPerSecond;
     private BackEnd mBackEnd = new BackEnd(BACK_END, 1, "engines", "10.0.0.1:80", "zone", 8, false);
-    private long mEventCount;
     private long mMessages;
 
     /**
@@ -210,9 +210,14 @@
      * @param requestsPerSecond requests for the back end that each instance has
      */
     RateLimitSimulation(long seed, int instances, double requestsPerSecond) {
+        this(seed, instances, requestsPerSecond, Node::requestLimited);
+    }
+
+    RateLimitSimulation(long seed, int instances, double requestsPerSecond, Demand demand) {
+        mDemand = demand;
         mRandom = new Random(seed);
         mRequestsPerSecond = requestsPerSecond;
-        mRule.recordLimit(mTime.nanoTime(), Optional.empty());
+        mRule.recordLimit(mEvents.now(), Optional.empty());
         IntStream.range(0, instances).forEach(i -> add("instance-" + i));
         mOrder.forEach(node -> mOrder.forEach(other -> node.mInstance.learn(other.member())));
         scheduleGossip();
@@ -284,22 +289,16 @@
 
     /** Does something later. */
     void after(Duration delay, Runnable action) {
-        mEvents.add(new Event(mTime.nanoTime() + delay.toNanos(), mEventCount++, action));
+        mEvents.after(delay, action);
     }
 
     void run(Duration duration) {
-        long end = mTime.nanoTime() + duration.toNanos();
-        while (!mEvents.isEmpty() && mEvents.peek().nanos() <= end) {
-            Event event = mEvents.remove();
-            mTime.advance(Duration.ofNanos(Math.max(0, event.nanos() - mTime.nanoTime())));
-            event.action().run();
-        }
-        mTime.advance(Duration.ofNanos(end - mTime.nanoTime()));
+        mEvents.run(duration);
     }
 
     /** The back end names this limit from now on, or none. */
     void name(Optional<Double> requestsPerSecond) {
-        mRule.recordLimit(mTime.nanoTime(), requestsPerSecond.flatMap(RateLimit::of));
+        mRule.recordLimit(mEvents.now(), requestsPerSecond.flatMap(RateLimit::of));
     }
 
     private Optional<RateLimit> namedLimit() {
@@ -329,11 +328,15 @@
 
     /** The member that the first running instance takes for the owner. */
     Node owner() {
+        return owner(BACK_END);
+    }
+
+    Node owner(String backEndId) {
         Node observer =
                 mOrder.stream().filter(Node::isRunning).findFirst().orElse(mOrder.getFirst());
         CoordinatorDirectory directory =
-                new CoordinatorDirectory(observer.mInstance.members(), mTime);
-        return mNodes.get(directory.order(RateLimitOwner.key(BACK_END)).getFirst().id().name());
+                new CoordinatorDirectory(observer.mInstance.members(), mEvents.time());
+        return mNodes.get(directory.order(RateLimitOwner.key(backEndId)).getFirst().id().name());
     }
 
     void freeze(Node node, boolean stopsClock, Duration duration) {
@@ -341,14 +344,14 @@
             return;
         }
         node.mIsFrozen = true;
-        long since = mTime.nanoTime();
+        long since = mEvents.now();
         suspectEverywhere(node);
         after(
                 duration,
                 () -> {
                     node.mIsFrozen = false;
-                    node.mExcusedUntilNanos = mTime.nanoTime() + RateLimitRule.WINDOW.toNanos();
-                    node.mStoppedNanos += stopsClock ? mTime.nanoTime() - since : 0;
+                    node.mExcusedUntilNanos = mEvents.now() + RateLimitRule.WINDOW.toNanos();
+                    node.mStoppedNanos += stopsClock ? mEvents.now() - since : 0;
                     Optional.ofNullable(mWhenAwake.remove(node.mName))
                             .ifPresent(actions -> actions.forEach(Runnable::run));
                     refuteEverywhere(node);
@@ -483,7 +486,7 @@
     }
 
     long now() {
-        return mTime.nanoTime();
+        return mEvents.now();
     }
 
     /** Requests that arrived since then. */
