Begin anew to grant tokens of cold back ends after being suspected

An instance that refutes a suspicion now gives up its tokens of cold back ends, as does one whose part of the fleet becomes too small, so that the time of a handover passes before it grants again. An owner also gives up the tokens of a back end that became warm, whose full bucket would add to the requests of instances that have not learned that it became cold again. Named limits are granted as before.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -164,7 +164,8 @@
                         .subscribe(
                                 member ->
                                         Tasks.start(
-                                                "hand-over-rate-limits", owner::membersChanged)));
+                                                "hand-over-rate-limits",
+                                                () -> owner.membersChanged(member))));
         membership.aliveMembers().forEach(missing::recordChange);
         return new BackEndRateLimits(
                 table,
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/limits/BackEndRateLimits.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/BackEndRateLimits.java
@@ -134,7 +134,7 @@
     public void recordRegistered(BackEnd backEnd) {
         mTable.recordRegistered(backEnd);
         mCold.backEnds().recordRegistered(backEnd);
-        mOwner.prepare(backEnd);
+        mOwner.recordRegistered(backEnd);
     }
 
     @Override
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitOwner.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitOwner.java
@@ -94,6 +94,7 @@
         private final TokenBucket mBucket;
         private final Map<String, Demand> mDemands = new HashMap<>();
         private long mAskedNanos;
+        private boolean mIsCold;
 
         /** What the last instance that asked knew of the back end being cold. */
         private Optional<AskersCold> mAskersCold = Optional.empty();
@@ -197,6 +198,7 @@
             long now = mTime.nanoTime();
             Allocation allocation = allocation(known, now);
             allocation.mAskedNanos = now;
+            allocation.mIsCold = cold.isPresent();
             request.cold().ifPresent(each -> allocation.mAskersCold = Optional.of(heard(each)));
             allocation.mDemands.values().removeIf(each -> hasLapsed(each, now));
             return take(request, known, allocation, rate, now);
@@ -247,10 +249,14 @@
 
     /**
      * Begins to own the tokens of a cold back end before they are asked for, if this instance is
-     * their owner, so that the time of a handover passes early.
+     * their owner, so that the time of a handover passes early. Gives up those of a back end that
+     * has become warm; if it becomes cold again, instances that have not learned it yet add to what
+     * a full bucket would grant.
      */
-    void prepare(BackEnd backEnd) {
-        if (mCold.backEnds().limit(backEnd).isPresent() && isOwner(backEnd)) {
+    void recordRegistered(BackEnd backEnd) {
+        if (mCold.backEnds().limit(backEnd).isEmpty()) {
+            dropWarm(backEnd);
+        } else if (mCold.fleet().isColdOwnerPossible() && isOwner(backEnd)) {
             RateLimitUpdate known =
                     mTable.known(backEnd.id())
                             .filter(each -> each.startWallMillis() == backEnd.startWallMillis())
@@ -259,11 +265,25 @@
                                             RateLimitUpdate.nothingKnown(
                                                     backEnd.id(), backEnd.startWallMillis()));
             synchronized (this) {
-                allocation(known, mTime.nanoTime());
+                allocation(known, mTime.nanoTime()).mIsCold = true;
             }
         }
     }
 
+    private synchronized void dropWarm(BackEnd backEnd) {
+        Allocation allocation = mAllocations.get(backEnd.id());
+        boolean isWarm =
+                allocation != null
+                        && allocation.mIsCold
+                        && allocation
+                                .mAskersCold
+                                .filter(each -> mTime.nanoTime() - each.untilNanos() < 0)
+                                .isEmpty();
+        if (isWarm) {
+            drop(backEnd.id(), "the back end is warm");
+        }
+    }
+
     private boolean isOwner(BackEnd backEnd) {
         return mDirectory.order(key(backEnd.id())).stream()
                 .findFirst()
@@ -337,8 +357,15 @@
         return mAllocations.size();
     }
 
-    /** Gives up the limits that another member owns now, and tells it what is known of them. */
-    public void membersChanged() {
+    /**
+     * Gives up the limits that another member owns now, and tells it what is known of them. A
+     * change of this instance itself means that others took it for silent, so that another member
+     * may have granted tokens meanwhile; those of cold back ends begin anew.
+     */
+    public void membersChanged(Member changed) {
+        if (mDirectory.isSelf(changed) || !mCold.fleet().isColdOwnerPossible()) {
+            dropCold();
+        }
         List<String> owned;
         synchronized (this) {
             owned = List.copyOf(mAllocations.keySet());
@@ -351,6 +378,15 @@
         }
     }
 
+    private synchronized void dropCold() {
+        List<String> cold =
+                mAllocations.entrySet().stream()
+                        .filter(each -> each.getValue().mIsCold)
+                        .map(Map.Entry::getKey)
+                        .toList();
+        cold.forEach(id -> drop(id, "other members may have granted tokens"));
+    }
+
     private void handOver(String backEndId, Member owner) {
         drop(backEndId, "owned by " + owner.id());
         mTable.known(backEndId).ifPresent(known -> mPeers.report(owner, known));
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitInstance.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitInstance.java
@@ -43,6 +43,9 @@
                         new FleetView(directory, missing, seeds));
         mOwner = new RateLimitOwner(table, directory, owners, cold, time, new Random(seed));
         mOwner.registerHandlers(peers);
+        mMembers.memberChanges()
+                .filter(member -> member.id().equals(self.id()))
+                .subscribe(mOwner::membersChanged);
         mLimits =
                 new BackEndRateLimits(
                         table,
@@ -90,6 +93,6 @@
     /** Learns the state of a member, and gives up the limits that it no longer owns. */
     void learn(Member member) {
         mMembers.merge(member);
-        mOwner.membersChanged();
+        mOwner.membersChanged(member);
     }
 }
