--- a/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitSimulation.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitSimulation.java
@@ -41,11 +41,6 @@
     private static final int MAX_RESPONSE_MILLIS = 400;
     private static final long MILLI = 1_000_000;
 
-    /** What an instance does when a caller sends it a request. */
-    interface Demand {
-        void request(Node node);
-    }
-
     /**
      * An instance with a clock of its own; a machine that is frozen may have a clock that stops.
      */
@@ -199,7 +194,7 @@
     private final Set<String> mCuts = new HashSet<>();
     private final Map<String, List<Runnable>> mWhenAwake = new HashMap<>();
     private final RateLimitRule mRule = new RateLimitRule();
-    private final Demand mDemand;
+    private final SimulatedDemand mDemand;
     private final double mRequestsPerSecond;
     private BackEnd mBackEnd = new BackEnd(BACK_END, 1, "engines", "10.0.0.1:80", "zone", 8, false);
     private long mMessages;
@@ -213,7 +208,8 @@
         this(seed, instances, requestsPerSecond, Node::requestLimited);
     }
 
-    RateLimitSimulation(long seed, int instances, double requestsPerSecond, Demand demand) {
+    RateLimitSimulation(
+            long seed, int instances, double requestsPerSecond, SimulatedDemand demand) {
         mDemand = demand;
         mRandom = new Random(seed);
         mRequestsPerSecond = requestsPerSecond;
