--- a/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitOwner.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitOwner.java
@@ -196,7 +196,7 @@
         BucketRate rate = bucketRate(known, cold);
         synchronized (this) {
             long now = mTime.nanoTime();
-            Allocation allocation = allocation(known, now);
+            Allocation allocation = allocation(known, rate, now);
             allocation.mAskedNanos = now;
             allocation.mIsCold = cold.isPresent();
             request.cold().ifPresent(each -> allocation.mAskersCold = Optional.of(heard(each)));
@@ -254,7 +254,8 @@
      * a full bucket would grant.
      */
     void recordRegistered(BackEnd backEnd) {
-        if (mCold.backEnds().limit(backEnd).isEmpty()) {
+        Optional<Double> cold = mCold.backEnds().limit(backEnd).map(ColdLimit::requestsPerSecond);
+        if (cold.isEmpty()) {
             dropWarm(backEnd);
         } else if (mCold.fleet().isColdOwnerPossible() && isOwner(backEnd)) {
             RateLimitUpdate known =
@@ -264,8 +265,9 @@
                                     () ->
                                             RateLimitUpdate.nothingKnown(
                                                     backEnd.id(), backEnd.startWallMillis()));
+            BucketRate rate = bucketRate(known, cold);
             synchronized (this) {
-                allocation(known, mTime.nanoTime()).mIsCold = true;
+                allocation(known, rate, mTime.nanoTime()).mIsCold = true;
             }
         }
     }
@@ -300,7 +302,7 @@
         return Math.max(MIN_REQUESTS_PER_SECOND, named);
     }
 
-    private Allocation allocation(RateLimitUpdate known, long now) {
+    private Allocation allocation(RateLimitUpdate known, BucketRate rate, long now) {
         Allocation current = mAllocations.get(known.backEndId());
         if (current != null && current.mStartWallMillis == known.startWallMillis()) {
             return current;
@@ -315,7 +317,7 @@
         LOGGER.info(
                 LogLine.of("rate-limit-owned")
                         .with("back_end", known.backEndId())
-                        .with("requests_per_second", effectiveRate(known))
+                        .with("requests_per_second", rate.tokensPerSecond())
                         .with("source", known.source())
                         .with("age_millis", known.age().toMillis()));
         return created;
