Grant tokens of a new cold run at once if the members are settled

When all 45 engines of a fleet started anew and cold, 25 of the 40 requests of the first second were refused (virtual time): each owner waited one second for a handover, although no other member can have granted tokens of a run that has just been registered while the members have not changed for 3 s. Such a bucket now begins at once, empty. A run that becomes cold again keeps the second, as instances that have not learned it yet send without tokens. Instances that still ask for an earlier run no longer take the bucket from the later one.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/limits/FleetView.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/FleetView.java
@@ -1,5 +1,6 @@
 package org.rattanport.decisions.gateway.limits;
 
+import java.time.Duration;
 import java.util.List;
 import org.rattanport.decisions.gateway.placement.CoordinatorDirectory;
 
@@ -11,6 +12,12 @@
      */
     private static final double MIN_COLD_SHARE = 0.25;
 
+    /**
+     * Time without a change of the members after which all of them know the same owners; changes
+     * reach all members within about one to three seconds.
+     */
+    private static final Duration SETTLED_TIME = Duration.ofSeconds(3);
+
     private final CoordinatorDirectory mDirectory;
     private final MissingMembers mMissing;
     private final List<String> mSeeds;
@@ -40,6 +47,11 @@
         return (double) alive() / size();
     }
 
+    /** Whether the members have been the same for so long that nobody knows another owner. */
+    boolean isSettled() {
+        return mMissing.unchangedFor().compareTo(SETTLED_TIME) >= 0;
+    }
+
     /** Whether this part of the fleet is large enough to grant tokens of cold back ends. */
     boolean isColdOwnerPossible() {
         return share() >= MIN_COLD_SHARE && !hasMetNobody();
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/limits/MissingMembers.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/MissingMembers.java
@@ -18,14 +18,17 @@
     private final TimeSource mTime;
     private final Set<String> mAlive = new HashSet<>();
     private final Map<String, Long> mSilentSinceNanos = new HashMap<>();
+    private long mChangedNanos;
 
     public MissingMembers(TimeSource time) {
         mTime = time;
+        mChangedNanos = time.nanoTime();
     }
 
     /** Records the new state of a member. */
     public synchronized void recordChange(Member member) {
         String name = member.id().name();
+        mChangedNanos = mTime.nanoTime();
         boolean wasAlive = mAlive.remove(name);
         switch (member.state()) {
             case ALIVE -> {
@@ -41,6 +44,11 @@
         }
     }
 
+    /** Time since a member last changed. */
+    synchronized Duration unchangedFor() {
+        return Duration.ofNanos(mTime.nanoTime() - mChangedNanos);
+    }
+
     synchronized int count() {
         long now = mTime.nanoTime();
         mSilentSinceNanos.values().removeIf(since -> now - since > LIFETIME.toNanos());
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitOwner.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitOwner.java
@@ -117,6 +117,7 @@
     private final RateLimitPeers mPeers;
     private final TimeSource mTime;
     private final Random mRandom;
+    private final RegisteredRuns mRuns = new RegisteredRuns();
     private final Map<String, Allocation> mAllocations = new HashMap<>();
 
     public RateLimitOwner(
@@ -196,7 +197,7 @@
         BucketRate rate = bucketRate(known, cold);
         synchronized (this) {
             long now = mTime.nanoTime();
-            Allocation allocation = allocation(known, rate, now);
+            Allocation allocation = allocation(known, rate, HANDOVER_TIME, now);
             allocation.mAskedNanos = now;
             allocation.mIsCold = cold.isPresent();
             request.cold().ifPresent(each -> allocation.mAskersCold = Optional.of(heard(each)));
@@ -255,19 +256,30 @@
      */
     void recordRegistered(BackEnd backEnd) {
         Optional<Double> cold = mCold.backEnds().limit(backEnd).map(ColdLimit::requestsPerSecond);
+        boolean isNewRun = mRuns.recordRun(backEnd);
         if (cold.isEmpty()) {
             dropWarm(backEnd);
         } else if (mCold.fleet().isColdOwnerPossible() && isOwner(backEnd)) {
-            RateLimitUpdate known =
-                    mTable.known(backEnd.id())
-                            .filter(each -> each.startWallMillis() == backEnd.startWallMillis())
-                            .orElseGet(
-                                    () ->
-                                            RateLimitUpdate.nothingKnown(
-                                                    backEnd.id(), backEnd.startWallMillis()));
+            prepare(backEnd, cold, isNewRun && mCold.fleet().isSettled());
+        }
+    }
+
+    /**
+     * Begins to own the tokens of a cold back end.
+     *
+     * @param isFirstOwner whether no other member can have granted tokens of this run
+     */
+    private void prepare(BackEnd backEnd, Optional<Double> cold, boolean isFirstOwner) {
+        RateLimitUpdate nothing =
+                RateLimitUpdate.nothingKnown(backEnd.id(), backEnd.startWallMillis());
+        // Instances that still ask for an earlier run are refused from now on.
+        mTable.record(nothing);
+        RateLimitUpdate known = mTable.known(backEnd.id()).orElse(nothing);
+        if (known.startWallMillis() == backEnd.startWallMillis()) {
             BucketRate rate = bucketRate(known, cold);
+            Duration delay = isFirstOwner ? Duration.ZERO : HANDOVER_TIME;
             synchronized (this) {
-                allocation(known, rate, mTime.nanoTime()).mIsCold = true;
+                allocation(known, rate, delay, mTime.nanoTime()).mIsCold = true;
             }
         }
     }
@@ -302,7 +314,8 @@
         return Math.max(MIN_REQUESTS_PER_SECOND, named);
     }
 
-    private Allocation allocation(RateLimitUpdate known, BucketRate rate, long now) {
+    private Allocation allocation(
+            RateLimitUpdate known, BucketRate rate, Duration delay, long now) {
         Allocation current = mAllocations.get(known.backEndId());
         if (current != null && current.mStartWallMillis == known.startWallMillis()) {
             return current;
@@ -310,9 +323,7 @@
         mAllocations.values().removeIf(each -> each.isIdle(now));
         Allocation created =
                 new Allocation(
-                        known.startWallMillis(),
-                        new TokenBucket(0, now + HANDOVER_TIME.toNanos()),
-                        now);
+                        known.startWallMillis(), new TokenBucket(0, now + delay.toNanos()), now);
         mAllocations.put(known.backEndId(), created);
         LOGGER.info(
                 LogLine.of("rate-limit-owned")
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/limits/FleetViewTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/limits/FleetViewTest.java
@@ -20,6 +20,7 @@
     private static final int MILLIS = 20_000;
 
     private final ManualTimeSource mTime = new ManualTimeSource();
+    private final PeerHub mHub = new PeerHub();
     private final BackEnd mCold =
             TestFleet.backEnd("a", TestFleet.ENGINES, false).withColdLeft(Duration.ofHours(1));
 
@@ -30,8 +31,7 @@
 
     private RateLimitInstance instance(List<String> seeds) {
         RateLimitInstance instance =
-                new RateLimitInstance(
-                        new PeerHub().networkOf("self"), member("self"), mTime, 1, seeds);
+                new RateLimitInstance(mHub.networkOf("self"), member("self"), mTime, 1, seeds);
         instance.setColdPerSecond(26);
         instance.limits().recordRegistered(mCold);
         return instance;
@@ -78,6 +78,7 @@
                 RateLimitInstance instance = instance(List.of());
                 for (int i = 0; i < others; i++) {
                     Member other = member("other-" + i);
+                    new RateLimitInstance(mHub.networkOf("other-" + i), other, mTime, i);
                     instance.learn(other);
                     instance.learn(other.withState(MemberState.DEAD, 1));
                 }
