--- a/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
+++ b/connectors/src/main/java/org/rattanport/connectors/metrics/GatewayMetricsPlugin.java
@@ -12,6 +12,7 @@
 import org.rattanport.decisions.lifecycle.InFlightRequests;
 import org.rattanport.kernel.gateway.AttemptFailure;
 import org.rattanport.kernel.gateway.BackEndNotice;
+import org.rattanport.kernel.gateway.ColdBackEndEvent;
 import org.rattanport.kernel.gateway.EvacuationChange;
 import org.rattanport.kernel.gateway.GatewaySettings;
 import org.rattanport.kernel.gateway.PlacementDecision;
@@ -80,6 +81,9 @@
                 context.events().stream(StoreChange.class).subscribe(metrics::observeStoreChange));
         mSubscriptions.add(
                 context.events().stream(RateLimitEvent.class).subscribe(metrics::countRateLimit));
+        mSubscriptions.add(
+                context.events().stream(ColdBackEndEvent.class)
+                        .subscribe(metrics::countColdBackEnd));
         mSubscriptions.add(
                 context.events().stream(EvacuationChange.class)
                         .subscribe(metrics::countEvacuation));
--- a/connectors/src/main/java/org/rattanport/connectors/peer/FleetCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/peer/FleetCodec.java
@@ -1,5 +1,6 @@
 package org.rattanport.connectors.peer;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -120,6 +121,7 @@
                 .setDataCentre(backEnd.dataCentre())
                 .setSlots(backEnd.slots())
                 .setIsDraining(backEnd.isDraining())
+                .setColdLeftMillis(RateLimitCodec.millis(backEnd.coldLeft()))
                 .build();
     }
 
@@ -131,6 +133,7 @@
                 entry.getAddress(),
                 entry.getDataCentre(),
                 entry.getSlots(),
-                entry.getIsDraining());
+                entry.getIsDraining(),
+                Duration.ofMillis(Integer.toUnsignedLong(entry.getColdLeftMillis())));
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/BackEndSelection.java
@@ -69,6 +69,19 @@
         if (mHeldBack >= MAX_HELD_BACK) {
             excluded.addAll(avoidableLimited());
         }
+        // Cold back ends look idle; without their part of the requests they would get them all.
+        Set<String> cold = mComponents.rateLimits().avoidableCold(untried().toList());
+        Optional<Placement> warm = Optional.empty();
+        if (!cold.isEmpty()) {
+            Set<String> excludedOrCold = new HashSet<>(excluded);
+            excludedOrCold.addAll(cold);
+            warm = policy.place(query(excludedOrCold, waited));
+        }
+        return warm.filter(each -> each.postponement().isEmpty())
+                .or(() -> policy.place(query(excluded, waited)));
+    }
+
+    private PlacementQuery query(Set<String> excluded, Optional<Duration> waited) {
         PlacementDemand demand =
                 new PlacementDemand(
                         mRequest.attemptId(),
@@ -79,8 +92,7 @@
                         mRoute.maxEventGap(),
                         retainedParts(),
                         Set.copyOf(excluded));
-        return policy.place(
-                new PlacementQuery(mService, waited.map(demand::waiting).orElse(demand)));
+        return new PlacementQuery(mService, waited.map(demand::waiting).orElse(demand));
     }
 
     /** The parts of the prompt if the engines of the service retain prompts; none otherwise. */
@@ -158,7 +170,11 @@
         Optional<BackEnd> held =
                 placement
                         .engines()
-                        .filter(each -> !mComponents.rateLimits().tryUse(each, urgency))
+                        .filter(
+                                each ->
+                                        !mComponents
+                                                .rateLimits()
+                                                .tryUse(each, urgency, this::isNoneWarm))
                         .findFirst();
         if (held.isPresent()) {
             mHeldBack = Math.min(MAX_HELD_BACK, mHeldBack + 1);
@@ -171,6 +187,10 @@
         }
     }
 
+    private boolean isNoneWarm() {
+        return untried().allMatch(mComponents.rateLimits()::isCold);
+    }
+
     /** Checks that no engine has left and none is in an evacuated data centre. */
     private void requireUsable(Placement placement) {
         placement
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitOwner.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitOwner.java
@@ -6,10 +6,13 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.Stream;
 import org.jboss.logging.Logger;
 import org.rattanport.decisions.gateway.placement.CoordinatorDirectory;
 import org.rattanport.decisions.quota.TokenBucket;
 import org.rattanport.kernel.event.LogLine;
+import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.ColdLimit;
 import org.rattanport.kernel.gateway.RateLimit;
 import org.rattanport.kernel.gateway.RateLimitUpdate;
 import org.rattanport.kernel.peer.Member;
@@ -33,11 +36,6 @@
 public final class RateLimitOwner {
     private static final Logger LOGGER = Logger.getLogger(RateLimitOwner.class);
 
-    /** Tokens that a bucket holds: a number of requests and the tokens of a time. */
-    private static final double BURST_REQUESTS = 2;
-
-    private static final double BURST_SECONDS = 0.1;
-
     /** A new owner grants nothing for so long, while members still ask the one before. */
     private static final Duration HANDOVER_TIME = Duration.ofSeconds(1);
 
@@ -66,16 +64,45 @@
     /** An instance that asked for a token, and the urgency of a request that got none. */
     private record Demand(long askedNanos, Optional<Integer> refusedUrgency) {}
 
+    /** The limit of a cold back end that an instance told with its request. */
+    private record AskersCold(double requestsPerSecond, long untilNanos) {}
+
+    /** The rate at which a bucket gets tokens, and how many it holds. */
+    private record BucketRate(double tokensPerSecond, double capacity) {
+        static BucketRate ofNamed(double rate) {
+            return new BucketRate(
+                    rate, ColdPacing.BURST_REQUESTS + rate * ColdPacing.BURST_SECONDS);
+        }
+
+        /** Returns the rate of a part of the fleet; all parts together hold one full bucket. */
+        static BucketRate ofCold(double fleetRate, double share) {
+            double rate = fleetRate * share;
+            double burst = ColdPacing.BURST_REQUESTS * share + rate * ColdPacing.BURST_SECONDS;
+            return new BucketRate(rate, Math.max(1, burst));
+        }
+
+        BucketRate smaller(BucketRate other) {
+            return new BucketRate(
+                    Math.min(tokensPerSecond, other.tokensPerSecond),
+                    Math.min(capacity, other.capacity));
+        }
+    }
+
     /** The tokens of one back end's limit and the instances that want them. */
     private static final class Allocation {
         private final long mStartWallMillis;
         private final TokenBucket mBucket;
         private final Map<String, Demand> mDemands = new HashMap<>();
         private long mAskedNanos;
+        private boolean mIsCold;
 
-        private Allocation(long startWallMillis, TokenBucket bucket) {
+        /** What the last instance that asked knew of the back end being cold. */
+        private Optional<AskersCold> mAskersCold = Optional.empty();
+
+        private Allocation(long startWallMillis, TokenBucket bucket, long now) {
             mStartWallMillis = startWallMillis;
             mBucket = bucket;
+            mAskedNanos = now;
         }
 
         private boolean isIdle(long now) {
@@ -85,22 +112,25 @@
 
     private final RateLimitTable mTable;
     private final CoordinatorDirectory mDirectory;
-    private final MissingMembers mMissing;
+    private final ColdRules mCold;
+    private final ColdPacing mPacing;
     private final RateLimitPeers mPeers;
     private final TimeSource mTime;
     private final Random mRandom;
+    private final RegisteredRuns mRuns = new RegisteredRuns();
     private final Map<String, Allocation> mAllocations = new HashMap<>();
 
     public RateLimitOwner(
             RateLimitTable table,
             CoordinatorDirectory directory,
-            MissingMembers missing,
             RateLimitPeers peers,
+            ColdRules cold,
             TimeSource time,
             Random random) {
         mTable = table;
         mDirectory = directory;
-        mMissing = missing;
+        mCold = cold;
+        mPacing = new ColdPacing(cold.bound());
         mPeers = peers;
         mTime = time;
         mRandom = random;
@@ -140,7 +170,8 @@
 
     private RateLimitReply forward(Member owner, RateLimitRequest request) {
         RateLimitRequest forwarded =
-                new RateLimitRequest(request.known(), request.sender(), request.urgency(), true);
+                new RateLimitRequest(
+                        request.known(), request.sender(), request.urgency(), true, request.cold());
         return mPeers.ask(owner, forwarded, FORWARD_TIMEOUT)
                 .orElseGet(() -> refusal(request.known(), NO_OWNER_WAIT_MILLIS));
     }
@@ -154,22 +185,126 @@
         if (known.startWallMillis() != request.known().startWallMillis()) {
             return refusal(known, NO_OWNER_WAIT_MILLIS);
         }
-        if (!RateLimitTable.isEnforced(known)) {
+        Optional<Double> cold = coldRequestsPerSecond(request, known);
+        if (cold.isEmpty() && !RateLimitTable.isEnforced(known)) {
             drop(known.backEndId(), "the limit has ended");
             return new RateLimitReply(known, true, 0);
         }
-        int alive = Math.max(1, mDirectory.order(key(known.backEndId())).size());
-        int fleetSize = alive + mMissing.count();
+        if (cold.isPresent() && !mCold.fleet().isColdOwnerPossible()) {
+            return refusal(known, NO_OWNER_WAIT_MILLIS);
+        }
+        // Not under the lock, as the member table calls this class under its own.
+        BucketRate rate = bucketRate(known, cold);
         synchronized (this) {
             long now = mTime.nanoTime();
-            Allocation allocation = allocation(known, now);
+            Allocation allocation = allocation(known, rate, HANDOVER_TIME, now);
             allocation.mAskedNanos = now;
+            allocation.mIsCold = cold.isPresent();
+            request.cold().ifPresent(each -> allocation.mAskersCold = Optional.of(heard(each)));
             allocation.mDemands.values().removeIf(each -> hasLapsed(each, now));
-            double rate = effectiveRate(known) * alive / fleetSize;
             return take(request, known, allocation, rate, now);
         }
     }
 
+    private AskersCold heard(ColdLimit cold) {
+        return new AskersCold(cold.requestsPerSecond(), mTime.nanoTime() + cold.left().toNanos());
+    }
+
+    /**
+     * Returns the requests a second that the back end takes while it is cold, if this instance or
+     * one that asks knows it to be cold. The smaller number counts while they differ.
+     */
+    private Optional<Double> coldRequestsPerSecond(
+            RateLimitRequest request, RateLimitUpdate known) {
+        Optional<Double> own =
+                mCold.backEnds()
+                        .limit(known.backEndId(), known.startWallMillis())
+                        .map(ColdLimit::requestsPerSecond);
+        Optional<Double> asker =
+                request.cold()
+                        .map(ColdLimit::requestsPerSecond)
+                        .or(() -> lastHeard(known))
+                        .filter(each -> each > 0);
+        return Stream.of(own, asker).flatMap(Optional::stream).min(Double::compare);
+    }
+
+    private synchronized Optional<Double> lastHeard(RateLimitUpdate known) {
+        return Optional.ofNullable(mAllocations.get(known.backEndId()))
+                .filter(each -> each.mStartWallMillis == known.startWallMillis())
+                .flatMap(each -> each.mAskersCold)
+                .filter(each -> mTime.nanoTime() - each.untilNanos() < 0)
+                .map(AskersCold::requestsPerSecond);
+    }
+
+    /** The rate of this part of the fleet. */
+    private BucketRate bucketRate(RateLimitUpdate known, Optional<Double> cold) {
+        double share = mCold.fleet().share();
+        Optional<BucketRate> coldRate =
+                cold.map(each -> BucketRate.ofCold(mPacing.ownerRate(each), share));
+        if (!RateLimitTable.isEnforced(known)) {
+            return coldRate.orElseThrow();
+        }
+        BucketRate named = BucketRate.ofNamed(effectiveRate(known) * share);
+        return coldRate.map(named::smaller).orElse(named);
+    }
+
+    /**
+     * Begins to own the tokens of a cold back end before they are asked for, if this instance is
+     * their owner, so that the time of a handover passes early. Gives up those of a back end that
+     * has become warm; if it becomes cold again, instances that have not learned it yet add to what
+     * a full bucket would grant.
+     */
+    void recordRegistered(BackEnd backEnd) {
+        Optional<Double> cold = mCold.backEnds().limit(backEnd).map(ColdLimit::requestsPerSecond);
+        boolean isNewRun = mRuns.recordRun(backEnd);
+        if (cold.isEmpty()) {
+            dropWarm(backEnd);
+        } else if (mCold.fleet().isColdOwnerPossible() && isOwner(backEnd)) {
+            prepare(backEnd, cold, isNewRun && mCold.fleet().isSettled());
+        }
+    }
+
+    /**
+     * Begins to own the tokens of a cold back end.
+     *
+     * @param isFirstOwner whether no other member can have granted tokens of this run
+     */
+    private void prepare(BackEnd backEnd, Optional<Double> cold, boolean isFirstOwner) {
+        RateLimitUpdate nothing =
+                RateLimitUpdate.nothingKnown(backEnd.id(), backEnd.startWallMillis());
+        // Instances that still ask for an earlier run are refused from now on.
+        mTable.record(nothing);
+        RateLimitUpdate known = mTable.known(backEnd.id()).orElse(nothing);
+        if (known.startWallMillis() == backEnd.startWallMillis()) {
+            BucketRate rate = bucketRate(known, cold);
+            Duration delay = isFirstOwner ? Duration.ZERO : HANDOVER_TIME;
+            synchronized (this) {
+                allocation(known, rate, delay, mTime.nanoTime()).mIsCold = true;
+            }
+        }
+    }
+
+    private synchronized void dropWarm(BackEnd backEnd) {
+        Allocation allocation = mAllocations.get(backEnd.id());
+        boolean isWarm =
+                allocation != null
+                        && allocation.mIsCold
+                        && allocation
+                                .mAskersCold
+                                .filter(each -> mTime.nanoTime() - each.untilNanos() < 0)
+                                .isEmpty();
+        if (isWarm) {
+            drop(backEnd.id(), "the back end is warm");
+        }
+    }
+
+    private boolean isOwner(BackEnd backEnd) {
+        return mDirectory.order(key(backEnd.id())).stream()
+                .findFirst()
+                .filter(mDirectory::isSelf)
+                .isPresent();
+    }
+
     private static boolean hasLapsed(Demand demand, long now) {
         return now - demand.askedNanos() > DEMAND_LIFETIME.toNanos();
     }
@@ -179,7 +314,8 @@
         return Math.max(MIN_REQUESTS_PER_SECOND, named);
     }
 
-    private Allocation allocation(RateLimitUpdate known, long now) {
+    private Allocation allocation(
+            RateLimitUpdate known, BucketRate rate, Duration delay, long now) {
         Allocation current = mAllocations.get(known.backEndId());
         if (current != null && current.mStartWallMillis == known.startWallMillis()) {
             return current;
@@ -187,12 +323,12 @@
         mAllocations.values().removeIf(each -> each.isIdle(now));
         Allocation created =
                 new Allocation(
-                        known.startWallMillis(), new TokenBucket(0, now + HANDOVER_TIME.toNanos()));
+                        known.startWallMillis(), new TokenBucket(0, now + delay.toNanos()), now);
         mAllocations.put(known.backEndId(), created);
         LOGGER.info(
                 LogLine.of("rate-limit-owned")
                         .with("back_end", known.backEndId())
-                        .with("requests_per_second", effectiveRate(known))
+                        .with("requests_per_second", rate.tokensPerSecond())
                         .with("source", known.source())
                         .with("age_millis", known.age().toMillis()));
         return created;
@@ -202,10 +338,11 @@
             RateLimitRequest request,
             RateLimitUpdate known,
             Allocation allocation,
-            double rate,
+            BucketRate bucketRate,
             long now) {
         TokenBucket bucket = allocation.mBucket;
-        bucket.refill(rate, BURST_REQUESTS + rate * BURST_SECONDS, now);
+        double rate = bucketRate.tokensPerSecond();
+        bucket.refill(rate, bucketRate.capacity(), now);
         double needed = isMoreUrgentWaiting(allocation, request.urgency(), now) ? 2 : 1;
         boolean isGranted = bucket.tokens() >= needed;
         allocation.mDemands.put(
@@ -233,8 +370,15 @@
         return mAllocations.size();
     }
 
-    /** Gives up the limits that another member owns now, and tells it what is known of them. */
-    public void membersChanged() {
+    /**
+     * Gives up the limits that another member owns now, and tells it what is known of them. A
+     * change of this instance itself means that others took it for silent, so that another member
+     * may have granted tokens meanwhile; those of cold back ends begin anew.
+     */
+    public void membersChanged(Member changed) {
+        if (mDirectory.isSelf(changed) || !mCold.fleet().isColdOwnerPossible()) {
+            dropCold();
+        }
         List<String> owned;
         synchronized (this) {
             owned = List.copyOf(mAllocations.keySet());
@@ -247,6 +391,15 @@
         }
     }
 
+    private synchronized void dropCold() {
+        List<String> cold =
+                mAllocations.entrySet().stream()
+                        .filter(each -> each.getValue().mIsCold)
+                        .map(Map.Entry::getKey)
+                        .toList();
+        cold.forEach(id -> drop(id, "other members may have granted tokens"));
+    }
+
     private void handOver(String backEndId, Member owner) {
         drop(backEndId, "owned by " + owner.id());
         mTable.known(backEndId).ifPresent(known -> mPeers.report(owner, known));
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/GatewaySettings.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param capacityMillicores processor capacity of the machine, in thousandths of a core
  * @param isFirstStart whether the whole system starts for the first time
  * @param regions regions of the data centres
+ * @param coldBound requests that a cold back end may get within any second
  */
 public record GatewaySettings(
         String discoveryAddress,
@@ -30,4 +31,5 @@
         Duration retryBudgetWindow,
         int capacityMillicores,
         boolean isFirstStart,
-        DataCentreRegions regions) {}
+        DataCentreRegions regions,
+        ColdBound coldBound) {}
