Keep a named limit for more than an hour without a response

A request for a token of a cold back end of which no response is known carried an update with an age of one hour, and so ended a limit that the same run had named more than an hour before. The age is now a year.

RateLimitTableTest, FleetViewTest and the tests of forwarding to limited and cold back ends: 41 tests pass.

--- a/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitTableTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitTableTest.java
@@ -49,6 +49,32 @@
                 .map(RateLimit::requestsPerSecond);
     }
 
+    /** A request for a token of a cold back end, which carries no response, ended a named limit. */
+    @Nested
+    final class UpdatesWithoutAResponse {
+        @Test
+        void shouldChangeNothingOfTheSameRun() {
+            record(Optional.of(0.5), 0, 1);
+            mTime.advance(Duration.ofDays(2));
+            assertThat(mTable.record(RateLimitUpdate.nothingKnown("a", 1))).isFalse();
+            assertThat(limit(1)).hasValue(0.5);
+        }
+
+        @Test
+        void shouldBeReplacedByAnyResponse() {
+            mTable.record(RateLimitUpdate.nothingKnown("a", 1));
+            record(Optional.of(0.5), 60_000, 1);
+            assertThat(limit(1)).hasValue(0.5);
+        }
+
+        @Test
+        void shouldEndTheLimitOfAnEarlierRun() {
+            record(Optional.of(0.5), 0, 1);
+            mTable.record(RateLimitUpdate.nothingKnown("a", 2));
+            assertThat(limit(2)).isEmpty();
+        }
+    }
+
     /** A response that arrived late brought back what had changed since its request. */
     @Nested
     final class LateResponses {
--- a/kernel/src/main/java/org/rattanport/kernel/gateway/RateLimitUpdate.java
+++ b/kernel/src/main/java/org/rattanport/kernel/gateway/RateLimitUpdate.java
@@ -21,8 +21,8 @@
         String source,
         long number,
         Duration age) {
-    /** Age of an update that says nothing; any response is newer. */
-    private static final Duration AGE_OF_NOTHING = Duration.ofHours(1);
+    /** Age of an update that says nothing; any response of the same run is newer. */
+    private static final Duration AGE_OF_NOTHING = Duration.ofDays(365);
 
     /** Returns an update for a run of which no response is known. */
     public static RateLimitUpdate nothingKnown(String backEndId, long startWallMillis) {
