--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -146,15 +146,7 @@
                         context.events()::publish,
                         time);
         mFollower = Optional.of(startFollowing(context, state));
-        RequestLog log = new RequestLog(time);
-        mSubscriptions.add(
-                context.events().stream(RequestOutcome.class).subscribe(log::logOutcome));
-        mSubscriptions.add(
-                context.events().stream(AttemptFailure.class).subscribe(log::logFailure));
-        mSubscriptions.add(
-                context.events().stream(UnansweredExchange.class).subscribe(log::logUnanswered));
-        mSubscriptions.add(
-                context.events().stream(PlacementPostponed.class).subscribe(log::logPostponement));
+        subscribeLog(context);
         context.provide(FleetState.class, state);
         context.provide(Readiness.class, readiness);
         context.provide(BackEndRegistry.class, registry);
@@ -185,6 +177,18 @@
                 components.outcomes()::findBlocked);
     }
 
+    private void subscribeLog(PluginContext context) {
+        RequestLog log = new RequestLog(context.time());
+        mSubscriptions.add(
+                context.events().stream(RequestOutcome.class).subscribe(log::logOutcome));
+        mSubscriptions.add(
+                context.events().stream(AttemptFailure.class).subscribe(log::logFailure));
+        mSubscriptions.add(
+                context.events().stream(UnansweredExchange.class).subscribe(log::logUnanswered));
+        mSubscriptions.add(
+                context.events().stream(PlacementPostponed.class).subscribe(log::logPostponement));
+    }
+
     private BackEndRateLimits rateLimits(PluginContext context) {
         TimeSource time = context.time();
         PeerNetwork peers = context.require(PeerNetwork.class);
