Decide about late prompts in a class of their own

Cause: a short prompt was deferred when no engine had memory for it, which is so for seconds while long prompts fill the engines; it could be on time, as the engine preempts the newest.

Change: LatePrompts decides by the predicted first event alone whether a prompt is late; want of memory only postpones a long one. OverloadTest.shouldNotBeShortOnesThatLackMemory failed before.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
@@ -35,22 +35,6 @@
 
     private static final double WEIGHT_EXPONENT = 0.75;
 
-    /**
-     * Predicted first event, as a multiple of the objective, from which on a prompt is deferred.
-     */
-    private static final double DEFERRAL_FACTOR = 1.25;
-
-    /** Prefill time on one engine from which on a late prompt is postponed. */
-    private static final double MIN_POSTPONED_MILLIS = 250;
-
-    /** Part of the objective in which a late prompt must be answered to be sent at all. */
-    private static final double LATE_START_FRACTION = 0.5;
-
-    /** Shortest and longest time until a late prompt is placed again. */
-    private static final double MIN_POSTPONEMENT_MILLIS = 100;
-
-    private static final double MAX_POSTPONEMENT_MILLIS = 500;
-
     /** Fraction of an engine's memory that placement uses; the rest covers unknown requests. */
     private static final double USABLE_MEMORY_FRACTION = 0.92;
 
@@ -75,30 +59,17 @@
         }
 
         boolean isLate(Plan plan) {
-            double objective = query.demand().objective().toMillis();
-            return plan.firstEventMillis()
-                    > DEFERRAL_FACTOR * (objective - query.demand().waited().toMillis());
+            return LatePrompts.isLate(query.demand(), plan.firstEventMillis());
         }
 
-        /** Whether the prompt is so long that its prefill is what delays others. */
-        boolean isLong() {
-            return model.prefillMillis(size.promptTokens(), 1) >= MIN_POSTPONED_MILLIS;
-        }
-
-        /** When to place a late prompt again; empty if the engines have room for it. */
+        /** When to place the prompt again; empty if it is sent now. */
         Optional<Duration> postponement(Plan plan) {
-            double objective = query.demand().objective().toMillis();
-            double excess = plan.firstEventMillis() - LATE_START_FRACTION * objective;
-            boolean hasRoom = excess <= 0 && !plan.lacksMemory();
-            return query.demand().mayWait() && isLong() && !hasRoom
-                    ? Optional.of(
-                            Duration.ofMillis(
-                                    Math.round(
-                                            Math.clamp(
-                                                    excess / 2,
-                                                    MIN_POSTPONEMENT_MILLIS,
-                                                    MAX_POSTPONEMENT_MILLIS))))
-                    : Optional.empty();
+            if (!isDeferred && !plan.lacksMemory()) {
+                return Optional.empty();
+            }
+            double prefillMillis = model.prefillMillis(size.promptTokens(), 1);
+            return LatePrompts.postponement(
+                    query.demand(), prefillMillis, plan.firstEventMillis(), plan.lacksMemory());
         }
 
         double maxGapMillis() {
@@ -178,21 +149,16 @@
         return bestPlan(prompt, candidates)
                 .flatMap(
                         plan ->
-                                prompt.isLate(plan) || plan.lacksMemory()
-                                        ? placeLate(prompt.deferred(), candidates)
-                                        : Optional.of(placement(prompt, plan)));
+                                prompt.isLate(plan)
+                                        ? bestPlan(prompt.deferred(), candidates)
+                                                .map(each -> atItsTime(prompt.deferred(), each))
+                                        : Optional.of(atItsTime(prompt, plan)));
     }
 
-    /** A late prompt gives way to others, and is postponed while it would make them late too. */
-    private Optional<Placement> placeLate(Prompt prompt, List<Candidate> candidates) {
-        return bestPlan(prompt, candidates)
-                .map(
-                        plan -> {
-                            Placement placement = placement(prompt, plan);
-                            return prompt.postponement(plan)
-                                    .map(placement::postponed)
-                                    .orElse(placement);
-                        });
+    /** A long prompt that would be late, or lacks memory, may have to wait. */
+    private static Placement atItsTime(Prompt prompt, Plan plan) {
+        Placement placement = placement(prompt, plan);
+        return prompt.postponement(plan).map(placement::postponed).orElse(placement);
     }
 
     private Optional<Plan> bestPlan(Prompt prompt, List<Candidate> candidates) {
@@ -459,7 +425,7 @@
                 - load.reservedTokens();
     }
 
-    private Placement placement(Prompt prompt, Plan plan) {
+    private static Placement placement(Prompt prompt, Plan plan) {
         int parts = plan.parts();
         int partTokens = prompt.partTokens(parts, plan.decodeEngine());
         double partMillis = prompt.partMillis(parts, plan.decodeEngine());
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/placement/OverloadTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/OverloadTest.java
@@ -158,6 +158,17 @@
             assertThat(place(late).postponement()).isEmpty();
         }
 
+        /** Guards against short prompts that give way, as long ones fill the memory of engines. */
+        @Test
+        void shouldNotBeShortOnesThatLackMemory() {
+            for (int engine = 0; engine < ENGINES; engine++) {
+                EngineShare share = new EngineShare("engine-" + engine, 0, 0, 430_000, true);
+                mTracker.placed(
+                        new EngineWork("full-" + engine, List.of(share), 0, 3_000, 800, 20));
+            }
+            assertThat(place(shortPrompt()).isDeferred()).isFalse();
+        }
+
         @Test
         void shouldBePostponedWhileNoEngineHasMemoryForThem() {
             for (int engine = 0; engine < ENGINES; engine++) {
