--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
@@ -252,7 +252,7 @@
         }
         long room = prompt.model().spec().memoryTokens() - load.reservedTokens();
         long held = mRetained.heldTokens(engine, prefixes, room);
-        return (int) Math.clamp(held, 0, Math.max(0, prompt.size().promptTokens() - 1));
+        return Math.clamp(held, 0, Math.max(0, prompt.size().promptTokens() - 1));
     }
 
     private double penalty(BackEnd engine) {
