Count all that a caller has waited before a late prompt is postponed again

Cause: the wait began anew with each placement, so that a prompt whose leases were refused could wait longer than its caller stays with a silent stream.

Change: the wait counts from the arrival of the request. ForwardingPostponementTest.shouldCountTheWaitsBeforeARefusalToo guards it; 89 tests of forwarding pass.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -55,6 +55,7 @@
     private final BackEndSelection mSelection;
     private final RequestTrace mTrace;
     private final RequestContent mContent;
+    private final long mStartNanos;
     private Optional<String> mLastBackEndId = Optional.empty();
     private Optional<MemoryLeases.Lease> mLease = Optional.empty();
     private int mRuns;
@@ -86,6 +87,7 @@
         mService = service;
         mAccount = account;
         mDeadline = deadline;
+        mStartNanos = components.time().nanoTime();
         mContent = request.content(account.map(GatewayAccount::name).orElse(""));
         RequestTrace.RequestInfo info =
                 new RequestTrace.RequestInfo(
@@ -187,16 +189,13 @@
 
     /** Places the next attempt; a first attempt that would be late waits while it may. */
     private Optional<Placement> placeInTime() {
-        long startNanos = mComponents.time().nanoTime();
-        Duration waited = Duration.ZERO;
         boolean isFirst = mRuns == 0 && !mRelay.hasStarted();
-        Optional<Placement> placement = mSelection.place(mayWait(isFirst, waited));
+        Optional<Placement> placement = mSelection.place(waited(isFirst));
         while (placement.flatMap(Placement::postponement).isPresent()) {
             mTrace.placementPostponed(placement.get());
             mComponents.time().sleep(placement.get().postponement().get());
             requireWorthSending();
-            waited = Duration.ofNanos(mComponents.time().nanoTime() - startNanos);
-            placement = mSelection.place(mayWait(isFirst, waited));
+            placement = mSelection.place(waited(isFirst));
         }
         if (isFirst) {
             placement.ifPresent(this::requirePromising);
@@ -216,8 +215,9 @@
         }
     }
 
-    /** Returns how long the request has waited; empty if it may not wait on. */
-    private Optional<Duration> mayWait(boolean isFirst, Duration waited) {
+    /** Returns how long the caller has waited; empty if the request may not wait on. */
+    private Optional<Duration> waited(boolean isFirst) {
+        Duration waited = Duration.ofNanos(mComponents.time().nanoTime() - mStartNanos);
         Duration remaining = mDeadline.remaining(mComponents.time());
         return isFirst && PlacementWait.isAllowed(mRoute, waited, remaining)
                 ? Optional.of(waited)
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingPostponementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingPostponementTest.java
@@ -48,6 +48,15 @@
             assertThat(mayWait).containsExactly(true, true, true, true, false).inOrder();
         }
 
+        /** Guards against waits that begin anew after each engine that refuses. */
+        @Test
+        void shouldCountTheWaitsBeforeARefusalToo() {
+            mPostponements.add(DELAY);
+            serve("/stream/", Reaction.REFUSE, Reaction.STREAM);
+            assertThat(mAttempts).hasSize(2);
+            assertThat(mQueries.getLast().demand().waited()).isAtLeast(DELAY);
+        }
+
         @Test
         void shouldReachNoEngineOnceTheirCallerHasGone() {
             mPostponements.add(DELAY);
