Defer a prompt for the wait for a slot alone

Change: only the predicted wait for a slot defers, as urgency decides nothing else at an engine. The whole predicted first event still postpones long prompts. OverloadTest.shouldNotDeferAShortPromptForThePrefillOfLongOnes failed before.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/placement/PromptPlacement.java
@@ -58,13 +58,15 @@
             return new Prompt(query, model, size, weight, true);
         }
 
-        boolean isLate(Plan plan) {
-            return LatePrompts.isLate(query.demand(), plan.firstEventMillis());
+        /** Urgency changes only when an engine admits the prompt, not the order of prefill work. */
+        boolean waitsTooLongForASlot(Plan plan) {
+            return LatePrompts.isLate(query.demand(), plan.slotWaitMillis());
         }
 
         /** When to place the prompt again; empty if it is sent now. */
         Optional<Duration> postponement(Plan plan) {
-            if (!isDeferred && !plan.lacksMemory()) {
+            boolean isLate = LatePrompts.isLate(query.demand(), plan.firstEventMillis());
+            if (!isLate && !plan.lacksMemory()) {
                 return Optional.empty();
             }
             double prefillMillis = model.prefillMillis(size.promptTokens(), 1);
@@ -100,6 +102,7 @@
     private record Plan(
             Candidate decodeEngine,
             List<Candidate> prefillEngines,
+            double slotWaitMillis,
             double firstEventMillis,
             double cost,
             boolean lacksMemory) {
@@ -149,7 +152,7 @@
         return bestPlan(prompt, candidates)
                 .flatMap(
                         plan ->
-                                prompt.isLate(plan)
+                                prompt.waitsTooLongForASlot(plan)
                                         ? bestPlan(prompt.deferred(), candidates)
                                                 .map(each -> atItsTime(prompt.deferred(), each))
                                         : Optional.of(atItsTime(prompt, plan)));
@@ -290,9 +293,9 @@
         boolean lacksMemory =
                 prefillEngines.size() < parts - 1
                         || lacksMemory(prompt, decodeEngine.load(), parts);
+        double slotWaitMillis = slotWaitMillis(prompt, decodeEngine);
         double firstEventMillis =
-                slotWaitMillis(prompt, decodeEngine)
-                        + prefillFinishMillis(prompt, decodeEngine, partMillis);
+                slotWaitMillis + prefillFinishMillis(prompt, decodeEngine, partMillis);
         double cost = decode.cost() - latenessCost(prompt, firstEventMillis);
         for (Candidate prefillEngine : prefillEngines) {
             firstEventMillis =
@@ -307,6 +310,7 @@
         return new Plan(
                 decodeEngine,
                 prefillEngines,
+                slotWaitMillis,
                 firstEventMillis,
                 cost
                         + latenessCost(prompt, firstEventMillis)
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/placement/OverloadTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/OverloadTest.java
@@ -114,6 +114,13 @@
             assertThat(work.predictedFirstEventMillis()).isGreaterThan(1_000.0);
         }
 
+        /** Guards against prompts that give way for prefill work, which engines interleave. */
+        @Test
+        void shouldNotDeferAShortPromptForThePrefillOfLongOnes() {
+            IntStream.range(0, ENGINES).forEach(engine -> addPrefill(engine, 3_000));
+            assertThat(place(shortPrompt()).isDeferred()).isFalse();
+        }
+
         @Test
         void shouldUseTheEngineWithAFreeSlot() {
             IntStream.range(0, ENGINES - 1).forEach(engine -> fillSlots(engine, 1_000));
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/placement/ReferencePlacement.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/placement/ReferencePlacement.java
@@ -100,7 +100,7 @@
         List<Candidate> candidates = candidates(query);
         Plan plan = bestPlan(prompt, candidates);
         double latest = DEFERRAL_FACTOR * query.demand().objective().toMillis();
-        boolean isLate = plan.firstEventMillis() > latest;
+        boolean isLate = slotWaitMillis(prompt, plan.decodeEngine()) > latest;
         return engineIds(isLate ? bestPlan(prompt.deferred(), candidates) : plan);
     }
 
