Refuse as hopeless only what is predicted a second after its deadline

Change: the prediction must exceed the time left by a second besides. ForwardingPostponementTest has the case.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/PlacementWait.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/PlacementWait.java
@@ -16,11 +16,19 @@
     /** Multiple of the time left that a prediction must exceed, as it may be too high. */
     private static final double HOPELESS_FACTOR = 1.5;
 
+    /**
+     * Time by which a prediction must exceed the time left besides: first events within a second
+     * vary by more than their prediction, and a caller with little time must not be refused for it.
+     */
+    private static final long MIN_EXCESS_MILLIS = 1_000;
+
     private PlacementWait() {}
 
     /** Whether a first event at that time is of no use to the caller. */
     static boolean isHopeless(double predictedFirstEventMillis, Duration remaining) {
-        return predictedFirstEventMillis > HOPELESS_FACTOR * remaining.toMillis();
+        double excess = predictedFirstEventMillis - remaining.toMillis();
+        return predictedFirstEventMillis > HOPELESS_FACTOR * remaining.toMillis()
+                && excess > MIN_EXCESS_MILLIS;
     }
 
     /**
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingPostponementTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingPostponementTest.java
@@ -86,6 +86,15 @@
             assertThat(mAttempts).isEmpty();
         }
 
+        /** Guards against refusals of callers with little time, whose prediction is coarse. */
+        @Test
+        void shouldBeSentIfThePredictionExceedsAShortTimeByLessThanASecond() {
+            mDuringPlacement = () -> mTime.advance(Duration.ofMillis(2_700));
+            mPredictedFirstEventMillis = 900;
+            serve("/stream/", Reaction.STREAM);
+            assertThat(mAttempts).hasSize(1);
+        }
+
         @Test
         void shouldBeSentIfAnErrorOfThePredictionCanExplainIt() {
             mPredictedFirstEventMillis = 4_000;
