--- a/review/standins-2/src/EndlessStream.java
+++ b/review/standins-2/src/EndlessStream.java
@@ -113,7 +113,7 @@
             for (Lab.Gateway each : machines) {
                 Lab.start(() -> send(lab, each, requests, longer, unanswered));
             }
-            TimeUnit.MILLISECONDS.sleep(200);
+            TimeUnit.MILLISECONDS.sleep(90);
         }
         TimeUnit.MILLISECONDS.sleep(DEADLINE_MILLIS + 500);
         lab.log(
--- a/review/standins-2/src/Lab.java
+++ b/review/standins-2/src/Lab.java
@@ -51,7 +51,13 @@
         mRecord = new PrintWriter(Files.newBufferedWriter(this.folder.resolve("record.txt")));
         store = new Store();
         log("trouble " + hasTrouble);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> gateways.forEach(Gateway::kill)));
+        Runtime.getRuntime()
+                .addShutdownHook(
+                        new Thread(
+                                () -> {
+                                    gateways.forEach(Gateway::kill);
+                                    deleteWork();
+                                }));
         Thread watchdog =
                 new Thread(
                         () -> {
