--- a/review/standins-2/src/Lab.java
+++ b/review/standins-2/src/Lab.java
@@ -44,11 +44,11 @@
     final List<Gateway> gateways = new CopyOnWriteArrayList<>();
     private final PrintWriter mRecord;
 
-    /** Opens the record in the folder of the case; the working folder is a temporary one. */
-    Lab(String folder) throws IOException {
-        this.folder = Path.of(folder);
+    /** Opens the record, which lies in the folder of the case; the working folder is temporary. */
+    Lab(String record) throws IOException {
+        folder = Path.of(record).toAbsolutePath().getParent();
         work = Files.createTempDirectory("review");
-        mRecord = new PrintWriter(Files.newBufferedWriter(this.folder.resolve("record.txt")));
+        mRecord = new PrintWriter(Files.newBufferedWriter(Path.of(record)));
         store = new Store();
         log("trouble " + hasTrouble);
         Runtime.getRuntime()
@@ -124,9 +124,9 @@
     }
 
     /** Runs a case: exit code 0 if the rule held, 1 if it was broken, 2 if it could not run. */
-    static void main(String folder, Case each) throws IOException {
+    static void main(String record, Case each) throws IOException {
         int exit;
-        try (Lab lab = new Lab(folder)) {
+        try (Lab lab = new Lab(record)) {
             try {
                 exit = each.holds(lab) ? 0 : 1;
             } catch (Exception e) {
