--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,7 +6,7 @@
 record=review/10/record.txt
 echo "the case did not start" >"$record"
 . config/java-home.sh || exit 2
-timeout -k 3 116 "$JAVA_HOME/bin/java" -Xmx512m -cp target/review-2 EndlessStream "$record"
+timeout -k 3 116 "$JAVA_HOME/bin/java" -Xmx256m -cp target/review-2 StaleSeeds "$record"
 code=$?
 # A program that could not start also ends with 1; the record says how the case ended.
 [ "$code" -le 1 ] && grep -q " exit $code\$" "$record" && exit "$code"
