Check the heads of responses before they are decoded

Callers saw: a back end in trouble sent a response with a blank or a control character in the name of a header, and the caller got it as a 200, with that line or with a body that ended elsewhere.

Cause: nothing compared the bytes of a head with the grammar of HTTP. Netty's decoder ran without validation, and reads leniently: it ends a name at the first blank and goes on behind the colon, skips control characters before a name, and joins a line that begins with a blank to the value before it. So "Content-Length x: 3" gave the body a length.

Fix: ResponseHeadSyntax follows each byte of a head until its end, and the decoder of all clients (back ends, engines, services, store) fails the response at the first invalid one. The bytes are checked before they are decoded, so no lenient reading can hide one. Such a response is a failed attempt that may have run, like one with an invalid status.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpClientConnectionCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpClientConnectionCodec.java
@@ -1,17 +1,23 @@
 package org.rattanport.connectors.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.CombinedChannelDuplexHandler;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
 
 /**
  * Encodes the requests of a connection, one at a time, and decodes the responses. Netty's own codec
- * takes any number for a status, such as {@code 000} or {@code +200}, and drops its text.
+ * takes any number for a status, such as {@code 000} or {@code +200}, and drops its text. It also
+ * drops what stands between a blank in the name of a header and the colon, so that {@code
+ * Content-Length x: 3} gives the body a length. Heads are therefore checked before it reads them.
  */
 final class HttpClientConnectionCodec
         extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
@@ -31,10 +37,48 @@
     }
 
     private final class Decoder extends HttpResponseDecoder {
+        private final ResponseHeadSyntax mSyntax = new ResponseHeadSyntax();
+        private boolean mIsInHead = true;
+
+        /** Bytes of the head at the beginning of the buffer that were checked, but not decoded. */
+        private int mCheckedBytes;
+
         Decoder(HttpDecoderConfig config) {
             super(config);
         }
 
+        @Override
+        protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
+                throws Exception {
+            if (mIsInHead && !mSyntax.isInvalid()) {
+                checkHead(buffer, out);
+            }
+            if (mSyntax.isInvalid()) {
+                // Where a response that follows would begin is not known.
+                buffer.skipBytes(buffer.readableBytes());
+                return;
+            }
+            super.decode(context, buffer, out);
+            mCheckedBytes = buffer.readableBytes();
+            if (!out.isEmpty()) {
+                mIsInHead = out.getLast() instanceof LastHttpContent;
+                mCheckedBytes = 0;
+                mSyntax.restart();
+            }
+        }
+
+        private void checkHead(ByteBuf buffer, List<Object> out) {
+            int start = buffer.readerIndex() + mCheckedBytes;
+            buffer.forEachByte(start, buffer.writerIndex() - start, mSyntax);
+            if (mSyntax.isInvalid()) {
+                HttpMessage invalid = createInvalidMessage();
+                invalid.setDecoderResult(
+                        DecoderResult.failure(
+                                new IllegalArgumentException("a byte in the head is not HTTP")));
+                out.add(invalid);
+            }
+        }
+
         @Override
         protected HttpMessage createMessage(String[] initialLine) {
             if (!ResponseHeadReader.isStatus(initialLine[1])) {
--- a/connectors/src/test/java/org/rattanport/connectors/http/InvalidResponseTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/http/InvalidResponseTest.java
@@ -27,8 +27,8 @@
 
 /**
  * Responses that the client of engines, services and the store must not take for whole or valid
- * ones. Statuses below 200 were skipped until the deadline, and a reset behind an orderly end was
- * not seen.
+ * ones. Statuses below 200 were skipped until the deadline, a reset behind an orderly end was not
+ * seen, and the bytes of headers were not checked.
  */
 final class InvalidResponseTest {
     private static final int SMALL_RECEIVE_BUFFER = 16_384;
@@ -133,6 +133,101 @@
         }
     }
 
+    @Nested
+    final class Headers {
+        private static final List<String> INVALID_LINES =
+                List.of(
+                        "X Spoiled: a",
+                        "X-Spoiled : a",
+                        " X-Spoiled: a",
+                        "X\u0000Spoiled: a",
+                        "X-Spoiled\u001f: a",
+                        "\u001cX-Spoiled: a",
+                        "X-Spoiled",
+                        ": a",
+                        "Content-Length x: 3",
+                        "Transfer-Encoding : chunked",
+                        "X-Spoiled: a\u0000b",
+                        "X-Spoiled: a\rb",
+                        "X-Spoiled: a\u0001b");
+
+        /** Until the client closes: the end of a connection must not be needed. */
+        private static void awaitClose(Socket socket) throws IOException {
+            socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+        }
+
+        @Test
+        void shouldHaveTokensForNamesAndNoControlCharacters() throws IOException {
+            for (String line : INVALID_LINES) {
+                shouldFail(
+                        line,
+                        socket -> {
+                            readBeginning(socket);
+                            write(socket, "HTTP/1.1 200 OK\r\n" + line + HEADERS + BODY);
+                            awaitClose(socket);
+                        },
+                        1);
+            }
+        }
+
+        @Test
+        void shouldBeCheckedBehindAnInterimResponse() throws IOException {
+            shouldFail(
+                    "interim",
+                    socket -> {
+                        readBeginning(socket);
+                        write(socket, "HTTP/1.1 100 Continue\r\n\r\n");
+                        write(socket, "HTTP/1.1 200 OK\r\nX Spoiled: a" + HEADERS + BODY);
+                        awaitClose(socket);
+                    },
+                    1);
+        }
+
+        private static void readToTheEndOfTheObject(Socket socket) throws IOException {
+            int next = socket.getInputStream().read();
+            while (next >= 0 && next != '}') {
+                next = socket.getInputStream().read();
+            }
+        }
+
+        @Test
+        void shouldBeCheckedInLaterResponsesOfAConnection() throws IOException {
+            Script script =
+                    socket -> {
+                        for (String line : List.of("X-A: a", "X-B: b", "X Spoiled: a")) {
+                            readToTheEndOfTheObject(socket);
+                            write(socket, "HTTP/1.1 200 OK\r\n" + line + HEADERS + BODY);
+                        }
+                        awaitClose(socket);
+                    };
+            try (ServerSocket server = serve(script)) {
+                assertThat(post(server, 1).text()).isEqualTo(BODY);
+                assertThat(post(server, 1).text()).isEqualTo(BODY);
+                RattanportException error =
+                        assertThrows(RattanportException.class, () -> post(server, 1));
+                assertThat(error.code()).isEqualTo(ErrorCode.TARGET_FAILED);
+            }
+        }
+
+        @Test
+        void shouldHaveAnyTokenForAName() throws IOException {
+            String head =
+                    "\r\nHTTP/1.1 200 \tOK \u00e9\r\n!#$%&'*+-.^_`|~09aZ: \t\"(a)\u00ff\r\nX:";
+            Script script =
+                    socket -> {
+                        readBeginning(socket);
+                        byte[] response =
+                                (head + HEADERS + BODY).getBytes(StandardCharsets.ISO_8859_1);
+                        socket.getOutputStream().write(response);
+                    };
+            try (ServerSocket server = serve(script)) {
+                HttpClientResponse response = post(server, 1);
+                assertThat(response.text()).isEqualTo(BODY);
+                assertThat(response.headers().get("!#$%&'*+-.^_`|~09aZ")).isEqualTo("\"(a)\u00ff");
+            }
+        }
+    }
+
     @Nested
     final class InterimResponses {
         @Test
