--- a/connectors/src/test/java/org/rattanport/connectors/http/HttpClientConnectionCodecTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/http/HttpClientConnectionCodecTest.java
@@ -123,7 +123,7 @@
                         "[\r\n]*[\t -~\u0080-\u00ff]+\r\n"
                                 + "([!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t -~\u0080-\u00ff]*\r\n)*\r\n");
 
-        private static String spoil(Random random) {
+        private static String insertBytes(Random random) {
             StringBuilder head = new StringBuilder(VALID_HEAD);
             for (int count = 1 + random.nextInt(MAX_INSERTED); count > 0; count--) {
                 char inserted = INSERTED.charAt(random.nextInt(INSERTED.length()));
@@ -141,7 +141,7 @@
         void shouldFollowTheGrammar() {
             Random random = new Random(47);
             List<String> accepted =
-                    Stream.generate(() -> spoil(random))
+                    Stream.generate(() -> insertBytes(random))
                             .limit(CASES)
                             .filter(head -> !decode(head).isFailure())
                             .filter(head -> !decode(head).heads().isEmpty())
--- a/connectors/src/test/java/org/rattanport/connectors/http/InvalidResponseTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/http/InvalidResponseTest.java
@@ -137,19 +137,19 @@
     final class Headers {
         private static final List<String> INVALID_LINES =
                 List.of(
-                        "X Spoiled: a",
-                        "X-Spoiled : a",
-                        " X-Spoiled: a",
-                        "X\u0000Spoiled: a",
-                        "X-Spoiled\u001f: a",
-                        "\u001cX-Spoiled: a",
-                        "X-Spoiled",
+                        "X Invalid: a",
+                        "X-Invalid : a",
+                        " X-Invalid: a",
+                        "X\u0000Invalid: a",
+                        "X-Invalid\u001f: a",
+                        "\u001cX-Invalid: a",
+                        "X-Invalid",
                         ": a",
                         "Content-Length x: 3",
                         "Transfer-Encoding : chunked",
-                        "X-Spoiled: a\u0000b",
-                        "X-Spoiled: a\rb",
-                        "X-Spoiled: a\u0001b");
+                        "X-Invalid: a\u0000b",
+                        "X-Invalid: a\rb",
+                        "X-Invalid: a\u0001b");
 
         /** Until the client closes: the end of a connection must not be needed. */
         private static void awaitClose(Socket socket) throws IOException {
@@ -177,7 +177,7 @@
                     socket -> {
                         readBeginning(socket);
                         write(socket, "HTTP/1.1 100 Continue\r\n\r\n");
-                        write(socket, "HTTP/1.1 200 OK\r\nX Spoiled: a" + HEADERS + BODY);
+                        write(socket, "HTTP/1.1 200 OK\r\nX Invalid: a" + HEADERS + BODY);
                         awaitClose(socket);
                     },
                     1);
@@ -194,7 +194,7 @@
         void shouldBeCheckedInLaterResponsesOfAConnection() throws IOException {
             Script script =
                     socket -> {
-                        for (String line : List.of("X-A: a", "X-B: b", "X Spoiled: a")) {
+                        for (String line : List.of("X-A: a", "X-B: b", "X Invalid: a")) {
                             readToTheEndOfTheObject(socket);
                             write(socket, "HTTP/1.1 200 OK\r\n" + line + HEADERS + BODY);
                         }
