Check the trailers of responses too

Callers saw: nothing wrong in the bytes that they got, as trailers are dropped. But a response with an invalid trailer counted as whole, such as one whose last chunk was followed by the head of another response.

Cause: the same as for heads: Netty reads trailers leniently, and nothing compared their bytes with the grammar of HTTP. It refuses only a trailer without a colon.

Fix: the line of the last chunk and the trailers behind it have the form of a head, so ResponseHeadSyntax follows what the decoder takes between two chunks. The decoder ends the body as malformed at the first invalid byte, which already counts as a broken chunk: an attempt that may have run.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpClientConnectionCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpClientConnectionCodec.java
@@ -4,20 +4,24 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.CombinedChannelDuplexHandler;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.util.List;
 
 /**
  * Encodes the requests of a connection, one at a time, and decodes the responses. Netty's own codec
  * takes any number for a status, such as {@code 000} or {@code +200}, and drops its text. It also
  * drops what stands between a blank in the name of a header and the colon, so that {@code
- * Content-Length x: 3} gives the body a length. Heads are therefore checked before it reads them.
+ * Content-Length x: 3} gives the body a length. Heads are therefore checked before it reads them,
+ * and the trailers of chunked bodies after it has found their end.
  */
 final class HttpClientConnectionCodec
         extends CombinedChannelDuplexHandler<HttpResponseDecoder, HttpRequestEncoder> {
@@ -39,6 +43,7 @@
     private final class Decoder extends HttpResponseDecoder {
         private final ResponseHeadSyntax mSyntax = new ResponseHeadSyntax();
         private boolean mIsInHead = true;
+        private boolean mIsChunked;
 
         /** Bytes of the head at the beginning of the buffer that were checked, but not decoded. */
         private int mCheckedBytes;
@@ -58,13 +63,24 @@
                 buffer.skipBytes(buffer.readableBytes());
                 return;
             }
+            int start = buffer.readerIndex();
             super.decode(context, buffer, out);
+            if (!mIsInHead && mIsChunked) {
+                checkTrailers(buffer.slice(start, buffer.readerIndex() - start), out);
+            }
             mCheckedBytes = buffer.readableBytes();
-            if (!out.isEmpty()) {
-                mIsInHead = out.getLast() instanceof LastHttpContent;
-                mCheckedBytes = 0;
-                mSyntax.restart();
+            if (!out.isEmpty() && !mSyntax.isInvalid()) {
+                expectNext(out.getLast());
+            }
+        }
+
+        private void expectNext(Object decoded) {
+            mIsInHead = decoded instanceof LastHttpContent;
+            if (decoded instanceof HttpMessage head) {
+                mIsChunked = HttpUtil.isTransferEncodingChunked(head);
             }
+            mCheckedBytes = 0;
+            mSyntax.restart();
         }
 
         private void checkHead(ByteBuf buffer, List<Object> out) {
@@ -72,13 +88,34 @@
             buffer.forEachByte(start, buffer.writerIndex() - start, mSyntax);
             if (mSyntax.isInvalid()) {
                 HttpMessage invalid = createInvalidMessage();
-                invalid.setDecoderResult(
-                        DecoderResult.failure(
-                                new IllegalArgumentException("a byte in the head is not HTTP")));
+                invalid.setDecoderResult(failure("a byte in the head is not HTTP"));
                 out.add(invalid);
             }
         }
 
+        /**
+         * Checks what was decoded since the last data of a chunk, which may be the line of the last
+         * chunk with the trailers behind it.
+         */
+        private void checkTrailers(ByteBuf decoded, List<Object> out) {
+            boolean isEnd = !out.isEmpty() && out.getLast() instanceof LastHttpContent;
+            if (!out.isEmpty() && !isEnd) {
+                return;
+            }
+            decoded.forEachByte(mSyntax);
+            if (mSyntax.isInvalid()) {
+                out.forEach(ReferenceCountUtil::release);
+                out.clear();
+                LastHttpContent invalid = new DefaultLastHttpContent();
+                invalid.setDecoderResult(failure("a byte in the trailers is not HTTP"));
+                out.add(invalid);
+            }
+        }
+
+        private static DecoderResult failure(String reason) {
+            return DecoderResult.failure(new IllegalArgumentException(reason));
+        }
+
         @Override
         protected HttpMessage createMessage(String[] initialLine) {
             if (!ResponseHeadReader.isStatus(initialLine[1])) {
--- a/connectors/src/main/java/org/rattanport/connectors/http/ResponseHeadSyntax.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/ResponseHeadSyntax.java
@@ -5,8 +5,9 @@
 /**
  * Follows the bytes of a response's head up to the empty line that ends it, and stops at the first
  * one that HTTP does not allow there. The name of a header is a token that a colon follows at once;
- * status line and values have no control characters except tabs. Values that go on in another line,
- * which HTTP calls obsolete, are not allowed either.
+ * start line and values have no control characters except tabs. Values that go on in another line,
+ * which HTTP calls obsolete, are not allowed either. The line of the last chunk of a body and the
+ * trailers behind it have the form of a head, too.
  */
 final class ResponseHeadSyntax implements ByteProcessor {
     private static final byte CARRIAGE_RETURN = '\r';
@@ -16,18 +17,18 @@
     /** What a name consists of, besides letters and digits. */
     private static final String TOKEN_PUNCTUATION = "!#$%&'*+-.^_`|~";
 
-    private Place mPlace = Place.BEFORE_STATUS_LINE;
+    private Place mPlace = Place.BEFORE_START_LINE;
 
     /** The place in a head at which the next byte stands. */
     private enum Place {
-        /** Empty lines may precede a response. */
-        BEFORE_STATUS_LINE {
+        /** Empty lines may precede a response, and one follows the data of each chunk. */
+        BEFORE_START_LINE {
             @Override
             Place after(byte next) {
                 return next == CARRIAGE_RETURN || next == LINE_FEED ? this : TEXT.after(next);
             }
         },
-        /** In the status line, or in the value of a header. */
+        /** In the start line, or in the value of a header. */
         TEXT {
             @Override
             Place after(byte next) {
@@ -112,6 +113,6 @@
 
     /** Expects the head of another response. */
     void restart() {
-        mPlace = Place.BEFORE_STATUS_LINE;
+        mPlace = Place.BEFORE_START_LINE;
     }
 }
--- a/connectors/src/test/java/org/rattanport/connectors/http/HttpClientConnectionCodecTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/http/HttpClientConnectionCodecTest.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Random;
@@ -27,6 +28,11 @@
             return objects.stream().anyMatch(each -> each.decoderResult().isFailure());
         }
 
+        /** Whether the bytes are, or begin with, a whole response. */
+        boolean isWhole() {
+            return !isFailure() && objects.stream().anyMatch(LastHttpContent.class::isInstance);
+        }
+
         List<String> heads() {
             return objects.stream()
                     .filter(HttpResponse.class::isInstance)
@@ -67,13 +73,14 @@
     final class Pieces {
         private static final String FIRST =
                 "HTTP/1.1 200 OK\r\nX-A: a\r\nTransfer-Encoding: chunked\r\n\r\n"
-                        + "5\r\na b: \r\n0\r\n\r\n";
+                        + "5\r\na b: \r\n2;a=b\r\n \u0000\r\n0;a=b\r\nX-C: c\r\nX-D:\r\n\r\n";
         private static final String INTERIM = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
         private static final String SECOND =
                 "HTTP/1.1 404 Not Found\r\nX-B:\r\nContent-Length: 4\r\n\r\n\u0000 :c";
         private static final String RESPONSES = FIRST + INTERIM + SECOND;
-        private static final String INVALID =
+        private static final String INVALID_HEAD =
                 FIRST + "HTTP/1.1 200 OK\r\nX-A: a\r\nX B: b\r\nContent-Length: 4\r\n\r\nbody";
+        private static final String INVALID_TRAILER = FIRST.replace("X-D", "X D") + SECOND;
 
         private static void check(String... pieces) {
             Decoded decoded = decode(pieces);
@@ -84,13 +91,20 @@
                             "103 [Link=</a>]",
                             "404 [X-B=, Content-Length=4]")
                     .inOrder();
-            assertThat(decoded.body()).isEqualTo("a b: \u0000 :c");
+            assertThat(decoded.body()).isEqualTo("a b:  \u0000\u0000 :c");
         }
 
         private static void checkInvalid(String... pieces) {
             Decoded decoded = decode(pieces);
             assertThat(decoded.isFailure()).isTrue();
-            assertThat(decoded.body()).isEqualTo("a b: ");
+            assertThat(decoded.heads()).doesNotContain("404 [X-B=, Content-Length=4]");
+            assertThat(decoded.body()).isEqualTo("a b:  \u0000");
+        }
+
+        private static void checkInvalidInAnyPieces(String text) {
+            IntStream.range(0, text.length())
+                    .forEach(at -> checkInvalid(text.substring(0, at), text.substring(at)));
+            checkInvalid(bytes(text));
         }
 
         @Test
@@ -102,56 +116,69 @@
 
         @Test
         void shouldNotHideAnInvalidName() {
-            IntStream.range(0, INVALID.length())
-                    .forEach(at -> checkInvalid(INVALID.substring(0, at), INVALID.substring(at)));
-            checkInvalid(bytes(INVALID));
+            checkInvalidInAnyPieces(INVALID_HEAD);
+        }
+
+        @Test
+        void shouldNotHideAnInvalidNameInATrailer() {
+            checkInvalidInAnyPieces(INVALID_TRAILER);
         }
     }
 
+    /** The grammar of RFC 9112, without folded lines and with empty lines before a head. */
     @Nested
-    final class Heads {
+    final class Grammar {
         private static final int CASES = 50_000;
         private static final int MAX_INSERTED = 3;
-        private static final String VALID_HEAD =
-                "HTTP/1.1 200 OK\r\nX-A: a\r\nContent-Length: 0\r\nB:b\r\n\r\n";
         private static final String INSERTED =
                 "a: \t\r\n\u0000\u0001\u000b\u000c\u001c\u001f\u007f\u0080\u00a0\u00ff(\"/-_,;";
 
-        /** The grammar of RFC 9112, without folded lines and with empty lines before it. */
-        private static final Pattern GRAMMAR =
-                Pattern.compile(
-                        "[\r\n]*[\t -~\u0080-\u00ff]+\r\n"
-                                + "([!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t -~\u0080-\u00ff]*\r\n)*\r\n");
+        private static final String TEXT = "[\t -~\u0080-\u00ff]";
+        private static final String FIELDS = "([!#$%&'*+.^_`|~0-9A-Za-z-]+:" + TEXT + "*\r\n)*\r\n";
 
-        private static String insertBytes(Random random) {
-            StringBuilder head = new StringBuilder(VALID_HEAD);
+        private static String insertBytes(Random random, String text) {
+            StringBuilder result = new StringBuilder(text);
             for (int count = 1 + random.nextInt(MAX_INSERTED); count > 0; count--) {
                 char inserted = INSERTED.charAt(random.nextInt(INSERTED.length()));
-                head.insert(random.nextInt(VALID_HEAD.length()), inserted);
+                result.insert(random.nextInt(text.length()), inserted);
             }
-            return head.toString();
-        }
-
-        /** The end of the head may move to the front, so that a part of the bytes is one. */
-        private static boolean beginsWithAHead(String text) {
-            return GRAMMAR.matcher(text).lookingAt();
+            return result.toString();
         }
 
-        @Test
-        void shouldFollowTheGrammar() {
+        /**
+         * Decodes responses with random bytes in their end. The inserted bytes may end the response
+         * early, so that the grammar need not match all of it.
+         */
+        private static void check(String beginning, String end, String grammar) {
+            Pattern pattern = Pattern.compile(grammar);
             Random random = new Random(47);
             List<String> accepted =
-                    Stream.generate(() -> insertBytes(random))
+                    Stream.generate(() -> insertBytes(random, end))
                             .limit(CASES)
-                            .filter(head -> !decode(head).isFailure())
-                            .filter(head -> !decode(head).heads().isEmpty())
+                            .filter(each -> decode(beginning + each).isWhole())
                             .toList();
             assertThat(accepted).isNotEmpty();
             accepted.forEach(
-                    head ->
-                            assertWithMessage("%s", List.of(bytes(head)))
-                                    .that(beginsWithAHead(head))
+                    each ->
+                            assertWithMessage("%s", List.of(bytes(each)))
+                                    .that(pattern.matcher(each).lookingAt())
                                     .isTrue());
         }
+
+        @Test
+        void shouldHoldForHeads() {
+            check(
+                    "",
+                    "HTTP/1.1 200 OK\r\nX-A: a\r\nContent-Length: 0\r\nB:b\r\n\r\n",
+                    "[\r\n]*" + TEXT + "+\r\n" + FIELDS);
+        }
+
+        @Test
+        void shouldHoldForTrailers() {
+            check(
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n",
+                    "X-A: a\r\nB:b\r\n\r\n",
+                    FIELDS);
+        }
     }
 }
--- a/connectors/src/test/java/org/rattanport/connectors/http/InvalidResponseTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/http/InvalidResponseTest.java
@@ -170,6 +170,21 @@
             }
         }
 
+        @Test
+        void shouldBeCheckedInTrailers() throws IOException {
+            for (String line : INVALID_LINES) {
+                shouldFail(
+                        line,
+                        socket -> {
+                            readBeginning(socket);
+                            String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                            write(socket, head + "7\r\n" + BODY + "\r\n0\r\n" + line + "\r\n\r\n");
+                            awaitClose(socket);
+                        },
+                        1);
+            }
+        }
+
         @Test
         void shouldBeCheckedBehindAnInterimResponse() throws IOException {
             shouldFail(
