Keep the cause that the decoder found for a broken chunk

Operators saw: since the check of trailers, the log could give a byte in the trailers as the reason of a response with a broken chunk. Callers got the same error either way.

Cause: the check also looked at what the decoder had skipped behind a chunk that it refused, and replaced its cause.

Evidence: HttpClientConnectionCodecTest.BrokenChunks found "a byte in the trailers is not HTTP" for the chunk line "5 x"; it failed.

Fix: only an end that the decoder takes for whole is checked. The text of the check says where the byte stands, as a line of a chunk that is still arriving is checked, too. The bytes are read in place instead of through a slice for each part.

--- a/connectors/src/main/java/org/rattanport/connectors/http/HttpClientConnectionCodec.java
+++ b/connectors/src/main/java/org/rattanport/connectors/http/HttpClientConnectionCodec.java
@@ -66,7 +66,7 @@
             int start = buffer.readerIndex();
             super.decode(context, buffer, out);
             if (!mIsInHead && mIsChunked) {
-                checkTrailers(buffer.slice(start, buffer.readerIndex() - start), out);
+                checkTrailers(buffer, start, out);
             }
             mCheckedBytes = buffer.readableBytes();
             if (!out.isEmpty() && !mSyntax.isInvalid()) {
@@ -94,24 +94,27 @@
         }
 
         /**
-         * Checks what was decoded since the last data of a chunk, which may be the line of the last
-         * chunk with the trailers behind it.
+         * Checks the bytes that were decoded since the last data of a chunk. They may be the line
+         * of the last chunk and the trailers behind it.
          */
-        private void checkTrailers(ByteBuf decoded, List<Object> out) {
-            boolean isEnd = !out.isEmpty() && out.getLast() instanceof LastHttpContent;
-            if (!out.isEmpty() && !isEnd) {
+        private void checkTrailers(ByteBuf buffer, int start, List<Object> out) {
+            if (!out.stream().allMatch(Decoder::isWholeEnd)) {
                 return;
             }
-            decoded.forEachByte(mSyntax);
+            buffer.forEachByte(start, buffer.readerIndex() - start, mSyntax);
             if (mSyntax.isInvalid()) {
                 out.forEach(ReferenceCountUtil::release);
                 out.clear();
                 LastHttpContent invalid = new DefaultLastHttpContent();
-                invalid.setDecoderResult(failure("a byte in the trailers is not HTTP"));
+                invalid.setDecoderResult(failure("a byte behind a chunk is not HTTP"));
                 out.add(invalid);
             }
         }
 
+        private static boolean isWholeEnd(Object decoded) {
+            return decoded instanceof LastHttpContent end && end.decoderResult().isSuccess();
+        }
+
         private static DecoderResult failure(String reason) {
             return DecoderResult.failure(new IllegalArgumentException(reason));
         }
--- a/connectors/src/test/java/org/rattanport/connectors/http/HttpClientConnectionCodecTest.java
+++ b/connectors/src/test/java/org/rattanport/connectors/http/HttpClientConnectionCodecTest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Objects;
 import java.util.Random;
 import java.util.regex.Pattern;
 import java.util.stream.Collectors;
@@ -125,6 +126,32 @@
         }
     }
 
+    @Nested
+    final class BrokenChunks {
+        private static final String BEGINNING =
+                "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n";
+
+        private static String cause(String... pieces) {
+            return decode(pieces).objects().stream()
+                    .map(each -> each.decoderResult().cause())
+                    .filter(Objects::nonNull)
+                    .map(Throwable::getMessage)
+                    .collect(Collectors.joining());
+        }
+
+        @Test
+        void shouldHaveTheCauseThatTheDecoderFound() {
+            assertThat(cause(BEGINNING + "5 x\r\n\u0000bcde\r\n0\r\n\r\n"))
+                    .isEqualTo("Invalid character in chunk size");
+        }
+
+        @Test
+        void shouldHaveTheInvalidTrailerForACause() {
+            assertThat(cause(BEGINNING + "0\r\nX A: a\r\n\r\n"))
+                    .isEqualTo("a byte behind a chunk is not HTTP");
+        }
+    }
+
     /** The grammar of RFC 9112, without folded lines and with empty lines before a head. */
     @Nested
     final class Grammar {
