Pass on events behind one with a wrong id

Cause: EventRelay took every event whose number was not above that of the last one for a duplicate, also inside the response of one back end. After one number that was too large, all later events were dropped until the numbers had passed it. The same number also said from where another back end resumes the stream, so a break right after it lost events too; and an event without a usable number came twice after a resumption.

StreamPosition now passes on each event of the first response as it is. It skips events only at the beginning of a response that resumes the stream, and requires that their numbers continue what the caller has. A stream is resumed only after a number that follows from those before it; otherwise it is truncated, and a silent engine is waited for, as no other one could go on.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/Forwarding.java
@@ -113,7 +113,7 @@
                 mCaller,
                 mComponents.time(),
                 mRequest.lastEventId(),
-                () -> mSilence.beforeNextEvent(mRuns, mRelay.hasStarted()),
+                () -> mSilence.beforeNextEvent(mRuns, mRelay),
                 mSilence,
                 () -> mSilence.remainingPrefill(mLastBackEndId),
                 this::onArrived,
@@ -177,6 +177,7 @@
                 return;
             }
             if (mRelay.continuation().isEmpty()) {
+                mLastError = ForwardingErrors.cannotBeContinued(mLastError);
                 break;
             }
             if (mVerdict != Verdict.NOT_RUN
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ForwardingErrors.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ForwardingErrors.java
@@ -129,6 +129,13 @@
                 .build();
     }
 
+    static RattanportException cannotBeContinued(RattanportException cause) {
+        return new RattanportException(
+                cause.code(),
+                "no other back end can continue the response that broke off: "
+                        + cause.getMessage());
+    }
+
     static RattanportException stopping(Verdict verdict) {
         return RattanportException.builder(ErrorCode.STOPPING, "this instance is stopping")
                 .verdict(verdict)
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/SilencePolicy.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/SilencePolicy.java
@@ -5,6 +5,7 @@
 import java.util.function.Function;
 import org.rattanport.decisions.gateway.placement.ForwardPassModel;
 import org.rattanport.decisions.gateway.placement.Placement;
+import org.rattanport.decisions.gateway.relay.ResponseRelay;
 import org.rattanport.decisions.gateway.relay.SilenceTimeout;
 import org.rattanport.decisions.gateway.relay.TakeOver;
 import org.rattanport.kernel.gateway.BackEndService;
@@ -95,12 +96,18 @@
         return work.predictedFirstEventMillis() + Math.max(0, savedMillis);
     }
 
-    /** Once no retry is allowed, only the route limits the silence of the last engine. */
-    SilenceTimeout beforeNextEvent(int runs, boolean hasStarted) {
-        if (!hasStarted) {
+    /**
+     * Once no other engine may continue the response, only the route limits the silence of the last
+     * one.
+     */
+    SilenceTimeout beforeNextEvent(int runs, ResponseRelay relay) {
+        if (!relay.hasStarted()) {
             return mAfterHead;
         }
-        boolean mayRetry = mRoute.isRetryable() && runs < mRoute.maxAttempts();
+        boolean mayRetry =
+                mRoute.isRetryable()
+                        && runs < mRoute.maxAttempts()
+                        && relay.continuation().isPresent();
         return mayRetry
                 ? SilenceTimeout.betweenEvents(mRoute)
                 : SilenceTimeout.routeTimeout(mRoute);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/relay/EventRelay.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/relay/EventRelay.java
@@ -6,9 +6,6 @@
 import java.util.OptionalInt;
 import java.util.function.Supplier;
 import org.rattanport.decisions.gateway.relay.EventStreamParser.Event;
-import org.rattanport.kernel.error.ErrorCode;
-import org.rattanport.kernel.error.RattanportException;
-import org.rattanport.kernel.error.Verdict;
 import org.rattanport.kernel.gateway.BackEndExchange;
 import org.rattanport.kernel.gateway.CallerExchange;
 import org.rattanport.kernel.gateway.ResponseHead;
@@ -18,8 +15,8 @@
 
 /**
  * Relays complete events as they arrive. When a back end fails during the stream, another one may
- * resume it: the relay skips events that the caller already has and keeps the headers of the first
- * back end.
+ * resume it: the relay skips the first events of its response that the caller already has and keeps
+ * the headers of the first back end.
  */
 public final class EventRelay implements ResponseRelay {
     /** Bytes without the end of an event, above which a response is no event stream. */
@@ -32,8 +29,7 @@
     private final Supplier<SilenceTimeout> mTimeout;
     private final TakeOver mTakeOver;
     private final Supplier<Duration> mRemainingPrefill;
-    private Optional<Event> mLastEvent = Optional.empty();
-    private final Optional<String> mResumeAfterId;
+    private final StreamPosition mPosition;
     private Optional<ResponseWriter> mResponse = Optional.empty();
 
     public EventRelay(
@@ -47,7 +43,7 @@
             Runnable onEvent) {
         mCaller = caller;
         mTime = time;
-        mResumeAfterId = resumeAfterId;
+        mPosition = new StreamPosition(resumeAfterId);
         mTimeout = timeout;
         mTakeOver = takeOver;
         mRemainingPrefill = remainingPrefill;
@@ -59,6 +55,7 @@
     public void relay(ResponseHead head, BackEndExchange exchange, Deadline deadline) {
         EventStreamParser parser = new EventStreamParser();
         boolean hasEvents = false;
+        mPosition.beginResponse();
         Optional<List<Event>> events = awaitEvents(parser, exchange, deadline);
         while (events.isPresent()) {
             hasEvents = true;
@@ -66,6 +63,7 @@
             events = awaitEvents(parser, exchange, deadline);
         }
         requireComplete(head, parser, hasEvents);
+        mPosition.endResponse();
         ResponseWriter response = start(head);
         response.write(parser.remainder());
         response.finish();
@@ -92,7 +90,7 @@
             EventStreamParser parser, BackEndExchange exchange, Deadline limit) {
         while (true) {
             if (parser.pendingBytes() > MAX_EVENT_BYTES) {
-                throw brokenOff("an event of the stream is too long");
+                throw BrokenStream.because("an event of the stream is too long");
             }
             Optional<byte[]> chunk = exchange.awaitChunk(limit);
             if (chunk.isEmpty()) {
@@ -109,32 +107,17 @@
     private static void requireComplete(
             ResponseHead head, EventStreamParser parser, boolean hasEvents) {
         if (parser.isInsideEvent()) {
-            throw brokenOff("the stream ended inside an event");
+            throw BrokenStream.because("the stream ended inside an event");
         }
         if (head.isCloseDelimited() && !hasEvents) {
-            throw brokenOff("the stream ended before its first event");
+            throw BrokenStream.because("the stream ended before its first event");
         }
     }
 
-    private static RattanportException brokenOff(String reason) {
-        return RattanportException.builder(ErrorCode.TARGET_FAILED, reason)
-                .verdict(Verdict.MAY_HAVE_RUN)
-                .build();
-    }
-
     private void forward(ResponseHead head, Event event) {
-        boolean isDuplicate =
-                event.number().isPresent()
-                        && mLastEvent.isPresent()
-                        && mLastEvent.get().number().isPresent()
-                        && event.number().getAsLong() <= mLastEvent.get().number().getAsLong();
-        if (isDuplicate) {
-            return;
-        }
-        mOnEvent.run();
-        start(head).write(event.bytes());
-        if (event.id().isPresent()) {
-            mLastEvent = Optional.of(event);
+        if (mPosition.advance(event)) {
+            mOnEvent.run();
+            start(head).write(event.bytes());
         }
     }
 
@@ -152,7 +135,7 @@
 
     @Override
     public Optional<ResponseRelay> continuation() {
-        return Optional.of(this);
+        return hasStarted() && !mPosition.isCertain() ? Optional.empty() : Optional.of(this);
     }
 
     @Override
@@ -162,6 +145,6 @@
 
     @Override
     public Optional<String> lastEventId() {
-        return mLastEvent.flatMap(Event::id).or(() -> mResumeAfterId);
+        return mPosition.lastId();
     }
 }
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/relay/EventStreamParser.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/relay/EventStreamParser.java
@@ -12,16 +12,20 @@
     public record Event(byte[] bytes, Optional<String> id) {
         /** The id as a number; empty unless it has 1 to 18 digits. */
         public OptionalLong number() {
-            return id.filter(
-                            value -> !value.isEmpty() && value.chars().allMatch(Character::isDigit))
-                    .filter(value -> value.length() <= MAX_NUMBER_DIGITS)
-                    .map(value -> OptionalLong.of(Long.parseLong(value)))
-                    .orElse(OptionalLong.empty());
+            return id.map(EventStreamParser::number).orElse(OptionalLong.empty());
+        }
+
+        /** Whether the event has no field, as the comments that keep a connection alive. */
+        public boolean isComment() {
+            return new String(bytes, StandardCharsets.UTF_8)
+                    .lines()
+                    .allMatch(line -> line.isEmpty() || line.startsWith(COMMENT));
         }
     }
 
     private static final int MAX_NUMBER_DIGITS = 18;
     private static final String ID_FIELD = "id:";
+    private static final String COMMENT = ":";
 
     private final ByteAccumulator mPending = new ByteAccumulator();
 
@@ -65,6 +69,14 @@
                 || mPending.endsWith((byte) '\n', (byte) '\r', (byte) '\n');
     }
 
+    static OptionalLong number(String id) {
+        boolean isNumber =
+                !id.isEmpty()
+                        && id.length() <= MAX_NUMBER_DIGITS
+                        && id.chars().allMatch(Character::isDigit);
+        return isNumber ? OptionalLong.of(Long.parseLong(id)) : OptionalLong.empty();
+    }
+
     private static Optional<String> id(byte[] bytes) {
         return new String(bytes, StandardCharsets.UTF_8)
                 .lines()
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingTest.java
@@ -168,7 +168,11 @@
     @Nested
     final class SilentEngines {
         private void serveStallingStream() {
-            serve("/stream/a", Reaction.STALL);
+            serveStallingStream(Reaction.STALL);
+        }
+
+        private void serveStallingStream(Reaction reaction) {
+            serve("/stream/a", reaction);
             assertThat(mAttempts).hasSize(1);
             assertThat(mCaller.mIsAborted).isFalse();
             assertThat(mCaller.mIsFinished).isTrue();
@@ -189,6 +193,12 @@
             serveStallingStream();
         }
 
+        /** A stream that no other engine could continue was cut although its engine went on. */
+        @Test
+        void shouldNotBeGivenUpAfterAnIdThatIsNotTheNextOne() {
+            serveStallingStream(Reaction.STALL_AFTER_WRONG_ID);
+        }
+
         /** Streams that fell silent together were all given up with one retry left. */
         @Test
         void shouldNotBeGivenUpForARetryThatAnotherStreamTakes() {
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ScriptedBackEnds.java
@@ -45,6 +45,8 @@
         ENDLESS,
         /** Streams one event, stalls, and streams the next, also to a reader that asks again. */
         STALL,
+        /** Does so with a wrong id of the first event. */
+        STALL_AFTER_WRONG_ID,
         /** Stalls after its head, and streams one event. */
         STALL_AFTER_HEAD,
         /** Streams one event, and then a byte now and then that completes no event. */
@@ -214,7 +216,7 @@
             }
             int chunkCount =
                     switch (mReaction) {
-                        case STALL -> 2;
+                        case STALL, STALL_AFTER_WRONG_ID -> 2;
                         case STREAM,
                                 STALL_AFTER_HEAD,
                                 LEAVING_BROKEN_STREAM,
@@ -238,7 +240,8 @@
                 stall(deadline, STALL_DURATION);
             }
             int last = mAttempt.lastEventId().map(Integer::parseInt).orElse(0);
-            String event = "id: " + (last + mChunks) + "\ndata: x\n\n";
+            boolean hasWrongId = mReaction == Reaction.STALL_AFTER_WRONG_ID && mChunks == 1;
+            String event = "id: " + (hasWrongId ? 90 : last + mChunks) + "\ndata: x\n\n";
             if (mReaction == Reaction.END_INSIDE_EVENT) {
                 event += "id: " + (last + 2) + "\nda";
             }
