Grant no named limits before the search for other instances has ended

Cause: an instance that knows no other one took itself for the whole fleet and granted the whole limit. It stayed so for some 25 s: the search asked its three seeds one after the other, each for 0.8 s, five times a round, and read the directory only after two rounds. FleetView kept the tokens of cold back ends from such an instance, but not those of named limits.

An instance now grants nothing of a named limit until it knows another one, or until two rounds through its seeds and the directory have led to none.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayMembershipPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayMembershipPlugin.java
@@ -66,7 +66,12 @@
 
     @Override
     public Set<Class<?>> provides() {
-        return Set.of(Membership.class, MemberTable.class, RumorHub.class, ActiveRouting.class);
+        return Set.of(
+                Membership.class,
+                MemberTable.class,
+                MemberSearch.class,
+                RumorHub.class,
+                ActiveRouting.class);
     }
 
     @Override
@@ -112,6 +117,7 @@
                         gossip,
                         new StoreReaders(table)::isReader,
                         time);
+        context.provide(MemberSearch.class, search);
         mSettingsSubscription =
                 context.events().stream(GatewaySettings.class)
                         .subscribe(settings -> search.setSeeds(settings.memberSeeds()));
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -87,6 +87,7 @@
                 PeerNetwork.class,
                 RumorHub.class,
                 MemberTable.class,
+                MemberSearch.class,
                 Drain.class,
                 Membership.class);
     }
@@ -202,7 +203,11 @@
                 new ColdRules(
                         coldBackEnds(context),
                         settings.coldBound(),
-                        new FleetView(directory, missing, settings.memberSeeds()));
+                        new FleetView(
+                                directory,
+                                missing,
+                                settings.memberSeeds(),
+                                context.require(MemberSearch.class)::isComplete));
         RateLimitOwner owner =
                 new RateLimitOwner(table, directory, owners, cold, time, new Random());
         owner.registerHandlers(peers);
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/limits/FleetView.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/FleetView.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 import org.rattanport.decisions.gateway.placement.CoordinatorDirectory;
 
 /** How much of the fleet this instance sees. */
@@ -21,16 +22,23 @@
     private final CoordinatorDirectory mDirectory;
     private final MissingMembers mMissing;
     private final List<String> mSeeds;
+    private final BooleanSupplier mIsSearchComplete;
 
     /**
      * Creates the view.
      *
      * @param seeds peer addresses of instances through which this instance joins the cluster
+     * @param isSearchComplete whether this instance has met others, or looked for them in vain
      */
-    public FleetView(CoordinatorDirectory directory, MissingMembers missing, List<String> seeds) {
+    public FleetView(
+            CoordinatorDirectory directory,
+            MissingMembers missing,
+            List<String> seeds,
+            BooleanSupplier isSearchComplete) {
         mDirectory = directory;
         mMissing = missing;
         mSeeds = seeds;
+        mIsSearchComplete = isSearchComplete;
     }
 
     private int alive() {
@@ -52,6 +60,11 @@
         return mMissing.unchangedFor().compareTo(SETTLED_TIME) >= 0;
     }
 
+    /** Whether this instance knows enough of the fleet to grant tokens of named limits. */
+    boolean isOwnerPossible() {
+        return mIsSearchComplete.getAsBoolean() || !hasMetNobody();
+    }
+
     /** Whether this part of the fleet is large enough to grant tokens of cold back ends. */
     boolean isColdOwnerPossible() {
         return share() >= MIN_COLD_SHARE && !hasMetNobody();
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitOwner.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/limits/RateLimitOwner.java
@@ -31,7 +31,8 @@
  * rate that is due to the members which it believes alive, so that the grants in both parts of a
  * parted fleet add up to the limit. Another member that is asked passes the request on to the
  * owner. A silent owner has no deputy: the next member takes over when the failure detector
- * suspects it.
+ * suspects it. An instance that still looks for other members grants nothing, as it would take
+ * itself for the whole fleet.
  */
 public final class RateLimitOwner {
     private static final Logger LOGGER = Logger.getLogger(RateLimitOwner.class);
@@ -190,7 +191,11 @@
             drop(known.backEndId(), "the limit has ended");
             return new RateLimitReply(known, true, 0);
         }
-        if (cold.isPresent() && !mCold.fleet().isColdOwnerPossible()) {
+        boolean isOwnerPossible =
+                cold.isPresent()
+                        ? mCold.fleet().isColdOwnerPossible()
+                        : mCold.fleet().isOwnerPossible();
+        if (!isOwnerPossible) {
             return refusal(known, NO_OWNER_WAIT_MILLIS);
         }
         // Not under the lock, as the member table calls this class under its own.
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/PeerHub.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/PeerHub.java
@@ -63,7 +63,7 @@
         return mMessages;
     }
 
-    private PeerMessage deliver(String address, PeerMessage message) {
+    private synchronized PeerMessage deliver(String address, PeerMessage message) {
         if (mSilent.contains(address)) {
             throw unreachable(address);
         }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/limits/FleetViewTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/limits/FleetViewTest.java
@@ -9,7 +9,9 @@
 import org.rattanport.decisions.gateway.PeerHub;
 import org.rattanport.decisions.gateway.TestFleet;
 import org.rattanport.kernel.gateway.BackEnd;
+import org.rattanport.kernel.gateway.RateLimit;
 import org.rattanport.kernel.gateway.RateLimitEvent;
+import org.rattanport.kernel.gateway.ResponseHead;
 import org.rattanport.kernel.model.InstanceId;
 import org.rattanport.kernel.peer.Member;
 import org.rattanport.kernel.peer.MemberState;
@@ -39,14 +41,27 @@
 
     /** Tries for 20 s; returns the requests that the instance sent. */
     private int send(RateLimitInstance instance) {
+        return send(instance, mCold);
+    }
+
+    private int send(RateLimitInstance instance, BackEnd backEnd) {
         int sent = 0;
         for (int i = 0; i < MILLIS; i += 10) {
-            sent += instance.limits().tryUse(mCold, 1, () -> true) ? 1 : 0;
+            sent += instance.limits().tryUse(backEnd, 1, () -> true) ? 1 : 0;
             mTime.advance(Duration.ofMillis(10));
         }
         return sent;
     }
 
+    /** The back end names a limit of two requests a second. */
+    private void nameLimit(RateLimitInstance instance, BackEnd backEnd) {
+        instance.limits()
+                .recordResponse(
+                        backEnd,
+                        ResponseHead.builder(200).rateLimit(RateLimit.of(2)).build(),
+                        ClockReading.now(mTime));
+    }
+
     private static long count(RateLimitInstance instance, RateLimitEvent.Kind kind) {
         return instance.events().stream().filter(each -> each.kind() == kind).count();
     }
@@ -67,6 +82,17 @@
             assertThat(count(instance, RateLimitEvent.Kind.GRANTED))
                     .isEqualTo(count(instance, RateLimitEvent.Kind.FALLBACK));
         }
+
+        /** Each instance that looked for the others in vain owned a named limit by itself. */
+        @Test
+        void shouldGrantNothingOfANamedLimitWhileTheyLookForTheOthers() {
+            RateLimitInstance instance = instance(List.of("self", "other"));
+            BackEnd limited = TestFleet.backEnd("b", TestFleet.CALLS, false);
+            nameLimit(instance, limited);
+            assertThat(send(instance, limited)).isEqualTo(0);
+            instance.findNobody();
+            assertThat(send(instance, limited)).isAtLeast((int) (0.8 * 2 * 19));
+        }
     }
 
     @Nested
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitInstance.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/limits/RateLimitInstance.java
@@ -23,6 +23,7 @@
     private final List<RateLimitEvent> mPublished = new ArrayList<>();
     private final List<ColdBackEndEvent> mColdEvents = new ArrayList<>();
     private double mColdPerSecond;
+    private boolean mIsSearchComplete;
 
     public RateLimitInstance(PeerNetwork peers, Member self, TimeSource time, long seed) {
         this(peers, self, time, seed, List.of());
@@ -40,7 +41,7 @@
                 new ColdRules(
                         new ColdBackEnds(time, service -> mColdPerSecond, mColdEvents::add),
                         ColdBound.DEFAULT,
-                        new FleetView(directory, missing, seeds));
+                        new FleetView(directory, missing, seeds, () -> mIsSearchComplete));
         mOwner = new RateLimitOwner(table, directory, owners, cold, time, new Random(seed));
         mOwner.registerHandlers(peers);
         mMembers.memberChanges()
@@ -90,6 +91,11 @@
         mColdPerSecond = requestsPerSecond;
     }
 
+    /** The search for other members ends without one. */
+    void findNobody() {
+        mIsSearchComplete = true;
+    }
+
     /** Learns the state of a member, and gives up the limits that it no longer owns. */
     void learn(Member member) {
         mMembers.merge(member);
