Use no slack of the retry budget while the number of instances is unknown

Back ends could get more repeats than the budget of their service allows while several instances looked for the others: the slack, which all instances have together, is divided by the members that an instance knows, and each of them knew only itself. With the slack of 234 that a site has, such an instance took 187 repeats (80%) by itself.

Until the search for others has ended, an instance now repeats only in proportion to its own first attempts.

ServiceRetryBudgetTest.shouldLeaveNoSlackWhileTheNumberOfInstancesIsUnknown failed with the old rule (187 retries instead of 0).

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/GatewayPlugin.java
@@ -2,6 +2,7 @@
 
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import java.util.Set;
 import org.rattanport.decisions.gateway.discovery.ActiveRouting;
@@ -343,12 +344,19 @@
                         settings.retryBudgetWindow(),
                         settings.retryBudgetRatio(),
                         settings.retryBudgetSlack(),
-                        () -> membership.members().size()),
+                        () -> instances(context)),
                 settings.regions(),
                 context.events(),
                 time);
     }
 
+    /** The number of instances; empty while this instance cannot tell whether it is alone. */
+    private static OptionalInt instances(PluginContext context) {
+        return context.require(MemberSearch.class).isComplete()
+                ? OptionalInt.of(context.require(Membership.class).members().size())
+                : OptionalInt.empty();
+    }
+
     @Override
     public void stop(Deadline deadline) {
         mSubscriptions.dispose();
--- a/decisions/src/main/java/org/rattanport/decisions/gateway/ServiceRetryBudget.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/ServiceRetryBudget.java
@@ -5,7 +5,8 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.function.IntSupplier;
+import java.util.OptionalInt;
+import java.util.function.Supplier;
 import org.rattanport.kernel.time.TimeSource;
 
 /**
@@ -27,11 +28,21 @@
     private final Duration mWindow;
     private final double mRatio;
     private final int mSlack;
-    private final IntSupplier mInstances;
+    private final Supplier<OptionalInt> mInstances;
     private final Map<String, Window> mWindows = new HashMap<>();
 
+    /**
+     * Creates the budget.
+     *
+     * @param slack retries in a window that all instances have together
+     * @param instances number of instances; empty while it is not known, which leaves no slack
+     */
     public ServiceRetryBudget(
-            TimeSource time, Duration window, double ratio, int slack, IntSupplier instances) {
+            TimeSource time,
+            Duration window,
+            double ratio,
+            int slack,
+            Supplier<OptionalInt> instances) {
         mTime = time;
         mWindow = window;
         mRatio = ratio;
@@ -56,7 +67,9 @@
     /** Whether the budget of the window allows a retry now. */
     public synchronized boolean isAvailable(String service) {
         Window window = window(service);
-        double slack = (double) mSlack / Math.max(1, mInstances.getAsInt());
+        OptionalInt instances = mInstances.get();
+        double slack =
+                instances.isPresent() ? (double) mSlack / Math.max(1, instances.getAsInt()) : 0;
         double allowed = USABLE_FRACTION * (mRatio * window.mFirstAttempts.size() + slack);
         return window.mRetries.size() + 1 <= allowed;
     }
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ForwardingHarness.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Random;
 import org.junit.jupiter.api.BeforeEach;
 import org.rattanport.decisions.gateway.ScriptedBackEnds.Reaction;
@@ -111,7 +112,8 @@
                 };
         MemoryLeases leases = new MemoryLeases(new GrantingMemoryClient(), mEvacuated, mTime);
         ServiceRetryBudget retryBudget =
-                new ServiceRetryBudget(mTime, Duration.ofSeconds(10), 0.2, mSlack, () -> 1);
+                new ServiceRetryBudget(
+                        mTime, Duration.ofSeconds(10), 0.2, mSlack, () -> OptionalInt.of(1));
         GatewayComponents components =
                 new GatewayComponents(
                         mRouting,
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/ServiceRetryBudgetTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/ServiceRetryBudgetTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.util.OptionalInt;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.rattanport.kernel.time.ManualTimeSource;
@@ -13,6 +14,10 @@
     private final ManualTimeSource mTime = new ManualTimeSource();
 
     private ServiceRetryBudget budget(int slack, int instances) {
+        return budget(slack, OptionalInt.of(instances));
+    }
+
+    private ServiceRetryBudget budget(int slack, OptionalInt instances) {
         return new ServiceRetryBudget(mTime, WINDOW, 0.2, slack, () -> instances);
     }
 
@@ -36,6 +41,17 @@
             assertThat(total).isAtLeast(100);
         }
 
+        /** Each of several instances that looked for the others used the whole slack. */
+        @Test
+        void shouldLeaveNoSlackWhileTheNumberOfInstancesIsUnknown() {
+            ServiceRetryBudget budget = budget(234, OptionalInt.empty());
+            assertThat(exhaust(budget)).isEqualTo(0);
+            for (int i = 0; i < 100; i++) {
+                budget.recordFirstAttempt("service");
+            }
+            assertThat(exhaust(budget)).isAtLeast(10);
+        }
+
         @Test
         void shouldGrowWithFirstAttempts() {
             ServiceRetryBudget budget = budget(0, 1);
