Archive the classes of the gateway with their links

The archive was a dynamic one on top of the runtime's; its classes are verified and linked anew at each start, and lambdas of a class that is loaded late are spun at run time. The recorded gateway now writes the list of its classes, and a static archive is dumped from it with the classes linked. G1 dumps it, as only it archives heap objects; the serial collector of the gateway loads them.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Builds the gateway into target/: the jar, a Java runtime with only the required modules, and a
-# class data archive, which is recorded while a training load sends requests over loopback.
+# class data archive of the classes that a gateway loads while a training load sends requests to it
+# over loopback.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 . config/java-home.sh
@@ -27,7 +28,7 @@
 coordinator=$!
 target/jre/bin/java $options "${gateway[@]}" "$training/helper.conf" >"$training/helper.log" 2>&1 &
 helper=$!
-target/jre/bin/java $options -XX:ArchiveClassesAtExit=target/gateway.jsa \
+target/jre/bin/java $options -XX:DumpLoadedClassList="$training/classes.list" \
     "${gateway[@]}" "$training/recorded.conf" --metrics-port 28524 >"$training/recorded.log" 2>&1 &
 recorded=$!
 for _ in $(seq 400); do
@@ -39,3 +40,9 @@
 wait "$load" || echo "the training load failed; see $training" >&2
 kill -TERM "$recorded" "$helper" 2>/dev/null || true
 wait "$recorded" "$helper" "$coordinator" || true
+
+# Only G1 archives heap objects, without which the classes would not be linked in the archive; the
+# serial collector of the gateway loads them.
+target/jre/bin/java ${options/-XX:+UseSerialGC/-XX:+UseG1GC} -Xshare:dump -XX:+AOTClassLinking \
+    -XX:SharedClassListFile="$training/classes.list" -XX:SharedArchiveFile=target/gateway.jsa \
+    -cp target/lib/gateway.jar >"$training/archive.log" 2>&1 || cat "$training/archive.log" >&2
