Look for comments only among events without an id

The test whether an event is a comment read each event of each stream once more as text; one with an id is none. No behaviour changes (the tests of relays, InvalidEventIdTest and ResumedStreamEndsTest pass).

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/relay/EventStreamParser.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/relay/EventStreamParser.java
@@ -17,9 +17,10 @@
 
         /** Whether the event has no field, as the comments that keep a connection alive. */
         public boolean isComment() {
-            return new String(bytes, StandardCharsets.UTF_8)
-                    .lines()
-                    .allMatch(line -> line.isEmpty() || line.startsWith(COMMENT));
+            return id.isEmpty()
+                    && new String(bytes, StandardCharsets.UTF_8)
+                            .lines()
+                            .allMatch(line -> line.isEmpty() || line.startsWith(COMMENT));
         }
     }
 
