Know at once that a fleet of one is alone

Cause: the retry budget asks whether the search for other instances has ended, and a search without another seed took two rounds to say so. FleetView already treated an instance whose seeds name only itself as a fleet of one; MemberSearch.isComplete does it too now.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/MemberSearch.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/MemberSearch.java
@@ -67,10 +67,14 @@
 
     /**
      * Whether this instance knows another one, or has found none through its seeds and the
-     * directory. Before that, it cannot tell whether it is alone.
+     * directory, or has no seed but itself. Otherwise it cannot tell whether it is alone.
      */
     boolean isComplete() {
-        return mIsComplete || hasPeers();
+        return mIsComplete || hasPeers() || !hasOtherSeeds();
+    }
+
+    private boolean hasOtherSeeds() {
+        return mSeeds.stream().anyMatch(each -> !each.equals(mTable.self().peerAddress()));
     }
 
     /** Body of a periodic task. */
--- a/decisions/src/test/java/org/rattanport/decisions/gateway/MemberSearchTest.java
+++ b/decisions/src/test/java/org/rattanport/decisions/gateway/MemberSearchTest.java
@@ -177,6 +177,18 @@
         }
     }
 
+    @Nested
+    final class FleetOfOne {
+        /** A fleet of one had no slack for repeats in its first seconds. */
+        @Test
+        void shouldKnowAtOnceThatItIsAlone() {
+            assertThat(new Instance("lone", true, List.of("lone")).mSearch.isComplete()).isTrue();
+            assertThat(new Instance("one", true, List.of()).mSearch.isComplete()).isTrue();
+            assertThat(new Instance("two", true, List.of("one", "two")).mSearch.isComplete())
+                    .isFalse();
+        }
+    }
+
     @Nested
     final class SeparateParts {
         /** Instances whose seeds were of their own part never looked for another one. */
