Log nothing about reads of the store once the follower is closed

Cause: at a stop the open read of the registry ends with its connection, and the follower logged that as a failed read, in a task of its own that may come after the last step. It returns now if it is closed, which the plug-in does before connections close.

--- a/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/FleetFollower.java
+++ b/decisions/src/main/java/org/rattanport/decisions/gateway/discovery/FleetFollower.java
@@ -86,6 +86,9 @@
                 historyLostNanos = mTime.nanoTime();
                 continue;
             } catch (RattanportException e) {
+                if (mRole.isClosed()) {
+                    return;
+                }
                 boolean isFirstFailure = dependency.recordFailure();
                 if (isFirstFailure && e.code() != ErrorCode.STORE_UNAVAILABLE) {
                     LOGGER.info(
